Serve a completion from caller to engine through separate processes

Cause: the repository was empty; the first need is one request that passes from a caller through an entry, an agent and an engine and back.

Ruled out: TCP with a framing of our own, since WebSocket from a library gives framing, upgrade and ping for free; one WebSocket per request, since thousands of idle streams would each cost a socket at both ends.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,124 @@
+// Package agent is the role of the process beside each upstream. It is the authority for that upstream: nothing reaches
+// the upstream but through it.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/engine"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const headerLimit = 5 * time.Second
+
+// Agent serves entries on behalf of one upstream.
+type Agent struct {
+	clock   *timer.Service
+	log     logr.Logger
+	metrics *metric.Set
+	local   proto.Peer
+	engine  *engine.Client
+	address string
+
+	mu    sync.Mutex
+	conns map[*link.Conn]struct{}
+}
+
+// New starts an Agent in grp. It returns once the agent listens.
+func New(
+	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
+) (*Agent, error) {
+	agt := &Agent{
+		clock:   clk,
+		log:     log,
+		metrics: metric.New(),
+		engine:  engine.New(config.AgentUpstream.Of(set)),
+		conns:   make(map[*link.Conn]struct{}),
+		local: proto.Peer{
+			Name:        config.ProcessName.Of(set),
+			Role:        proto.RoleAgent,
+			Incarnation: newIncarnation(),
+			DataCentre:  config.ProcessDataCentre.Of(set),
+			Kind:        proto.UpstreamKind(config.AgentKind.Of(set)),
+			Serves:      config.AgentServes.Of(set),
+		},
+	}
+	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
+}
+
+func newIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
+// Address returns the address on which the agent listens.
+func (agt *Agent) Address() string { return agt.address }
+
+// Metrics returns the agent's metrics.
+func (agt *Agent) Metrics() *metric.Set { return agt.metrics }
+
+func (agt *Agent) listen(grp *group.Group, addr string, sec *config.Secrets) error {
+	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("agent: listen: %w", trace.ConnectionProblem(err, "%v", err))
+	}
+	agt.address = lis.Addr().String()
+	opts := link.Options{
+		Secret:  sec.Deployment(),
+		Local:   agt.local,
+		Clock:   agt.clock,
+		Metrics: agt.metrics,
+		Log:     agt.log,
+		Beat:    func() (proto.Kind, any) { return proto.KindReport, agt.report() },
+		OnOpen:  agt.serve,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, link.Handler(grp.Context(), opts, agt.connected))
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
+	grp.Go("listen", func(context.Context) error {
+		if err := srv.Serve(lis); err != http.ErrServerClosed {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	grp.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	return nil
+}
+
+func (agt *Agent) connected(con *link.Conn) {
+	agt.log.Info("agent: entry connected", "entry", con.Peer().Name)
+	agt.mu.Lock()
+	agt.conns[con] = struct{}{}
+	agt.mu.Unlock()
+	_ = con.Send(proto.KindReport, agt.report())
+	go func() {
+		<-con.Done()
+		agt.mu.Lock()
+		delete(agt.conns, con)
+		agt.mu.Unlock()
+		agt.log.Info("agent: entry disconnected", "entry", con.Peer().Name)
+	}()
+}
+
+func (agt *Agent) report() proto.Report {
+	return proto.Report{Healthy: true}
+}
--- /dev/null
+++ b/cmd/tarragonwheel/roles.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/go-logr/logr"
+
+	"github.com/tarragonwheel/tarragonwheel/agent"
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/entry"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/logs"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+type entryCommand struct {
+	Settings string `arg:"required,--settings" help:"settings file (INI)"`
+}
+
+type agentCommand struct {
+	Settings string `arg:"required,--settings" help:"settings file (INI)"`
+}
+
+type checkCommand struct {
+	Settings string `arg:"required,--settings" help:"settings file (INI)"`
+	Role     string `arg:"required,--role" help:"entry or agent"`
+}
+
+// load reads settings and secrets before any socket opens.
+func load(file, role string, errOut io.Writer) (*config.Settings, *config.Secrets, logr.Logger, error) {
+	set, err := config.Load(file, role)
+	if err != nil {
+		return nil, nil, logr.Discard(), err
+	}
+	sec, err := config.LoadSecrets(config.ProcessSecrets.Of(set))
+	if err != nil {
+		return nil, nil, logr.Discard(), err
+	}
+	log := logs.New(errOut, config.ProcessDebug.Of(set)).WithValues("process", config.ProcessName.Of(set))
+	return set, sec, log, nil
+}
+
+func (cmd *entryCommand) run(ctx context.Context, std streams) error {
+	set, sec, log, err := load(cmd.Settings, "entry", std.err)
+	if err != nil {
+		return err
+	}
+	grp := group.New(ctx, "entry")
+	ent, err := entry.New(grp, set, sec, timer.New(), log)
+	if err != nil {
+		_ = grp.Stop()
+		return fmt.Errorf("start entry: %w", err)
+	}
+	log.Info("entry: listening", "address", ent.Address())
+	return grp.Wait()
+}
+
+func (cmd *agentCommand) run(ctx context.Context, std streams) error {
+	set, sec, log, err := load(cmd.Settings, "agent", std.err)
+	if err != nil {
+		return err
+	}
+	grp := group.New(ctx, "agent")
+	agt, err := agent.New(grp, set, sec, timer.New(), log)
+	if err != nil {
+		_ = grp.Stop()
+		return fmt.Errorf("start agent: %w", err)
+	}
+	log.Info("agent: listening", "address", agt.Address())
+	return grp.Wait()
+}
+
+func (cmd *checkCommand) run(_ context.Context, std streams) error {
+	set, err := config.Load(cmd.Settings, cmd.Role)
+	if err != nil {
+		return err
+	}
+	if _, err := config.LoadSecrets(config.ProcessSecrets.Of(set)); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(std.out, "settings and secrets are in order")
+	return err
+}
--- /dev/null
+++ b/cmd/tarragonwheel/sims.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/logs"
+	"github.com/tarragonwheel/tarragonwheel/simeng"
+	"github.com/tarragonwheel/tarragonwheel/simlog"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+type simCommand struct {
+	Engine *simEngineCommand `arg:"subcommand:engine" help:"model engine"`
+	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
+}
+
+type simLogCommand struct {
+	Listen     string        `arg:"required,--listen" help:"address to listen on"`
+	AppendRate float64       `arg:"--append-rate" default:"300" help:"most appends a second; 0 for no limit"`
+	Retention  time.Duration `arg:"--retention" default:"0s" help:"time for which records are kept; 0 for ever"`
+}
+
+type simEngineCommand struct {
+	Listen string `arg:"required,--listen" help:"address to listen on"`
+	Model  string `arg:"required,--model" help:"name of the model"`
+}
+
+func (cmd *simEngineCommand) run(ctx context.Context, std streams) error {
+	grp := group.New(ctx, "simeng")
+	eng := simeng.New(grp, simeng.DefaultModel(cmd.Model), timer.New())
+	return serve(grp, cmd.Listen, eng.Handler(), std.err)
+}
+
+// serve runs an HTTP server until grp stops.
+func serve(grp *group.Group, addr string, hdl http.Handler, errOut io.Writer) error {
+	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	logs.New(errOut, false).Info("sim: listening", "address", lis.Addr().String())
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: 5 * time.Second}
+	grp.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	grp.Go("listen", func(context.Context) error {
+		if err := srv.Serve(lis); err != http.ErrServerClosed {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	return grp.Wait()
+}
+
+func (cmd *simLogCommand) run(ctx context.Context, std streams) error {
+	grp := group.New(ctx, "simlog")
+	log := simlog.New(simlog.Options{AppendRate: cmd.AppendRate, Retention: cmd.Retention, Clock: timer.New()})
+	return serve(grp, cmd.Listen, log.Handler(), std.err)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,125 @@
+// Package entry is the role of the process that faces callers. It picks an agent for each call and follows the attempt
+// to its end.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/edge"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const (
+	headerLimit = 5 * time.Second
+	redialDelay = 500 * time.Millisecond
+)
+
+// Entry dispatches calls to agents.
+type Entry struct {
+	clock   *timer.Service
+	log     logr.Logger
+	metrics *metric.Set
+	opts    link.Options
+	address string
+
+	mu    sync.Mutex
+	conns map[string]*link.Conn // by the agent's name
+}
+
+// New starts an Entry in grp. It returns once the entry listens.
+func New(
+	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
+) (*Entry, error) {
+	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.opts = link.Options{
+		Secret:  sec.Deployment(),
+		Clock:   clk,
+		Metrics: ent.metrics,
+		Log:     log,
+		Beat:    func() (proto.Kind, any) { return proto.KindBeat, proto.Beat{} },
+		Local: proto.Peer{
+			Name:        config.ProcessName.Of(set),
+			Role:        proto.RoleEntry,
+			Incarnation: newIncarnation(),
+			DataCentre:  config.ProcessDataCentre.Of(set),
+		},
+	}
+	for _, addr := range config.EntryAgents.Of(set) {
+		grp.Go("agent "+addr, func(ctx context.Context) error {
+			ent.stayConnected(ctx, addr)
+			return nil
+		})
+	}
+	srv := &edge.Server{
+		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
+	}
+	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
+}
+
+func newIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
+// Address returns the address on which the entry listens for callers.
+func (ent *Entry) Address() string { return ent.address }
+
+// Metrics returns the entry's metrics.
+func (ent *Entry) Metrics() *metric.Set { return ent.metrics }
+
+func (ent *Entry) listen(grp *group.Group, addr string, hdl http.Handler) error {
+	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("entry: listen: %w", trace.ConnectionProblem(err, "%v", err))
+	}
+	ent.address = lis.Addr().String()
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerLimit}
+	grp.Go("listen", func(context.Context) error {
+		if err := srv.Serve(lis); err != http.ErrServerClosed {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	grp.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+	return nil
+}
+
+func (ent *Entry) stayConnected(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		con, err := link.Dial(ctx, addr, ent.opts)
+		if err != nil {
+			ent.log.V(1).Info("entry: agent not reached", "address", addr, "error", err.Error())
+			_ = ent.clock.Sleep(ctx, redialDelay)
+			continue
+		}
+		name := con.Peer().Name
+		ent.mu.Lock()
+		ent.conns[name] = con
+		ent.mu.Unlock()
+		<-con.Done()
+		ent.mu.Lock()
+		if ent.conns[name] == con {
+			delete(ent.conns, name)
+		}
+		ent.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,303 @@
+// Package link connects the system's processes: authenticated WebSocket connections that carry CBOR frames for many
+// streams, with flow control per stream.
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const (
+	// HeartbeatInterval is the time between two heartbeats of an otherwise idle connection.
+	HeartbeatInterval = time.Second
+	// SilenceLimit is the time without any frame after which a peer counts as lost. Three missed heartbeats tell a
+	// paused peer from a delayed packet, and leave an upstream no new work within 3 s.
+	SilenceLimit = 3 * time.Second
+	// Window is the number of body bytes that may be in flight on a stream in one direction.
+	Window = 64 << 10
+	// ChunkBytes is the largest body of a data frame, so that streams of one connection alternate.
+	ChunkBytes = 16 << 10
+
+	handshakeLimit  = 3 * time.Second
+	writeLimit      = 5 * time.Second
+	maxFrameBytes   = 4 << 20
+	sendQueue       = 128
+	urgentQueue     = 4096
+	windowGrantSize = Window / 2
+)
+
+// ErrClosed is returned by operations on a connection or stream that has ended.
+var ErrClosed = errors.New("link: closed")
+
+// Options configure the connections of a process.
+type Options struct {
+	Secret  []byte // shared by all processes of the deployment
+	Local   proto.Peer
+	Clock   *timer.Service
+	Metrics *metric.Set
+	Log     logr.Logger
+
+	// Beat returns the heartbeat message of this process.
+	Beat func() (proto.Kind, any)
+	// OnFrame receives each frame that belongs to the connection rather than to a stream. It must not block.
+	OnFrame func(con *Conn, frm proto.Frame)
+	// OnOpen receives each stream that the peer opens, on its own goroutine.
+	OnOpen func(str *Stream, msg proto.Open)
+}
+
+// Conn is an authenticated connection to a peer.
+type Conn struct {
+	opts    Options
+	peer    proto.Peer
+	sock    *websocket.Conn
+	grp     *group.Group
+	urgent  chan []byte
+	ordered chan []byte
+	lastIn  atomic.Int64 // nanoseconds since the epoch, on the local clock
+	dialed  bool
+	openMu  sync.Mutex // held while a stream is opened, so that stream IDs arrive in order
+	nextID  uint64
+	mu      sync.Mutex
+	streams map[uint64]*Stream
+	highest uint64 // highest stream ID that the peer has opened
+	closed  error
+}
+
+func newConn(parent context.Context, sock *websocket.Conn, peer proto.Peer, opts Options, dialed bool) *Conn {
+	con := &Conn{
+		opts:    opts,
+		peer:    peer,
+		sock:    sock,
+		dialed:  dialed,
+		grp:     group.New(parent, "link "+peer.Name),
+		urgent:  make(chan []byte, urgentQueue),
+		ordered: make(chan []byte, sendQueue),
+		streams: make(map[uint64]*Stream),
+	}
+	sock.SetReadLimit(maxFrameBytes)
+	con.lastIn.Store(opts.Clock.Now().UnixNano())
+	beat := opts.Clock.Every(HeartbeatInterval, con.heartbeat)
+	con.grp.OnStop(beat.Stop)
+	con.grp.OnStop(func() { _ = sock.CloseNow() })
+	con.grp.OnStop(con.endStreams)
+	con.grp.Go("read", con.readLoop)
+	con.grp.Go("write", con.writeLoop)
+	go func() { _ = con.grp.Wait() }()
+	return con
+}
+
+// Peer returns the description that the other end proved in the handshake.
+func (con *Conn) Peer() proto.Peer { return con.peer }
+
+// Done is closed when the connection has ended.
+func (con *Conn) Done() <-chan struct{} { return con.grp.Context().Done() }
+
+// Err returns why the connection ended, or nil while it is open.
+func (con *Conn) Err() error { return context.Cause(con.grp.Context()) }
+
+// Close ends the connection and all its streams.
+func (con *Conn) Close() {
+	_ = con.grp.Stop()
+}
+
+// Send sends a message that belongs to the connection rather than to a stream.
+func (con *Conn) Send(knd proto.Kind, msg any) error {
+	raw, err := proto.Encode(knd, 0, msg)
+	if err != nil {
+		return fmt.Errorf("link: send %s: %w", knd, err)
+	}
+	return con.sendUrgent(raw)
+}
+
+// Open starts a stream to the peer. Only the dialing side opens streams.
+func (con *Conn) Open(msg proto.Open) (*Stream, error) {
+	if !con.dialed {
+		return nil, trace.BadParameter("link: only the dialing side opens streams")
+	}
+	con.openMu.Lock()
+	defer con.openMu.Unlock()
+	con.nextID++
+	str := newStream(con, con.nextID)
+	con.mu.Lock()
+	if con.closed != nil {
+		con.mu.Unlock()
+		return nil, fmt.Errorf("link: open stream: %w", ErrClosed)
+	}
+	con.streams[str.id] = str
+	con.mu.Unlock()
+	if err := str.Send(proto.KindOpen, msg); err != nil {
+		str.Close()
+		return nil, fmt.Errorf("link: open stream: %w", err)
+	}
+	return str, nil
+}
+
+func (con *Conn) sendUrgent(raw []byte) error {
+	select {
+	case con.urgent <- raw:
+		return nil
+	case <-con.Done():
+		return fmt.Errorf("link: send: %w", ErrClosed)
+	default:
+		// The peer takes nothing while thousands of small frames wait: it is as good as lost.
+		go con.Close()
+		return fmt.Errorf("link: send: %w", trace.LimitExceeded("send queue to %s is full", con.peer.Name))
+	}
+}
+
+func (con *Conn) sendOrdered(ctx context.Context, raw []byte) error {
+	select {
+	case con.ordered <- raw:
+		return nil
+	case <-con.Done():
+		return fmt.Errorf("link: send: %w", ErrClosed)
+	case <-ctx.Done():
+		return fmt.Errorf("link: send: %w", context.Cause(ctx))
+	}
+}
+
+func (con *Conn) heartbeat() {
+	silent := con.opts.Clock.Now().UnixNano() - con.lastIn.Load()
+	if time.Duration(silent) > SilenceLimit {
+		con.opts.Log.Info("link: peer is silent, closing", "peer", con.peer.Name)
+		con.opts.Metrics.Event("peer-silent")
+		go con.Close()
+		return
+	}
+	knd, msg := con.opts.Beat()
+	if err := con.Send(knd, msg); err != nil {
+		con.opts.Log.V(1).Info("link: heartbeat not sent", "peer", con.peer.Name, "error", err.Error())
+	}
+}
+
+func (con *Conn) writeLoop(ctx context.Context) error {
+	for {
+		raw, err := con.nextOut(ctx)
+		if err != nil {
+			return err
+		}
+		lim, cancel := context.WithTimeout(ctx, writeLimit)
+		err = con.sock.Write(lim, websocket.MessageBinary, raw)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("write frame: %w", trace.ConnectionProblem(err, "peer %s: %v", con.peer.Name, err))
+		}
+	}
+}
+
+// nextOut prefers urgent frames, so that heartbeats and credit do not wait behind bodies.
+func (con *Conn) nextOut(ctx context.Context) ([]byte, error) {
+	select {
+	case raw := <-con.urgent:
+		return raw, nil
+	default:
+	}
+	select {
+	case raw := <-con.urgent:
+		return raw, nil
+	case raw := <-con.ordered:
+		return raw, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("write frame: %w", context.Cause(ctx))
+	}
+}
+
+func (con *Conn) readLoop(ctx context.Context) error {
+	for {
+		_, raw, err := con.sock.Read(ctx)
+		if err != nil {
+			return fmt.Errorf("read frame: %w", trace.ConnectionProblem(err, "peer %s: %v", con.peer.Name, err))
+		}
+		con.lastIn.Store(con.opts.Clock.Now().UnixNano())
+		frm, err := proto.Decode(raw)
+		if err != nil {
+			con.opts.Metrics.Drop("malformed-frame")
+			return fmt.Errorf("read frame: %w", err)
+		}
+		if err := con.dispatch(frm); err != nil {
+			return fmt.Errorf("dispatch %s: %w", frm.Kind, err)
+		}
+	}
+}
+
+func (con *Conn) dispatch(frm proto.Frame) error {
+	if frm.Stream == 0 {
+		if con.opts.OnFrame != nil {
+			con.opts.OnFrame(con, frm)
+		}
+		return nil
+	}
+	if frm.Kind == proto.KindOpen {
+		return con.accept(frm)
+	}
+	con.mu.Lock()
+	str := con.streams[frm.Stream]
+	con.mu.Unlock()
+	if str == nil {
+		con.opts.Metrics.Drop("unknown-stream")
+		return nil
+	}
+	return str.receive(frm)
+}
+
+func (con *Conn) accept(frm proto.Frame) error {
+	msg, err := proto.Parse[proto.Open](frm)
+	if err != nil {
+		return err
+	}
+	str := newStream(con, frm.Stream)
+	con.mu.Lock()
+	if con.dialed || con.opts.OnOpen == nil || frm.Stream <= con.highest {
+		con.mu.Unlock()
+		return trace.BadParameter("unexpected stream %d from %s", frm.Stream, con.peer.Name)
+	}
+	con.highest = frm.Stream
+	con.streams[str.id] = str
+	con.mu.Unlock()
+	con.grp.Go("stream", func(context.Context) error {
+		defer str.Close()
+		con.opts.OnOpen(str, msg)
+		return nil
+	})
+	return nil
+}
+
+func (con *Conn) forget(str *Stream) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	delete(con.streams, str.id)
+}
+
+// endStreams runs after the connection's goroutines have returned.
+func (con *Conn) endStreams() {
+	con.mu.Lock()
+	con.closed = ErrClosed
+	left := make([]*Stream, 0, len(con.streams))
+	for _, str := range con.streams {
+		left = append(left, str)
+	}
+	con.mu.Unlock()
+	for _, str := range left {
+		str.Close()
+	}
+}
+
+// OpenStreams returns the number of streams that have not ended.
+func (con *Conn) OpenStreams() int {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	return len(con.streams)
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,80 @@
+// Package metric holds the counters and histograms that operators read.
+package metric
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "tarragonwheel"
+
+// firstTokenBuckets are the upper bounds in seconds of the time to first token histogram. They bracket the target
+// of 0.55 s and reach the longest prompts.
+var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .55, 1, 2, 5, 10, 30, 60, 120}
+
+// Set is the metrics of one process. Each process has its own registry, so that several can run in one test.
+type Set struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	drops      *prometheus.CounterVec
+	events     *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+}
+
+// New returns a Set with nothing counted.
+func New() *Set {
+	reg := prometheus.NewRegistry()
+	set := &Set{registry: reg}
+	set.requests = counter(reg, "requests_total", "Requests by how they ended.", "outcome")
+	set.refusals = counter(reg, "refusals_total", "Refused requests by reason code.", "reason")
+	set.retries = counter(reg, "retries_total", "Retried attempts by reason code.", "reason")
+	set.drops = counter(reg, "dropped_frames_total", "Frames dropped by reason.", "reason")
+	set.events = counter(reg, "events_total", "Other events by kind.", "kind")
+	set.firstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "first_token_seconds",
+		Help:      "Time to first token by prompt length class.",
+		Buckets:   firstTokenBuckets,
+	}, []string{"length"})
+	reg.MustRegister(set.firstToken)
+	return set
+}
+
+func counter(reg *prometheus.Registry, name, help, label string) *prometheus.CounterVec {
+	opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+	vec := prometheus.NewCounterVec(opts, []string{label})
+	reg.MustRegister(vec)
+	return vec
+}
+
+// Request counts a finished request by outcome.
+func (set *Set) Request(outcome string) { set.requests.WithLabelValues(outcome).Inc() }
+
+// Refusal counts a refusal by reason code.
+func (set *Set) Refusal(reason string) { set.refusals.WithLabelValues(reason).Inc() }
+
+// Retry counts a retried attempt by the reason code of the attempt before it.
+func (set *Set) Retry(reason string) { set.retries.WithLabelValues(reason).Inc() }
+
+// Drop counts a dropped frame by reason.
+func (set *Set) Drop(reason string) { set.drops.WithLabelValues(reason).Inc() }
+
+// Event counts an event that is neither a refusal nor a retry.
+func (set *Set) Event(kind string) { set.events.WithLabelValues(kind).Inc() }
+
+// FirstToken records the time to first token, in seconds, for a length class (see cost.Class).
+func (set *Set) FirstToken(length string, seconds float64) {
+	set.firstToken.WithLabelValues(length).Observe(seconds)
+}
+
+// Registry returns the registry, to which a component may add collectors of its own.
+func (set *Set) Registry() *prometheus.Registry { return set.registry }
+
+// Handler serves the metrics in the Prometheus text format.
+func (set *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(set.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/proto/frame.go
@@ -0,0 +1,136 @@
+// Package proto defines the messages that entries and agents exchange.
+//
+// Each WebSocket message is one Frame in CBOR. Messages carry durations rather than absolute times, because the clocks
+// of VMs differ.
+package proto
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+)
+
+// Version is the version of the protocol. A frame of any other version is refused.
+const Version = 1
+
+// Kind tells which message a frame carries.
+type Kind uint8
+
+// Kinds of frames. Their numbers are part of the protocol and are never reused.
+const (
+	KindChallenge Kind = 1
+	KindHello     Kind = 2
+	KindWelcome   Kind = 3
+	KindOpen      Kind = 4
+	KindAccept    Kind = 5
+	KindHead      Kind = 6
+	KindData      Kind = 7
+	KindCredit    Kind = 8
+	KindEnd       Kind = 9
+	KindCancel    Kind = 10
+	KindResult    Kind = 11
+	KindReport    Kind = 12
+	KindBeat      Kind = 13
+	KindState     Kind = 14
+)
+
+var kindNames = map[Kind]string{
+	KindChallenge: "challenge", KindHello: "hello", KindWelcome: "welcome", KindOpen: "open", KindAccept: "accept",
+	KindHead: "head", KindData: "data", KindCredit: "credit", KindEnd: "end", KindCancel: "cancel",
+	KindResult: "result", KindReport: "report", KindBeat: "beat", KindState: "state",
+}
+
+// String returns the kind's name in kebab case.
+func (knd Kind) String() string {
+	if name, ok := kindNames[knd]; ok {
+		return name
+	}
+	return fmt.Sprintf("kind-%d", uint8(knd))
+}
+
+// Frame is the envelope of every message. Stream 0 is the connection itself.
+type Frame struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint8
+	Kind    Kind
+	Stream  uint64
+	Payload cbor.RawMessage
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// maxItems bounds arrays and maps in a message, so that a forged length cannot exhaust memory.
+const maxItems = 1 << 17
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("proto: encoder options: %v", err))
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxItems, MaxMapPairs: maxItems}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("proto: decoder options: %v", err))
+	}
+	return mode
+}
+
+// Encode returns the bytes of a frame that carries msg.
+func Encode(knd Kind, stream uint64, msg any) ([]byte, error) {
+	payload, err := encMode.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("proto: encode %s: %w", knd, err)
+	}
+	raw, err := encMode.Marshal(Frame{Version: Version, Kind: knd, Stream: stream, Payload: payload})
+	if err != nil {
+		return nil, fmt.Errorf("proto: encode frame: %w", err)
+	}
+	return raw, nil
+}
+
+// Decode parses a frame. It returns a trace.BadParameter error for bytes that are not a frame, and a
+// trace.NotImplemented error for a frame of another version.
+func Decode(raw []byte) (Frame, error) {
+	var frm Frame
+	if err := decMode.Unmarshal(raw, &frm); err != nil {
+		return Frame{}, fmt.Errorf("proto: decode frame: %w", trace.BadParameter("malformed frame: %v", err))
+	}
+	if frm.Version != Version {
+		return Frame{}, fmt.Errorf("proto: decode frame: %w",
+			trace.NotImplemented("protocol version %d, want %d", frm.Version, Version))
+	}
+	return frm, nil
+}
+
+// Parse decodes the payload of a frame into a message of type T.
+func Parse[T any](frm Frame) (T, error) {
+	var msg T
+	if err := decMode.Unmarshal(frm.Payload, &msg); err != nil {
+		return msg, fmt.Errorf("proto: decode %s: %w", frm.Kind, trace.BadParameter("malformed payload: %v", err))
+	}
+	return msg, nil
+}
+
+// Marshal encodes a value that is stored or hashed outside a frame, in the same deterministic CBOR.
+func Marshal(val any) ([]byte, error) {
+	raw, err := encMode.Marshal(val)
+	if err != nil {
+		return nil, fmt.Errorf("proto: encode value: %w", err)
+	}
+	return raw, nil
+}
+
+// Unmarshal decodes what Marshal has encoded.
+func Unmarshal(raw []byte, val any) error {
+	if err := decMode.Unmarshal(raw, val); err != nil {
+		return fmt.Errorf("proto: decode value: %w", trace.BadParameter("malformed value: %v", err))
+	}
+	return nil
+}
--- /dev/null
+++ b/proto/messages.go
@@ -0,0 +1,170 @@
+package proto
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+)
+
+// AttemptID identifies one attempt to run a request on one upstream. It is unique across the deployment.
+type AttemptID [16]byte
+
+// NewAttemptID returns a random identifier.
+func NewAttemptID() AttemptID {
+	var aid AttemptID
+	_, _ = rand.Read(aid[:]) // crypto/rand.Read never fails on supported platforms.
+	return aid
+}
+
+// String returns the identifier in hexadecimal.
+func (aid AttemptID) String() string { return hex.EncodeToString(aid[:]) }
+
+// Role is the role of a process.
+type Role string
+
+// Roles of processes.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// UpstreamKind tells model engines from plain services.
+type UpstreamKind string
+
+// Kinds of upstreams.
+const (
+	UpstreamEngine UpstreamKind = "engine"
+	UpstreamPlain  UpstreamKind = "plain"
+)
+
+// Peer describes a process to the other end of a connection.
+type Peer struct {
+	Name        string       `cbor:"1,keyasint"`
+	Role        Role         `cbor:"2,keyasint"`
+	Incarnation string       `cbor:"3,keyasint"`           // random for each start of the process
+	DataCentre  string       `cbor:"4,keyasint"`           // from the process's settings
+	Kind        UpstreamKind `cbor:"5,keyasint,omitempty"` // agents only
+	Serves      string       `cbor:"6,keyasint,omitempty"` // agents only: model or service name
+}
+
+// Challenge opens the handshake, sent by the listening side.
+type Challenge struct {
+	Nonce []byte `cbor:"1,keyasint"`
+}
+
+// Hello answers a challenge. Proof is an HMAC-SHA256 keyed with the deployment's secret.
+type Hello struct {
+	Peer  Peer   `cbor:"1,keyasint"`
+	Nonce []byte `cbor:"2,keyasint"`
+	Proof []byte `cbor:"3,keyasint"`
+}
+
+// Welcome completes the handshake and proves that the listening side knows the secret as well.
+type Welcome struct {
+	Peer  Peer   `cbor:"1,keyasint"`
+	Proof []byte `cbor:"2,keyasint"`
+}
+
+// Cost is the predicted cost of a request.
+type Cost struct {
+	PromptTokens int `cbor:"1,keyasint"`
+	CachedTokens int `cbor:"2,keyasint,omitempty"` // part of the prompt expected in the upstream's prefix cache
+	OutputTokens int `cbor:"3,keyasint"`           // upper bound
+}
+
+// Open starts an attempt. No body is sent until Accept.
+type Open struct {
+	Attempt     AttemptID         `cbor:"1,keyasint"`
+	Kind        UpstreamKind      `cbor:"2,keyasint"`
+	Account     string            `cbor:"3,keyasint"`
+	Serves      string            `cbor:"4,keyasint"` // model or service name
+	Cost        Cost              `cbor:"5,keyasint"`
+	Remaining   time.Duration     `cbor:"6,keyasint"` // time left until the request's deadline
+	Key         string            `cbor:"7,keyasint,omitempty"`
+	Idempotent  bool              `cbor:"8,keyasint"`
+	Method      string            `cbor:"9,keyasint"`
+	Path        string            `cbor:"10,keyasint"` // with the query
+	Header      map[string]string `cbor:"11,keyasint,omitempty"`
+	BodyBytes   int64             `cbor:"12,keyasint"`
+	ResumeFrom  int               `cbor:"13,keyasint,omitempty"` // tokens already delivered to the caller
+	PrefixHash  []uint64          `cbor:"14,keyasint,omitempty"` // chained hashes of the prompt's leading blocks
+	Fingerprint uint64            `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
+	Stream      bool              `cbor:"16,keyasint,omitempty"`
+}
+
+// Accept tells the entry that the request has left the queue and that its body is wanted.
+type Accept struct {
+	QueuedFor time.Duration `cbor:"1,keyasint"`
+}
+
+// Head carries status and headers of the upstream's response.
+type Head struct {
+	Status int               `cbor:"1,keyasint"`
+	Header map[string]string `cbor:"2,keyasint,omitempty"`
+}
+
+// Credit allows the other side to send that many further body bytes on the stream.
+type Credit struct {
+	Bytes int `cbor:"1,keyasint"`
+}
+
+// Cancel stops an attempt.
+type Cancel struct {
+	Reason string `cbor:"1,keyasint"`
+}
+
+// Outcome tells what became of an attempt.
+type Outcome string
+
+// Outcomes of an attempt. NotRun is given only if the attempt has not reached the upstream and never will.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeFailed  Outcome = "failed" // the upstream ran it, at least in part, and failed
+)
+
+// Result ends an attempt.
+type Result struct {
+	Outcome    Outcome       `cbor:"1,keyasint"`
+	Reason     string        `cbor:"2,keyasint,omitempty"` // stable code in kebab case, empty when done
+	Detail     string        `cbor:"3,keyasint,omitempty"` // for people, without prompt text
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Report is an agent's load and state, sent every heartbeat interval and on change.
+type Report struct {
+	Queued        int           `cbor:"1,keyasint"` // requests waiting
+	Running       int           `cbor:"2,keyasint"`
+	QueuedPrefill time.Duration `cbor:"3,keyasint"` // predicted prefill work ahead of a new request
+	FreeTokens    int           `cbor:"4,keyasint"` // KV memory not reserved
+	TotalTokens   int           `cbor:"5,keyasint"`
+	PrefillRate   float64       `cbor:"6,keyasint"` // observed tokens per second
+	Draining      bool          `cbor:"7,keyasint,omitempty"`
+	Healthy       bool          `cbor:"8,keyasint"` // the upstream answers
+	StateVersion  int64         `cbor:"9,keyasint"`
+	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
+	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
+}
+
+// PeerVersion is the configuration version that a process has in force.
+type PeerVersion struct {
+	Name    string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+}
+
+// Beat is an entry's heartbeat.
+type Beat struct {
+	StateVersion int64 `cbor:"1,keyasint"`
+	Draining     bool  `cbor:"2,keyasint,omitempty"`
+}
+
+// State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
+// retained records; otherwise Records are those after From, in log order. A State with neither asks for what
+// follows From.
+type State struct {
+	From     int64    `cbor:"1,keyasint"`
+	Upto     int64    `cbor:"2,keyasint"`
+	Snapshot []byte   `cbor:"3,keyasint,omitempty"`
+	Records  [][]byte `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/simeng/http.go
@@ -0,0 +1,215 @@
+package simeng
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/engine"
+)
+
+const (
+	bytesPerToken    = 4
+	defaultMaxTokens = 16
+	maxBody          = 64 << 20
+)
+
+type completionBody struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// Handler serves the engine's protocol.
+func (eng *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(rw http.ResponseWriter, req *http.Request) {
+		eng.complete(rw, req, false)
+	})
+	mux.HandleFunc("POST /v1/chat/completions", func(rw http.ResponseWriter, req *http.Request) {
+		eng.complete(rw, req, true)
+	})
+	mux.HandleFunc("GET /v1/requests", func(rw http.ResponseWriter, _ *http.Request) {
+		writeJSON(rw, http.StatusOK, map[string][]string{"requests": eng.activeIDs()})
+	})
+	mux.HandleFunc("DELETE /v1/requests/{id}", func(rw http.ResponseWriter, req *http.Request) {
+		if err := eng.cancel(req.PathValue("id")); err != nil {
+			writeError(rw, err)
+		}
+	})
+	mux.HandleFunc("GET /v1/load", func(rw http.ResponseWriter, _ *http.Request) {
+		used, running, waiting := eng.usage()
+		writeJSON(rw, http.StatusOK, engine.Load{
+			Model: eng.model.Name, TotalTokens: eng.model.TotalTokens, UsedTokens: used, Running: running,
+			Waiting: waiting, PrefillRate: eng.model.PrefillRate, MaxRunning: eng.model.MaxRunning,
+		})
+	})
+	return mux
+}
+
+func (eng *Engine) complete(rw http.ResponseWriter, req *http.Request, chat bool) {
+	raw, err := io.ReadAll(io.LimitReader(req.Body, maxBody))
+	if err != nil {
+		writeError(rw, trace.BadParameter("simeng: body: %v", err))
+		return
+	}
+	var body completionBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		writeError(rw, trace.BadParameter("simeng: body: %v", err))
+		return
+	}
+	if body.MaxTokens <= 0 {
+		body.MaxTokens = defaultMaxTokens
+	}
+	prompt := len(body.Prompt) + len(body.Messages)
+	seq := &sequence{
+		id:     req.Header.Get(engine.HeaderRequest),
+		prompt: max(1, prompt/bytesPerToken),
+		output: body.MaxTokens,
+	}
+	seq.priority, _ = strconv.ParseInt(req.Header.Get(engine.HeaderPriority), 10, 64)
+	seq.decoded, _ = strconv.Atoi(req.Header.Get(engine.HeaderResume))
+	if err := eng.add(seq); err != nil {
+		writeError(rw, err)
+		return
+	}
+	defer func() { _ = eng.cancel(seq.id) }()
+	wri := writer{eng: eng, rw: rw, seq: seq, chat: chat, seed: xxhash.Sum64(bytes.TrimSpace(raw))}
+	if body.Stream {
+		wri.stream(req)
+	} else {
+		wri.whole(req)
+	}
+}
+
+type writer struct {
+	eng  *Engine
+	rw   http.ResponseWriter
+	seq  *sequence
+	chat bool
+	seed uint64
+}
+
+func (wri *writer) answer(object string, cho choice) answer {
+	return answer{
+		ID: "cmpl-" + wri.seq.id, Object: object, Created: wri.eng.clock.Now().Unix(), Model: wri.eng.model.Name,
+		Choices: []choice{cho},
+	}
+}
+
+func (wri *writer) stream(req *http.Request) {
+	wri.rw.Header().Set("Content-Type", "text/event-stream")
+	ctl := http.NewResponseController(wri.rw)
+	for {
+		select {
+		case idx, open := <-wri.seq.tokens:
+			if !open {
+				if !wri.seq.cancelled {
+					_, _ = io.WriteString(wri.rw, "data: [DONE]\n\n")
+				}
+				return
+			}
+			wri.event(idx)
+			_ = ctl.Flush()
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (wri *writer) event(idx int) {
+	text := tokenText(wri.seed, idx)
+	var finish *string
+	if idx == wri.seq.output-1 {
+		stop := "length"
+		finish = &stop
+	}
+	cho := choice{Text: &text, FinishReason: finish}
+	object := "text_completion"
+	if wri.chat {
+		cho = choice{Delta: &message{Role: "assistant", Content: text}, FinishReason: finish}
+		object = "chat.completion.chunk"
+	}
+	raw, _ := json.Marshal(wri.answer(object, cho)) // These types always marshal.
+	_, _ = fmt.Fprintf(wri.rw, "data: %s\n\n", raw)
+}
+
+func (wri *writer) whole(req *http.Request) {
+	var text strings.Builder
+	for {
+		select {
+		case idx, open := <-wri.seq.tokens:
+			if !open {
+				wri.finish(text.String())
+				return
+			}
+			text.WriteString(tokenText(wri.seed, idx))
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (wri *writer) finish(text string) {
+	if wri.seq.cancelled {
+		writeError(wri.rw, trace.ConnectionProblem(nil, "simeng: request was cancelled"))
+		return
+	}
+	stop := "length"
+	cho := choice{Text: &text, FinishReason: &stop}
+	object := "text_completion"
+	if wri.chat {
+		cho = choice{Message: &message{Role: "assistant", Content: text}, FinishReason: &stop}
+		object = "chat.completion"
+	}
+	ans := wri.answer(object, cho)
+	ans.Usage = &usage{wri.seq.prompt, wri.seq.output, wri.seq.prompt + wri.seq.output}
+	writeJSON(wri.rw, http.StatusOK, ans)
+}
+
+func writeJSON(rw http.ResponseWriter, status int, val any) {
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_ = json.NewEncoder(rw).Encode(val)
+}
+
+func writeError(rw http.ResponseWriter, err error) {
+	writeJSON(rw, trace.ErrorToCode(err), map[string]any{"error": map[string]string{"message": err.Error()}})
+}
