plain, simsvc: run calls on plain HTTP services

Cause: an agent of kind "plain" had no adapter for its upstream and sent every call to an engine.

Ruled out: shared keep-alive connections for calls that must not be repeated. net/http replays a request that carries an Idempotency-Key header and has no body when a reused connection breaks.

Change: package plain with a gate that runs after the connection stands and before the first byte, the stand-in simsvc with faults and a list of executions, "tarragonwheel sim service", and a branch by kind in agent.run.

Conclusion: a call, its query, headers, status and body pass through; a closed gate sends nothing.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/plain"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -33,6 +34,7 @@
 	metrics *metric.Set
 	local   proto.Peer
 	engine  *engine.Client
+	plain   *plain.Client // set if the upstream is a plain service
 	address string
 
 	mu    sync.Mutex
@@ -58,6 +60,9 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	if agt.local.Kind == proto.UpstreamPlain {
+		agt.plain = plain.New(config.AgentUpstream.Of(set))
+	}
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
 
--- /dev/null
+++ b/agent/plain.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/plain"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// ReasonServiceFailed says that a plain service broke the connection or could not be reached.
+const ReasonServiceFailed = "service-failed"
+
+// runPlain runs a call on a plain service.
+func (agt *Agent) runPlain(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
+	if err := str.Send(proto.KindAccept, proto.Accept{}); err != nil {
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled}
+	}
+	return agt.streamPlain(ctx, str, msg)
+}
+
+// streamPlain passes a call and its answer through as they arrive.
+func (agt *Agent) streamPlain(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
+	rqs := plain.Request{
+		Method: msg.Method, Path: msg.Path, Header: msg.Header, Length: msg.BodyBytes, Body: str.Body(ctx),
+	}
+	if !msg.Idempotent {
+		rqs.Gate = func() error { return context.Cause(ctx) }
+	}
+	resp, contacted, err := agt.plain.Do(ctx, rqs)
+	if err != nil {
+		return agt.plainFailure(ctx, msg, contacted, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	head := proto.Head{Status: resp.StatusCode, Header: plain.Header(resp)}
+	if err := str.Send(proto.KindHead, head); err != nil {
+		return agt.plainFailure(ctx, msg, true, err)
+	}
+	if err := relay(str, resp); err != nil {
+		return agt.plainFailure(ctx, msg, true, err)
+	}
+	return proto.Result{Outcome: proto.OutcomeDone}
+}
+
+func (agt *Agent) plainFailure(ctx context.Context, msg proto.Open, contacted bool, err error) proto.Result {
+	res := agt.failure(ctx, err)
+	if res.Reason == ReasonEngineFailed {
+		res.Reason = ReasonServiceFailed
+	}
+	switch {
+	case !contacted:
+		res.Outcome = proto.OutcomeNotRun
+	case !msg.Idempotent:
+		res.Outcome = proto.OutcomeUnknown
+	}
+	return res
+}
--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -12,12 +12,14 @@
 	"github.com/tarragonwheel/tarragonwheel/logs"
 	"github.com/tarragonwheel/tarragonwheel/simeng"
 	"github.com/tarragonwheel/tarragonwheel/simlog"
+	"github.com/tarragonwheel/tarragonwheel/simsvc"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 type simCommand struct {
 	Engine *simEngineCommand `arg:"subcommand:engine" help:"model engine"`
 	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
+	Svc    *simSvcCommand    `arg:"subcommand:service" help:"plain service"`
 }
 
 type simLogCommand struct {
@@ -63,3 +65,15 @@
 	log := simlog.New(simlog.Options{AppendRate: cmd.AppendRate, Retention: cmd.Retention, Clock: timer.New()})
 	return serve(grp, cmd.Listen, log.Handler(), std.err)
 }
+
+type simSvcCommand struct {
+	Listen string        `arg:"required,--listen" help:"address to listen on"`
+	Delay  time.Duration `arg:"--delay" default:"0s" help:"time that each call takes"`
+}
+
+func (cmd *simSvcCommand) run(ctx context.Context, std streams) error {
+	grp := group.New(ctx, "simsvc")
+	svc := simsvc.New(timer.New())
+	svc.SetDelay(cmd.Delay)
+	return serve(grp, cmd.Listen, svc.Handler(), std.err)
+}
--- /dev/null
+++ b/plain/client_test.go
@@ -0,0 +1,70 @@
+package plain_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/plain"
+	"github.com/tarragonwheel/tarragonwheel/simsvc"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+func start(t *testing.T) (*simsvc.Service, *plain.Client) {
+	t.Helper()
+	svc := simsvc.New(timer.New())
+	srv := httptest.NewServer(svc.Handler())
+	t.Cleanup(srv.Close)
+	return svc, plain.New(strings.TrimPrefix(srv.URL, "http://"))
+}
+
+func request(gate func() error) plain.Request {
+	return plain.Request{
+		Method: "POST", Path: "/holds?x=1", Header: map[string]string{simsvc.HeaderKey: "k"}, Gate: gate,
+	}
+}
+
+func open() error { return nil }
+
+// Guards against net/http replaying a call with an idempotency key on a reused connection that broke.
+func TestCrashedCallIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	svc, cli := start(t)
+	resp, _, err := cli.Do(context.Background(), request(open))
+	is.NoErr(err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	svc.Inject(simsvc.FaultCrashAfter)
+	_, contacted, err := cli.Do(context.Background(), request(open)) //nolint:bodyclose // The call fails.
+	is.True(err != nil)
+	is.True(contacted)
+	is.Equal(len(svc.Executions()), 2)
+}
+
+// Guards against a call that reaches the service after its gate has refused it.
+func TestClosedGateSendsNothing(t *testing.T) {
+	is := is.New(t)
+	svc, cli := start(t)
+	gate := func() error { return errors.New("too late") }
+	_, contacted, err := cli.Do(context.Background(), request(gate)) //nolint:bodyclose // The call fails.
+	is.True(err != nil)
+	is.True(!contacted)
+	is.Equal(len(svc.Executions()), 0)
+}
+
+// Guards against a query, status or header that changes on the way.
+func TestCallPassesThrough(t *testing.T) {
+	is := is.New(t)
+	svc, cli := start(t)
+	resp, _, err := cli.Do(context.Background(), request(nil))
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.Equal(resp.StatusCode, 201)
+	is.Equal(plain.Header(resp)["X-Execution"], "1")
+	is.Equal(svc.Executions()[0].Path, "/holds?x=1")
+}
