once, agent: run non-idempotent calls at most once

Cause: a plain call that must not be repeated had no protection against a second sending through the same or another agent.

Ruled out: expiry of keys by clocks in the records, because a writer whose clock is ahead would make all others forget early. Keys expire by the time at which a process read them, and each further start prolongs them, so two processes that forget at different times cannot both own a key. Also ruled out: an abandon for a start that has not been read; the log may order it before the start. A process abandons its start when it reads it.

Change: package once (items, fold, group commit at a bounded rate, follower by long polling), settings in section once, agent.runOnce. The call goes on when its caller leaves, so that its answer is recorded. The deadline is checked on the wall and the monotonic clock after the connection to the service stands. proto.Head has the optional field Replay.

Conclusion: the unit tests cover lost, doubled and late appends, a paused owner, a foreign start without end, an outage, long answers and the window. Concurrent sendings through several agents are tested next.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/once"
 	"github.com/tarragonwheel/tarragonwheel/plain"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -34,7 +35,9 @@
 	metrics *metric.Set
 	local   proto.Peer
 	engine  *engine.Client
-	plain   *plain.Client // set if the upstream is a plain service
+	plain   *plain.Client  // set if the upstream is a plain service
+	once    *once.Recorder // set if, in addition, there is a log
+	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
 
 	mu    sync.Mutex
@@ -62,6 +65,7 @@
 	}
 	if agt.local.Kind == proto.UpstreamPlain {
 		agt.plain = plain.New(config.AgentUpstream.Of(set))
+		agt.startOnce(grp, set)
 	}
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -16,10 +16,14 @@
 	if err := str.Send(proto.KindAccept, proto.Accept{}); err != nil {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled}
 	}
+	if !msg.Idempotent && msg.Key != "" {
+		return agt.runOnce(ctx, str, msg)
+	}
 	return agt.streamPlain(ctx, str, msg)
 }
 
-// streamPlain passes a call and its answer through as they arrive.
+// streamPlain passes a call and its answer through as they arrive. A non-idempotent call without a key has no record:
+// nobody can send it again, and the entry retries it only after not-run.
 func (agt *Agent) streamPlain(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
 	rqs := plain.Request{
 		Method: msg.Method, Path: msg.Path, Header: msg.Header, Length: msg.BodyBytes, Body: str.Body(ctx),
--- /dev/null
+++ b/config/keys_once.go
@@ -0,0 +1,27 @@
+package config
+
+import "time"
+
+// Keys of at-most-once execution at an agent beside a plain service.
+var (
+	OnceAppendRate = floatKey(definition{
+		section: "once", name: "append-rate", unit: "appends per second", fallback: "20",
+		help: "most appends a second that this agent makes to the log; calls wait up to the reciprocal for a batch",
+	}, 0.1, 1000)
+	OnceRecordLimit = durationKey(definition{
+		section: "once", name: "record-limit", fallback: "2s",
+		help: "longest time that a call waits to be recorded before it is refused",
+	}, 10*time.Millisecond, time.Minute)
+	OnceWindow = durationKey(definition{
+		section: "once", name: "window", fallback: "10m",
+		help: "time for which a repeated key is recognised; must be shorter than the log's retention",
+	}, time.Second, 24*time.Hour)
+	OnceMaxBody = intKey(definition{
+		section: "once", name: "max-body", unit: "bytes", fallback: "1048576",
+		help: "longest body of a non-idempotent call; the agent holds it until the call is recorded",
+	}, 0, 1<<26)
+	OnceAnswerMemory = intKey(definition{
+		section: "once", name: "answer-memory", unit: "bytes", fallback: "67108864",
+		help: "memory for answers of remembered keys; the oldest are dropped first",
+	}, 0, 1<<32)
+)
--- /dev/null
+++ b/once/item.go
@@ -0,0 +1,100 @@
+package once
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// MaxRecordedBody is the longest answer body, in bytes, that is kept in the log.
+const MaxRecordedBody = 2 << 10
+
+// StreamPrefix precedes the name of the service in the name of its stream.
+const StreamPrefix = "once-"
+
+// Key is a hash of client account and idempotency key.
+type Key [16]byte
+
+// NewKey returns the Key of an account's idempotency key. The account's length is part of the hash, so that no two
+// pairs share their bytes.
+func NewKey(account, key string) Key {
+	sum := sha256.New()
+	_ = binary.Write(sum, binary.BigEndian, uint32(len(account)))
+	_, _ = io.WriteString(sum, account)
+	_, _ = io.WriteString(sum, key)
+	return Key(sum.Sum(nil)[:16])
+}
+
+// Print is a hash of the request. The same key with another Print is a fault of the caller.
+type Print [8]byte
+
+// NewPrint returns the Print of a request.
+func NewPrint(method, path string, body []byte) Print {
+	sum := sha256.New()
+	_, _ = fmt.Fprintf(sum, "%s %s\n", method, path)
+	_, _ = sum.Write(body)
+	return Print(sum.Sum(nil)[:8])
+}
+
+// Answer is what the service answered.
+type Answer struct {
+	_           struct{} `cbor:",toarray"`
+	Status      int
+	ContentType string
+	Body        []byte
+	Lost        bool // the body was too long to keep
+}
+
+type itemKind uint8
+
+const (
+	itemStart   itemKind = 1
+	itemFinish  itemKind = 2
+	itemAbandon itemKind = 3
+)
+
+// item is one step of one attempt. Writer and Seq identify the attempt.
+type item struct {
+	_      struct{} `cbor:",toarray"`
+	Kind   itemKind
+	Seq    uint64
+	Key    Key
+	Print  Print
+	Answer *Answer
+}
+
+// writer identifies an incarnation of a process.
+type writer [8]byte
+
+func newWriter() writer {
+	var wrt writer
+	_, _ = rand.Read(wrt[:]) // crypto/rand.Read never fails on supported platforms.
+	return wrt
+}
+
+// batch is one record of the stream.
+type batch struct {
+	_      struct{} `cbor:",toarray"`
+	Writer writer
+	Items  []item
+}
+
+func (bat batch) encode() ([]byte, error) {
+	raw, err := proto.Marshal(bat)
+	if err != nil {
+		return nil, fmt.Errorf("once: encode batch: %w", err)
+	}
+	return raw, nil
+}
+
+func decode(raw []byte) (batch, error) {
+	var bat batch
+	if err := proto.Unmarshal(raw, &bat); err != nil {
+		return batch{}, fmt.Errorf("once: decode batch: %w", err)
+	}
+	return bat, nil
+}
--- /dev/null
+++ b/once/recorder_test.go
@@ -0,0 +1,251 @@
+package once_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/logsvc"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/once"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/simlog"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const patience = 20 * time.Second
+
+type bench struct {
+	log   *simlog.Log
+	cli   *logsvc.Client
+	clock *timer.Service
+}
+
+func newBench(t testing.TB, clk *timer.Service) *bench {
+	t.Helper()
+	log := simlog.New(simlog.Options{Clock: timer.New()})
+	srv := httptest.NewServer(log.Handler())
+	t.Cleanup(srv.Close)
+	return &bench{log: log, cli: logsvc.New(strings.TrimPrefix(srv.URL, "http://")), clock: clk}
+}
+
+func (ben *bench) start(t testing.TB, change func(opts *once.Options)) (*once.Recorder, *group.Group) {
+	t.Helper()
+	grp := group.New(context.Background(), "once")
+	t.Cleanup(func() { _ = grp.Stop() })
+	opts := once.Options{
+		Service: "holds", AppendRate: 1000, RecordLimit: patience, Window: time.Minute, AnswerMemory: 1 << 20,
+		Clock: ben.clock, Metrics: metric.New(), Log: logr.Discard(), Append: ben.cli.Append, Read: ben.cli.Read,
+	}
+	if change != nil {
+		change(&opts)
+	}
+	rec := once.New(grp, opts)
+	until(t, rec.Ready)
+	return rec, grp
+}
+
+func until(t testing.TB, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition not reached")
+		}
+	}
+}
+
+func (ben *bench) request(key, body string) once.Request {
+	return once.Request{
+		Key: once.NewKey("acc", key), Print: once.NewPrint("POST", "/", []byte(body)),
+		Deadline: ben.clock.Now().Add(20 * time.Second),
+	}
+}
+
+// service counts its runs and answers with a body of the given size.
+type service struct {
+	runs atomic.Int32
+	size int
+}
+
+func (svc *service) run(_ context.Context, gate func() error) (once.Answer, bool, error) {
+	if err := gate(); err != nil {
+		return once.Answer{}, false, err
+	}
+	svc.runs.Add(1)
+	return once.Answer{Status: 201, ContentType: "text/plain", Body: make([]byte, svc.size)}, true, nil
+}
+
+// Guards against a repeat through another process that runs again or gets another answer after the first process ended.
+func TestRepeatElsewhereGetsRecordedAnswer(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{size: 5}
+	one, grp := ben.start(t, nil)
+	is.Equal(one.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome, proto.OutcomeDone)
+	is.NoErr(grp.Stop()) // A planned stop records the ends of calls.
+	two, _ := ben.start(t, nil)
+	res := two.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(res.Outcome, proto.OutcomeDone)
+	is.Equal(res.Answer.Status, 201)
+	is.Equal(len(res.Answer.Body), 5)
+	is.Equal(svc.runs.Load(), int32(1))
+	is.Equal(two.Do(context.Background(), ben.request("k", "x"), svc.run).Reason, once.ReasonKeyReused)
+}
+
+// Guards against a long answer that is written to the log, or reported as anything but done once it is gone.
+func TestLongAnswerIsLostWithItsProcess(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{size: once.MaxRecordedBody + 1}
+	one, grp := ben.start(t, nil)
+	one.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(len(one.Do(context.Background(), ben.request("k", "b"), svc.run).Answer.Body), svc.size)
+	is.NoErr(grp.Stop())
+	two, _ := ben.start(t, nil)
+	res := two.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(res.Outcome, proto.OutcomeDone)
+	is.Equal(res.Reason, once.ReasonAnswerLost)
+	is.Equal(svc.runs.Load(), int32(1))
+}
+
+// Guards against an answer that is gone once memory for answers is full, although the log has it.
+func TestDroppedAnswerIsReadFromLog(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{size: 100}
+	rec, _ := ben.start(t, func(opts *once.Options) { opts.AnswerMemory = 50 })
+	rec.Do(context.Background(), ben.request("k", "b"), svc.run)
+	until(t, func() bool {
+		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Answer != nil
+	})
+	is.Equal(svc.runs.Load(), int32(1))
+}
+
+// Guards against a refusal when the append's answer is lost although the start is in the log.
+func TestLostAppendAnswerIsResolvedByReading(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{}
+	rec, _ := ben.start(t, nil)
+	ben.log.LoseAnswers(1)
+	is.Equal(rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome, proto.OutcomeDone)
+	is.Equal(svc.runs.Load(), int32(1))
+}
+
+// Guards against a second run, or a key that loses its answer, when every batch is written twice.
+func TestBatchWrittenTwiceHasOneEffect(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{}
+	rec, _ := ben.start(t, func(opts *once.Options) {
+		opts.Append = func(ctx context.Context, stream string, data []byte) (int64, error) {
+			_, _ = ben.cli.Append(ctx, stream, data)
+			return ben.cli.Append(ctx, stream, data)
+		}
+	})
+	is.Equal(rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome, proto.OutcomeDone)
+	until(t, func() bool { return ben.log.Appends() == 4 })
+	two, _ := ben.start(t, nil)
+	is.Equal(two.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome, proto.OutcomeDone)
+	is.Equal(svc.runs.Load(), int32(1))
+}
+
+// Guards against a call that runs after it was refused, and against a key that stays blocked, when an append takes
+// effect long after the process has given the call up.
+func TestLateAppendIsAbandoned(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{}
+	rec, _ := ben.start(t, func(opts *once.Options) { opts.RecordLimit = 50 * time.Millisecond })
+	ben.log.SetDelay(300 * time.Millisecond)
+	res := rec.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(res.Outcome, proto.OutcomeNotRun)
+	is.Equal(res.Reason, once.ReasonLogUnavailable)
+	until(t, func() bool { return ben.log.Appends() >= 1 })
+	ben.log.SetDelay(0)
+	is.Equal(svc.runs.Load(), int32(0))
+	until(t, func() bool {
+		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
+	})
+	is.Equal(svc.runs.Load(), int32(1))
+}
+
+// Guards against a run by a process that was paused between recording and running until its deadline had passed.
+func TestPausedOwnerDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1000, 0))
+	ben := newBench(t, clk)
+	svc := &service{}
+	rec, _ := ben.start(t, nil)
+	pause := func(ctx context.Context, gate func() error) (once.Answer, bool, error) {
+		man.Advance(time.Hour)
+		return svc.run(ctx, gate)
+	}
+	res := rec.Do(context.Background(), ben.request("k", "b"), pause)
+	is.Equal(res.Outcome, proto.OutcomeNotRun)
+	is.Equal(res.Reason, once.ReasonTimeout)
+	is.Equal(svc.runs.Load(), int32(0))
+}
+
+// Guards against a second run of a call whose process ended while it ran: nobody can tell whether it took effect.
+func TestForeignStartWithoutEndIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	one, _ := ben.start(t, nil)
+	two, _ := ben.start(t, nil)
+	running, release := make(chan struct{}), make(chan struct{})
+	go one.Do(context.Background(), ben.request("k", "b"),
+		func(context.Context, func() error) (once.Answer, bool, error) {
+			close(running)
+			<-release
+			return once.Answer{Status: 200}, true, nil
+		})
+	<-running
+	svc := &service{}
+	res := two.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(res.Outcome, proto.OutcomeUnknown)
+	joined := make(chan once.Result, 1)
+	go func() { joined <- one.Do(context.Background(), ben.request("k", "b"), svc.run) }()
+	is.Equal(one.Do(context.Background(), ben.request("k", "x"), svc.run).Reason, once.ReasonKeyReused)
+	close(release)
+	is.Equal((<-joined).Answer.Status, 200)
+	is.Equal(svc.runs.Load(), int32(0))
+}
+
+// Guards against a call that runs without a record while the log is down, and against a key that stays refused after.
+func TestLogDownRefuses(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{}
+	rec, _ := ben.start(t, func(opts *once.Options) { opts.RecordLimit = 50 * time.Millisecond })
+	ben.log.SetDown(true)
+	res := rec.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(res.Outcome, proto.OutcomeNotRun)
+	is.Equal(res.Reason, once.ReasonLogUnavailable)
+	is.True(res.RetryAfter > 0)
+	ben.log.SetDown(false)
+	until(t, func() bool {
+		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
+	})
+	is.Equal(svc.runs.Load(), int32(1))
+}
+
+// Guards against keys that stay in memory for ever.
+func TestWindowForgetsKeys(t *testing.T) {
+	is := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1000, 0))
+	ben := newBench(t, clk)
+	svc := &service{}
+	rec, _ := ben.start(t, nil)
+	rec.Do(context.Background(), ben.request("k", "b"), svc.run)
+	is.Equal(rec.Remembered(), 1)
+	man.Advance(2 * time.Minute)
+	is.Equal(rec.Remembered(), 0)
+}
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -101,6 +101,7 @@
 type Head struct {
 	Status int               `cbor:"1,keyasint"`
 	Header map[string]string `cbor:"2,keyasint,omitempty"`
+	Replay bool              `cbor:"3,keyasint,omitempty"` // the answer of an earlier sending of the same key
 }
 
 // Credit allows the other side to send that many further body bytes on the stream.
