Add the load generator and the demo

Cause: no figure can be stated without a reproducible offer of requests, and a newcomer needs to see the system work with one command.

Ruled out: a closed loop of clients, since it slows down with the system and hides the delay that callers would see.

Change: package load offers seeded Poisson arrivals in an open loop and reports time to first token, slowdown and refusals by length class as a table, CSV or JSON; package demo runs stand-ins, agents and entries in one process; the program gets load, demo and the metrics listener.

--- a/cmd/tarragonwheel/main.go
+++ b/cmd/tarragonwheel/main.go
@@ -29,6 +29,8 @@
 	Agent *agentCommand `arg:"subcommand:agent" help:"run an agent, beside an upstream"`
 	Check *checkCommand `arg:"subcommand:check" help:"check a settings file"`
 	Sim   *simCommand   `arg:"subcommand:sim" help:"run a stand-in for an outside system"`
+	Load  *loadCommand  `arg:"subcommand:load" help:"offer a reproducible mix of requests and report"`
+	Demo  *demoCommand  `arg:"subcommand:demo" help:"run the whole path in one process and show a table"`
 }
 
 // Description implements arg.Described.
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonwheel/tarragonwheel/entry"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/logs"
+	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -28,8 +29,8 @@
 	Role     string `arg:"required,--role" help:"entry or agent"`
 }
 
-// load reads settings and secrets before any socket opens.
-func load(file, role string, errOut io.Writer) (*config.Settings, *config.Secrets, logr.Logger, error) {
+// readSettings reads settings and secrets before any socket opens.
+func readSettings(file, role string, errOut io.Writer) (*config.Settings, *config.Secrets, logr.Logger, error) {
 	set, err := config.Load(file, role)
 	if err != nil {
 		return nil, nil, logr.Discard(), err
@@ -43,7 +44,7 @@
 }
 
 func (cmd *entryCommand) run(ctx context.Context, std streams) error {
-	set, sec, log, err := load(cmd.Settings, "entry", std.err)
+	set, sec, log, err := readSettings(cmd.Settings, "entry", std.err)
 	if err != nil {
 		return err
 	}
@@ -53,12 +54,15 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start entry: %w", err)
 	}
+	if err := serveMetrics(grp, set, ent.Metrics(), ent.Ready); err != nil {
+		return err
+	}
 	log.Info("entry: listening", "address", ent.Address())
 	return grp.Wait()
 }
 
 func (cmd *agentCommand) run(ctx context.Context, std streams) error {
-	set, sec, log, err := load(cmd.Settings, "agent", std.err)
+	set, sec, log, err := readSettings(cmd.Settings, "agent", std.err)
 	if err != nil {
 		return err
 	}
@@ -68,6 +72,9 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start agent: %w", err)
 	}
+	if err := serveMetrics(grp, set, agt.Metrics(), func() bool { return true }); err != nil {
+		return err
+	}
 	log.Info("agent: listening", "address", agt.Address())
 	return grp.Wait()
 }
@@ -83,3 +90,15 @@
 	_, err = fmt.Fprintln(std.out, "settings and secrets are in order")
 	return err
 }
+
+func serveMetrics(grp *group.Group, set *config.Settings, mts *metric.Set, ready func() bool) error {
+	addr := config.ProcessMetrics.Of(set)
+	if addr == "" {
+		return nil
+	}
+	if _, err := mts.Serve(grp, addr, ready); err != nil {
+		_ = grp.Stop()
+		return fmt.Errorf("start metrics: %w", err)
+	}
+	return nil
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,13 @@
 // Address returns the address on which the entry listens for callers.
 func (ent *Entry) Address() string { return ent.address }
 
+// Ready tells whether the balancer may send callers here.
+func (ent *Entry) Ready() bool {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	return len(ent.conns) > 0
+}
+
 // Metrics returns the entry's metrics.
 func (ent *Entry) Metrics() *metric.Set { return ent.metrics }
 
--- /dev/null
+++ b/metric/counts.go
@@ -0,0 +1,24 @@
+package metric
+
+import "fmt"
+
+// Counts returns the values of a counter by label value, for reports. The name is without the namespace, such as
+// "retries_total".
+func (set *Set) Counts(name string) (map[string]int, error) {
+	families, err := set.registry.Gather()
+	if err != nil {
+		return nil, fmt.Errorf("metric: gather: %w", err)
+	}
+	counts := make(map[string]int)
+	for _, fam := range families {
+		if fam.GetName() != namespace+"_"+name {
+			continue
+		}
+		for _, met := range fam.GetMetric() {
+			for _, lab := range met.GetLabel() {
+				counts[lab.GetValue()] += int(met.GetCounter().GetValue())
+			}
+		}
+	}
+	return counts, nil
+}
