Correct cost predictions by observed rates and token counts

Cause: the prefill time that order and deadline checks need was computed from a rate given by the caller of the package; nothing corrected it. Ruled out: using the engine's reported rate alone. It lags and may be a constant of the engine's settings. Change: cost.Model keeps exponentially weighted averages (weight 0.2) of the prefill rate, prompt tokens per predicted token, output tokens per allowed token and time per output token. The engine's report counts until a rate is observed. Conclusion: one outlier (an hour for a one-second prefill) lowers the rate by a fifth.

--- /dev/null
+++ b/cost/model_test.go
@@ -0,0 +1,31 @@
+package cost_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+)
+
+// Guards against predictions that stay at an engine's own claim, or jump to a single outlier.
+func TestModelFollowsObservation(t *testing.T) {
+	is := is.New(t)
+	mdl := cost.NewModel()
+	mdl.ReportedRate(40_000)
+	mdl.ObservePrefill(10, time.Minute) // Too short to tell a rate.
+	is.Equal(mdl.Prefill(40_000), time.Second)
+	mdl.ObservePrefill(10_000, time.Hour)
+	is.True(mdl.Rate() > 30_000)
+	for range 50 {
+		mdl.ObservePrefill(10_000, time.Second)
+		mdl.ObserveUsage(1000, 2000, 100, 50)
+		mdl.ObserveDecode(100, time.Second)
+	}
+	mdl.ReportedRate(40_000)
+	is.True(math.Abs(mdl.Rate()-10_000) < 100)
+	is.True(mdl.Prompt(1000) >= 1990 && mdl.Prompt(1000) <= 2000)
+	is.True(math.Abs(mdl.Decode(100).Seconds()-0.5) < 0.01)
+}
