Fold the config stream deterministically

Cause: every process has to reach the same configuration from the log, with exactly one of two conflicting confirms taking effect.

--- /dev/null
+++ b/state/fold.go
@@ -0,0 +1,286 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// Bounds of the state. They are part of the fold: all processes must use the same.
+const (
+	maxHistory    = 100  // confirms kept
+	maxChanges    = 2000 // changes kept over all confirms
+	maxRemoved    = 1000 // versions of removed objects kept
+	MaxOperations = 500  // operations of one confirm; keeps history and snapshot below the log's record size
+)
+
+// Object is a configured object with its origin.
+type Object struct {
+	Value    Value  `cbor:"1,keyasint" json:"value"`
+	Version  int64  `cbor:"2,keyasint" json:"version"` // offset of the record that last changed it
+	Operator string `cbor:"3,keyasint" json:"operator"`
+	At       int64  `cbor:"4,keyasint" json:"at"`
+	Plan     string `cbor:"5,keyasint" json:"plan"`
+}
+
+// Change is one operation of a confirm that took effect.
+type Change struct {
+	Key    Key   `cbor:"1,keyasint" json:"object"`
+	Before Value `cbor:"2,keyasint" json:"before"`
+	After  Value `cbor:"3,keyasint" json:"after"`
+}
+
+// Conflict is an object that has changed since a plan was made, and who changed it.
+type Conflict struct {
+	Key      Key    `cbor:"1,keyasint" json:"object"`
+	Planned  int64  `cbor:"2,keyasint" json:"planned-from"`
+	Version  int64  `cbor:"3,keyasint" json:"version"`
+	Operator string `cbor:"4,keyasint" json:"operator"`
+	Plan     string `cbor:"5,keyasint" json:"plan"`
+}
+
+// Past is a confirm in the history. It took effect if Reason is empty.
+type Past struct {
+	Offset    int64      `cbor:"1,keyasint" json:"version"`
+	Record    string     `cbor:"2,keyasint" json:"record"`
+	Plan      string     `cbor:"3,keyasint" json:"plan"`
+	Operator  string     `cbor:"4,keyasint" json:"operator"`
+	At        int64      `cbor:"5,keyasint" json:"at"`
+	Reason    string     `cbor:"6,keyasint,omitempty" json:"reason,omitempty"`
+	Changes   []Change   `cbor:"7,keyasint,omitempty" json:"changes,omitempty"`
+	Conflicts []Conflict `cbor:"8,keyasint,omitempty" json:"conflicts,omitempty"`
+}
+
+// Reasons for which a confirm has no effect.
+const (
+	ReasonMoved     = "objects-have-moved"
+	ReasonMalformed = "malformed-plan"
+)
+
+// Holding is the last effective claim of a duty. Its offset is the fencing token.
+type Holding struct {
+	Claim  Claim `cbor:"1,keyasint" json:"claim"`
+	Offset int64 `cbor:"2,keyasint" json:"token"`
+}
+
+// Mark is the last snapshot that counts for the duty of republishing.
+type Mark struct {
+	Offset int64 `cbor:"1,keyasint"`
+	Upto   int64 `cbor:"2,keyasint"`
+	At     int64 `cbor:"3,keyasint"`
+}
+
+// Fold is the state after a number of records. It is not safe for concurrent use; see Store.
+type Fold struct {
+	version int64
+	objects map[Key]Object
+	removed []Key // objects that no longer exist, oldest removal first; their versions are kept in objects
+	floor   int64 // highest version of a removed object that was forgotten
+	history []Past
+	duties  map[string]Holding
+	mark    Mark
+
+	accounts int // number of accounts that exist
+}
+
+type encoded struct {
+	Version int64              `cbor:"1,keyasint"`
+	Objects map[Key]Object     `cbor:"2,keyasint"`
+	Removed []Key              `cbor:"3,keyasint"`
+	Floor   int64              `cbor:"4,keyasint"`
+	History []Past             `cbor:"5,keyasint"`
+	Duties  map[string]Holding `cbor:"6,keyasint"`
+	Mark    Mark               `cbor:"7,keyasint"`
+}
+
+// NewFold returns the state before the first record.
+func NewFold() *Fold {
+	return &Fold{objects: make(map[Key]Object), duties: make(map[string]Holding)}
+}
+
+// Version returns the offset of the last record folded.
+func (fol *Fold) Version() int64 { return fol.version }
+
+// Encode returns the state in deterministic CBOR: equal states have equal bytes.
+func (fol *Fold) Encode() ([]byte, error) {
+	return proto.Marshal(encoded{
+		fol.version, fol.objects, fol.removed, fol.floor, fol.history, fol.duties, fol.mark,
+	})
+}
+
+// Decode returns the state that Encode has written.
+func Decode(raw []byte) (*Fold, error) {
+	var enc encoded
+	if err := proto.Unmarshal(raw, &enc); err != nil {
+		return nil, fmt.Errorf("state: decode: %w", err)
+	}
+	fol := NewFold()
+	fol.version, fol.floor, fol.mark = enc.Version, enc.Floor, enc.Mark
+	fol.removed, fol.history = enc.Removed, enc.History
+	names := make(map[string]string) // operators and plans repeat over many objects
+	share := func(text string) string {
+		if old, ok := names[text]; ok {
+			return old
+		}
+		names[text] = text
+		return text
+	}
+	for key, obj := range enc.Objects {
+		obj.Operator, obj.Plan, key.Kind = share(obj.Operator), share(obj.Plan), Kind(share(string(key.Kind)))
+		fol.objects[key] = obj
+		if obj.Value.Account != nil {
+			fol.accounts++
+		}
+	}
+	for name, hol := range enc.Duties {
+		fol.duties[name] = hol
+	}
+	return fol, nil
+}
+
+// Apply folds the record that follows the state's version. A record that is folded already has no effect. A later one
+// gives a trace.CompareFailed error and changes nothing, since the records between have not been seen. A record that
+// cannot be parsed takes up its offset and has no other effect, the same on every process.
+func (fol *Fold) Apply(rec Record) error {
+	if rec.Offset <= fol.version {
+		return nil
+	}
+	if rec.Offset != fol.version+1 {
+		return trace.CompareFailed("state: record %d does not follow version %d", rec.Offset, fol.version)
+	}
+	fol.version = rec.Offset
+	if ent, err := ParseEntry(rec.Data); err == nil {
+		fol.take(rec.Offset, ent)
+	}
+	return nil
+}
+
+func (fol *Fold) take(offset int64, ent Entry) {
+	switch {
+	case ent.Confirm != nil:
+		fol.confirm(offset, ent.ID, *ent.Confirm)
+	case ent.Claim != nil:
+		if cla := *ent.Claim; fol.duties[cla.Duty].Offset == cla.Previous {
+			fol.duties[cla.Duty] = Holding{Claim: cla, Offset: offset}
+		}
+	case ent.Snapshot != nil:
+		fol.noteSnapshot(offset, *ent.Snapshot)
+	}
+}
+
+// noteSnapshot ignores the snapshot of a writer that no longer holds the duty, so that a delayed snapshot never
+// postpones the next one.
+func (fol *Fold) noteSnapshot(offset int64, snp Snapshot) {
+	if snp.Fence != fol.duties[DutySnapshot].Offset || snp.Upto < fol.mark.Upto || snp.Upto >= offset {
+		return
+	}
+	fol.mark = Mark{Offset: offset, Upto: snp.Upto, At: snp.At}
+}
+
+// confirm needs no plan IDs beyond the history: a plan that took effect has moved the objects of its own basis.
+func (fol *Fold) confirm(offset int64, record string, con Confirm) {
+	if _, known := fol.Plan(con.Plan); known {
+		return
+	}
+	past := Past{Offset: offset, Record: record, Plan: con.Plan, Operator: con.Operator, At: con.At}
+	if err := con.Check(); err != nil {
+		past.Reason = ReasonMalformed
+	} else if past.Conflicts = fol.Conflicts(con); len(past.Conflicts) > 0 {
+		past.Reason = ReasonMoved
+	} else {
+		for _, opr := range con.Operations {
+			past.Changes = append(past.Changes, fol.set(offset, con, opr))
+		}
+	}
+	fol.history = append(fol.history, past)
+	fol.trim()
+}
+
+// Check returns a trace.BadParameter error for a confirm that no process may put in force: without plan or operator,
+// with no operations or too many, an object named twice, a value of another kind, or an operation on an object that
+// is not in the basis.
+func (con Confirm) Check() error {
+	if con.Plan == "" || con.Operator == "" {
+		return trace.BadParameter("state: confirm without plan or operator")
+	}
+	if len(con.Operations) == 0 || len(con.Operations) > MaxOperations || len(con.Basis) > 4*MaxOperations {
+		return trace.BadParameter("state: %d operations, want 1 to %d", len(con.Operations), MaxOperations)
+	}
+	basis := make(map[Key]bool)
+	for _, bas := range con.Basis {
+		if basis[bas.Key] {
+			return trace.BadParameter("state: %s is twice in the basis", bas.Key)
+		}
+		basis[bas.Key] = true
+	}
+	seen := make(map[Key]bool)
+	for _, opr := range con.Operations {
+		if seen[opr.Key] || !basis[opr.Key] || opr.Key.Name == "" || !opr.Value.matches(opr.Key.Kind) {
+			return trace.BadParameter("state: operation on %s is repeated, without basis or of another kind", opr.Key)
+		}
+		seen[opr.Key] = true
+	}
+	return nil
+}
+
+// Conflicts returns the objects of a confirm's basis that have changed since.
+func (fol *Fold) Conflicts(con Confirm) []Conflict {
+	var list []Conflict
+	for _, bas := range con.Basis {
+		obj := fol.objects[bas.Key]
+		forgotten := obj.Version == 0 && con.From < fol.floor
+		if obj.Version != bas.Version || forgotten {
+			list = append(list, Conflict{bas.Key, bas.Version, obj.Version, obj.Operator, obj.Plan})
+		}
+	}
+	return list
+}
+
+func (fol *Fold) set(offset int64, con Confirm, opr Operation) Change {
+	old := fol.objects[opr.Key]
+	if old.Version != 0 && old.Value.Absent() {
+		fol.removed = slices.DeleteFunc(fol.removed, func(key Key) bool { return key == opr.Key })
+	}
+	if opr.Value.Absent() {
+		fol.removed = append(fol.removed, opr.Key)
+	}
+	if old.Value.Account != nil {
+		fol.accounts--
+	}
+	if opr.Value.Account != nil {
+		fol.accounts++
+	}
+	fol.objects[opr.Key] = Object{opr.Value, offset, con.Operator, con.At, con.Plan}
+	return Change{opr.Key, old.Value, opr.Value}
+}
+
+// trim bounds history and removed objects.
+func (fol *Fold) trim() {
+	total := 0
+	for idx := len(fol.history) - 1; idx >= 0; idx-- {
+		total += len(fol.history[idx].Changes) + len(fol.history[idx].Conflicts)
+		if len(fol.history)-idx > maxHistory || total > maxChanges {
+			fol.history = slices.Clone(fol.history[idx+1:])
+			break
+		}
+	}
+	for len(fol.removed) > maxRemoved {
+		key := fol.removed[0]
+		fol.floor = max(fol.floor, fol.objects[key].Version)
+		delete(fol.objects, key)
+		fol.removed = fol.removed[1:]
+	}
+}
+
+// Plan returns the confirm of a plan, if the history still has it.
+func (fol *Fold) Plan(plan string) (Past, bool) {
+	for idx := len(fol.history) - 1; idx >= 0; idx-- {
+		if fol.history[idx].Plan == plan {
+			return fol.history[idx], true
+		}
+	}
+	return Past{}, false
+}
--- /dev/null
+++ b/state/record.go
@@ -0,0 +1,169 @@
+// Package state is the deterministic fold of the log's config stream: every process that has folded the same records
+// holds the same configuration.
+package state
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// Stream is the name of the log stream that holds the configuration.
+const Stream = "config"
+
+// Kind is the kind of a configured object.
+type Kind string
+
+// Kinds of objects.
+const (
+	KindAccount  Kind = "account"
+	KindUpstream Kind = "upstream"
+	KindStop     Kind = "planned-stop"
+	KindModel    Kind = "model"
+	KindService  Kind = "service"
+)
+
+// Key names an object. Objects of different kinds may share a name.
+type Key struct {
+	_    struct{} `cbor:",toarray"`
+	Kind Kind     `json:"kind"`
+	Name string   `json:"name"`
+}
+
+// NewKey returns the key of an object.
+func NewKey(knd Kind, name string) Key { return Key{Kind: knd, Name: name} }
+
+// String returns kind and name, separated by a space, as in a declaration's section header.
+func (key Key) String() string { return string(key.Kind) + " " + key.Name }
+
+// Account is the configuration of a client account.
+type Account struct {
+	Models []string `cbor:"1,keyasint,omitempty" json:"models"`
+	Limit  int      `cbor:"2,keyasint,omitempty" json:"limit"` // cost units a second; 0 for no limit
+}
+
+// Upstream is the configuration of a model engine or plain service.
+type Upstream struct {
+	Drained       bool `cbor:"1,keyasint,omitempty" json:"drained"`
+	ChecksFencing bool `cbor:"2,keyasint,omitempty" json:"checks-fencing"`
+}
+
+// Stop is a planned stop of upstreams.
+type Stop struct {
+	Upstreams []string `cbor:"1,keyasint,omitempty" json:"upstreams"`
+	At        int64    `cbor:"2,keyasint,omitempty" json:"at"` // seconds since the epoch
+}
+
+// Model is the wanted version and replica count of a model.
+type Model struct {
+	Version  string `cbor:"1,keyasint,omitempty" json:"version"`
+	Replicas int    `cbor:"2,keyasint,omitempty" json:"replicas"`
+}
+
+// Service is the configuration of a plain service. Repeatable lists its idempotent calls as "METHOD path".
+type Service struct {
+	Repeatable []string `cbor:"1,keyasint,omitempty" json:"repeatable"`
+}
+
+// Value is the content of an object: exactly the field of its kind is set, or none for an object that is removed.
+type Value struct {
+	Account  *Account  `cbor:"1,keyasint,omitempty" json:"account,omitempty"`
+	Upstream *Upstream `cbor:"2,keyasint,omitempty" json:"upstream,omitempty"`
+	Stop     *Stop     `cbor:"3,keyasint,omitempty" json:"planned-stop,omitempty"`
+	Model    *Model    `cbor:"4,keyasint,omitempty" json:"model,omitempty"`
+	Service  *Service  `cbor:"5,keyasint,omitempty" json:"service,omitempty"`
+}
+
+// Absent tells whether the object does not exist.
+func (val Value) Absent() bool { return val == Value{} }
+
+// matches tells whether val is absent or a value of the given kind alone.
+func (val Value) matches(knd Kind) bool {
+	kinds := map[Kind]bool{
+		KindAccount: val.Account != nil, KindUpstream: val.Upstream != nil, KindStop: val.Stop != nil,
+		KindModel: val.Model != nil, KindService: val.Service != nil,
+	}
+	set := 0
+	for _, has := range kinds {
+		if has {
+			set++
+		}
+	}
+	return set == 0 || set == 1 && kinds[knd]
+}
+
+// Operation sets an object to a value, or removes it if the value is absent.
+type Operation struct {
+	Key   Key   `cbor:"1,keyasint" json:"object"`
+	Value Value `cbor:"2,keyasint" json:"value"`
+}
+
+// Basis is an object's version from which a plan was made; 0 if the object had never existed.
+type Basis struct {
+	Key     Key   `cbor:"1,keyasint" json:"object"`
+	Version int64 `cbor:"2,keyasint" json:"version"`
+}
+
+// Confirm puts a plan in force if each object of its basis still has the version from which the plan was made.
+type Confirm struct {
+	Plan       string      `cbor:"1,keyasint" json:"plan"`
+	Operator   string      `cbor:"2,keyasint" json:"operator"`
+	At         int64       `cbor:"3,keyasint" json:"at"`           // milliseconds since the epoch
+	From       int64       `cbor:"4,keyasint" json:"from-version"` // state version from which the plan was made
+	Basis      []Basis     `cbor:"5,keyasint" json:"basis"`
+	Operations []Operation `cbor:"6,keyasint" json:"operations"`
+}
+
+// Claim claims a duty. It takes effect if Previous is the offset of the duty's last effective claim, or 0 without one.
+type Claim struct {
+	Duty     string        `cbor:"1,keyasint" json:"duty"`
+	Holder   string        `cbor:"2,keyasint" json:"holder"` // process name and incarnation
+	Previous int64         `cbor:"3,keyasint" json:"previous"`
+	Lease    time.Duration `cbor:"4,keyasint" json:"lease"`
+}
+
+// Snapshot is the whole state up to an offset.
+type Snapshot struct {
+	Upto  int64  `cbor:"1,keyasint"`
+	Fence int64  `cbor:"2,keyasint"` // offset of the writer's claim
+	At    int64  `cbor:"3,keyasint"` // milliseconds since the epoch
+	State []byte `cbor:"4,keyasint"` // as returned by Fold.Encode
+}
+
+// Entry is the content of one record of the config stream. Exactly one of its pointers is set.
+type Entry struct {
+	ID       string    `cbor:"1,keyasint"` // unique for each append
+	Confirm  *Confirm  `cbor:"2,keyasint,omitempty"`
+	Claim    *Claim    `cbor:"3,keyasint,omitempty"`
+	Snapshot *Snapshot `cbor:"4,keyasint,omitempty"`
+}
+
+// Record is a record as read from the log.
+type Record struct {
+	Offset int64
+	Data   []byte
+}
+
+// Encode returns the bytes of a record.
+func (ent Entry) Encode() ([]byte, error) { return proto.Marshal(ent) }
+
+// ParseEntry decodes a record.
+func ParseEntry(raw []byte) (Entry, error) {
+	var ent Entry
+	if err := proto.Unmarshal(raw, &ent); err != nil {
+		return Entry{}, fmt.Errorf("state: parse record: %w", err)
+	}
+	set := 0
+	for _, has := range []bool{ent.Confirm != nil, ent.Claim != nil, ent.Snapshot != nil} {
+		if has {
+			set++
+		}
+	}
+	if ent.ID == "" || set != 1 {
+		return Entry{}, fmt.Errorf("state: parse record: %w", trace.BadParameter("no ID, or not exactly one content"))
+	}
+	return ent, nil
+}
