Follow the config stream in entries and relay it through agents

Cause: a confirm has to reach every process within seconds, and a new entry has to reach the current state while the log is down.

Ruled out: pushing records to each peer, because an agent with four entries would receive each change four times; asking every peer that announces a change, for the same reason.

Change: entries read the stream by long polling; entries and agents announce their version at once, and the side that is behind asks one peer at a time. Drained upstreams get and accept no new work; accounts are held to their models; an entry without state refuses as not-run.

Conclusion: the state reaches agents from the log and a new entry from an agent during an outage of the log.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,6 +34,7 @@
 	local   proto.Peer
 	engine  *engine.Client
 	address string
+	config  *configuration
 
 	mu    sync.Mutex
 	conns map[*link.Conn]struct{}
@@ -58,6 +59,7 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	agt.config = newConfiguration(grp, agt.local.Name, agt.report, clk, log, agt.metrics)
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
 
@@ -86,6 +88,7 @@
 		Metrics: agt.metrics,
 		Log:     agt.log,
 		Beat:    func() (proto.Kind, any) { return proto.KindReport, agt.report() },
+		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
 	}
 	mux := http.NewServeMux()
@@ -120,5 +123,5 @@
 }
 
 func (agt *Agent) report() proto.Report {
-	return proto.Report{Healthy: true}
+	return agt.config.fill(proto.Report{Healthy: true})
 }
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,80 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/state"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// ReasonDraining refuses new work on an upstream that configuration drains.
+const ReasonDraining = "draining"
+
+// configuration keeps the agent's state level with its entries, and relays it to entries that are behind.
+type configuration struct {
+	store    *state.Store
+	exchange *state.Exchange
+	name     string
+	log      logr.Logger
+	metrics  *metric.Set
+}
+
+// newConfiguration announces each change in grp, with the message that report returns.
+func newConfiguration(
+	grp *group.Group, name string, report func() proto.Report, clk *timer.Service, log logr.Logger, met *metric.Set,
+) *configuration {
+	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met}
+	cfg.exchange = state.NewExchange(cfg.store, clk, func() (proto.Kind, any) { return proto.KindReport, report() })
+	grp.Go("announce configuration", func(ctx context.Context) error {
+		for {
+			changed := cfg.store.Changed()
+			cfg.exchange.Announce()
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	return cfg
+}
+
+// drained tells whether configuration drains this agent's upstream.
+func (cfg *configuration) drained() bool { return cfg.store.Drained(cfg.name) }
+
+// fill adds the configuration's part to a report.
+func (cfg *configuration) fill(rep proto.Report) proto.Report {
+	rep.StateVersion = cfg.store.Version()
+	rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+	rep.Draining = rep.Draining || cfg.drained()
+	return rep
+}
+
+// onFrame takes the versions in heartbeats, and state messages.
+func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
+	per := state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
+	switch frm.Kind {
+	case proto.KindBeat:
+		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
+			cfg.exchange.Heard(per, msg.StateVersion)
+		}
+	case proto.KindState:
+		msg, err := proto.Parse[proto.State](frm)
+		if err == nil {
+			err = cfg.exchange.Take(per, msg)
+		}
+		if err != nil {
+			cfg.metrics.Drop("state-not-taken")
+			cfg.log.V(1).Info("agent: state not taken", "peer", per.Name, "error", err.Error())
+		}
+	}
+}
+
+// Configuration returns the agent's configuration state.
+func (agt *Agent) Configuration() *state.Store { return agt.config.store }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -39,6 +39,9 @@
 }
 
 func (agt *Agent) run(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
+	if agt.config.drained() {
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
+	}
 	if err := str.Send(proto.KindAccept, proto.Accept{}); err != nil {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled}
 	}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/logsvc"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/state"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const (
+	configPage  = 500
+	configPoll  = 20 * time.Second
+	configRetry = 250 * time.Millisecond
+)
+
+// Reason codes of calls that configuration refuses.
+const (
+	ReasonModelNotGranted = "model-not-granted"
+	ReasonNotReady        = "no-configuration"
+)
+
+// configuration keeps the entry's state level with the log and with the agents.
+type configuration struct {
+	store    *state.Store
+	exchange *state.Exchange
+	client   *logsvc.Client // nil without a log
+	clock    *timer.Service
+	log      logr.Logger
+	metrics  *metric.Set
+
+	mu     sync.Mutex
+	failed error // of the last read of the log
+}
+
+// newConfiguration follows the log at addr in grp. Without a log, the empty state is current until a peer has more.
+func newConfiguration(
+	grp *group.Group, addr string, clk *timer.Service, log logr.Logger, met *metric.Set,
+) *configuration {
+	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met}
+	cfg.exchange = state.NewExchange(cfg.store, clk, cfg.beat)
+	grp.Go("announce configuration", func(ctx context.Context) error {
+		cfg.announce(ctx)
+		return nil
+	})
+	if addr == "" {
+		cfg.store.Read(nil, 1, 1)
+		return cfg
+	}
+	cfg.client = logsvc.New(addr)
+	grp.Go("follow configuration", func(ctx context.Context) error {
+		cfg.follow(ctx)
+		return nil
+	})
+	return cfg
+}
+
+func (cfg *configuration) beat() (proto.Kind, any) {
+	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version()}
+}
+
+func (cfg *configuration) announce(ctx context.Context) {
+	for {
+		changed := cfg.store.Changed()
+		cfg.exchange.Announce()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// onFrame takes the versions in reports, and state messages.
+func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
+	per := state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
+	switch frm.Kind {
+	case proto.KindReport:
+		rep, err := proto.Parse[proto.Report](frm)
+		if err != nil {
+			cfg.metrics.Drop("malformed-report")
+			return
+		}
+		cfg.exchange.Heard(per, rep.StateVersion)
+		for _, ent := range rep.Entries {
+			cfg.exchange.HeardOf(ent.Name, proto.RoleEntry, ent.Version)
+		}
+	case proto.KindState:
+		msg, err := proto.Parse[proto.State](frm)
+		if err == nil {
+			err = cfg.exchange.Take(per, msg)
+		}
+		if err != nil {
+			cfg.metrics.Drop("state-not-taken")
+			cfg.log.V(1).Info("entry: state not taken", "peer", per.Name, "error", err.Error())
+		}
+	}
+}
+
+// follow reads the config stream until ctx ends.
+func (cfg *configuration) follow(ctx context.Context) {
+	scan := int64(1)
+	for ctx.Err() == nil {
+		bat, err := cfg.client.Read(ctx, state.Stream, cfg.readFrom(scan), configPage, configPoll)
+		cfg.noteLog(err)
+		if err != nil {
+			_ = cfg.clock.Sleep(ctx, configRetry)
+			continue
+		}
+		cfg.take(bat)
+		if num := len(bat.Records); num > 0 {
+			scan = bat.Records[num-1].Offset + 1
+		}
+	}
+}
+
+// readFrom returns the next offset to read: that after the state, or, while records before it are lost, that after
+// the last record searched for a snapshot.
+func (cfg *configuration) readFrom(scan int64) int64 {
+	if _, lost := cfg.store.Gap(); lost {
+		return scan
+	}
+	return cfg.store.Version() + 1
+}
+
+func (cfg *configuration) take(bat logsvc.Batch) {
+	recs := make([]state.Record, 0, len(bat.Records))
+	for _, rec := range bat.Records {
+		recs = append(recs, state.Record{Offset: rec.Offset, Data: rec.Data})
+	}
+	before, _ := cfg.store.Gap()
+	cfg.store.Read(recs, bat.Oldest, bat.Next)
+	if gap, lost := cfg.store.Gap(); lost && gap != before {
+		cfg.metrics.Event("configuration-gap")
+		cfg.log.Info("entry: configuration records expired unread", "first", gap.First, "last", gap.Last)
+	}
+}
+
+func (cfg *configuration) noteLog(err error) {
+	cfg.mu.Lock()
+	was := cfg.failed
+	cfg.failed = err
+	cfg.mu.Unlock()
+	switch {
+	case err != nil && was == nil:
+		cfg.metrics.Event("log-unavailable")
+		cfg.log.Info("entry: log not read, keeping the last state", "error", err.Error())
+	case err == nil && was != nil:
+		cfg.log.Info("entry: log is read again")
+	}
+}
+
+// models returns the models that an account may use; while nothing is restricted, those that the agents serve.
+func (ent *Entry) models(account string) []string {
+	if granted, restricted := ent.config.store.Models(account); restricted {
+		return granted
+	}
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	var list []string
+	for _, con := range ent.conns {
+		if per := con.Peer(); per.Kind == proto.UpstreamEngine && !slices.Contains(list, per.Serves) {
+			list = append(list, per.Serves)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// forbidden returns the refusal of a call that configuration does not allow.
+func (cfg *configuration) forbidden(knd proto.UpstreamKind, account, serves string) (proto.Result, bool) {
+	switch {
+	case !cfg.store.Ready():
+		return proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonNotReady, Detail: "this entry has no configuration yet",
+		}, true
+	case knd == proto.UpstreamEngine && !cfg.store.MayUse(account, serves):
+		return proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonModelNotGranted,
+			Detail: "the account may not use this model",
+		}, true
+	default:
+		return proto.Result{}, false
+	}
+}
+
+// Configuration returns the entry's configuration state.
+func (ent *Entry) Configuration() *state.Store { return ent.config.store }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -18,6 +18,9 @@
 )
 
 func (ent *Entry) dispatch(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
+	if res, no := ent.config.forbidden(cal.Kind, cal.Account, cal.Serves); no {
+		return res
+	}
 	con := ent.pick(cal)
 	if con == nil {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream serves this"}
@@ -29,7 +32,8 @@
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
 	for _, con := range ent.conns {
-		if con.Peer().Kind == cal.Kind && con.Peer().Serves == cal.Serves {
+		if con.Peer().Kind == cal.Kind && con.Peer().Serves == cal.Serves &&
+			!ent.config.store.Drained(con.Peer().Name) {
 			return con
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,7 @@
 	metrics *metric.Set
 	opts    link.Options
 	address string
+	config  *configuration
 
 	mu    sync.Mutex
 	conns map[string]*link.Conn // by the agent's name
@@ -46,12 +47,14 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.config = newConfiguration(grp, config.PlatformLog.Of(set), clk, log, ent.metrics)
 	ent.opts = link.Options{
 		Secret:  sec.Deployment(),
 		Clock:   clk,
 		Metrics: ent.metrics,
 		Log:     log,
-		Beat:    func() (proto.Kind, any) { return proto.KindBeat, proto.Beat{} },
+		Beat:    ent.config.beat,
+		OnFrame: ent.config.onFrame,
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
@@ -67,6 +70,7 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
+		Models: ent.models, Ready: ent.config.store.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
--- a/state/store.go
+++ b/state/store.go
@@ -175,7 +175,12 @@
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	before := sto.fold.version
-	defer func() { sto.notify(before) }()
+	defer func() {
+		if sto.fold.version >= sto.gap.Last {
+			sto.gap = Gap{}
+		}
+		sto.notify(before)
+	}()
 	if len(msg.Snapshot) > 0 {
 		return sto.adopt(msg.Snapshot, msg.Upto)
 	}
