--- a/once/commit.go
+++ b/once/commit.go
@@ -73,7 +73,7 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	size, count := 0, 0
-	for count < len(rec.queue) && count < maxBatchItems && size < maxBatchBytes {
+	for count < len(rec.queue) && count < rec.opts.BatchItems && size < maxBatchBytes {
 		size += itemBytes
 		if ans := rec.queue[count].Answer; ans != nil {
 			size += len(ans.Body) + len(ans.ContentType)
--- a/once/recorder.go
+++ b/once/recorder.go
@@ -46,6 +46,7 @@
 type Options struct {
 	Service      string
 	AppendRate   float64 // appends a second
+	BatchItems   int     // most items of a batch; 0 for the default
 	RecordLimit  time.Duration
 	Window       time.Duration
 	AnswerMemory int // bytes
@@ -110,6 +111,9 @@
 
 // New starts a Recorder in grp.
 func New(grp *group.Group, opts Options) *Recorder {
+	if opts.BatchItems <= 0 {
+		opts.BatchItems = maxBatchItems
+	}
 	rec := &Recorder{
 		opts:   opts,
 		stream: StreamPrefix + opts.Service,
--- a/once/recorder_test.go
+++ b/once/recorder_test.go
@@ -30,7 +30,13 @@
 
 func newBench(t testing.TB, clk *timer.Service) *bench {
 	t.Helper()
-	log := simlog.New(simlog.Options{Clock: timer.New()})
+	return newLimitedBench(t, clk, 0)
+}
+
+// newLimitedBench has a log that takes the given number of appends a second.
+func newLimitedBench(t testing.TB, clk *timer.Service, appendRate float64) *bench {
+	t.Helper()
+	log := simlog.New(simlog.Options{Clock: timer.New(), AppendRate: appendRate})
 	srv := httptest.NewServer(log.Handler())
 	t.Cleanup(srv.Close)
 	return &bench{log: log, cli: logsvc.New(strings.TrimPrefix(srv.URL, "http://")), clock: clk}
