Add a TCP proxy that injects faults

Cause: scenario tests need links that are slow, lossy, cut, cut in one direction or frozen, switched while processes run.

Ruled out: dropping single bytes of a TCP stream, which TCP never does. A lost packet is a pause of 200 ms, and a connection whose bytes were dropped in a one-way cut is reset when the direction passes again. Closing the listener during a cut, because another process could take the port; a new connection is reset as soon as it opens instead.

Change: package fault with routes, faults and an HTTP control interface; subcommand 'sim fault'.

Conclusion: go test -race -count=10 ./fault passes.

--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -18,6 +18,7 @@
 type simCommand struct {
 	Engine *simEngineCommand `arg:"subcommand:engine" help:"model engine"`
 	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
+	Fault  *simFaultCommand  `arg:"subcommand:fault" help:"TCP proxy that injects faults"`
 }
 
 type simLogCommand struct {
