Add scenario tests with real processes

Cause: the failure behaviour of the whole path was untested: processes killed or frozen, links cut or slow.

Ruled out: fixed ports, which collide between parallel tests, and ports on 127.0.0.1, which an outgoing connection may take while a process is restarted; each process has a loopback IP of its own. Sleeping: every wait is for a condition.

Change: scripts in cmd/tarragonwheel/testdata/scenarios on testscript, with commands for processes, requests, faults and checks (docs/SCENARIOS.md).

--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -53,6 +53,10 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start entry: %w", err)
 	}
+	if err := serveMetrics(grp, set, ent.Metrics(), log); err != nil {
+		_ = grp.Stop()
+		return fmt.Errorf("start entry: %w", err)
+	}
 	log.Info("entry: listening", "address", ent.Address())
 	return grp.Wait()
 }
@@ -68,6 +72,10 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start agent: %w", err)
 	}
+	if err := serveMetrics(grp, set, agt.Metrics(), log); err != nil {
+		_ = grp.Stop()
+		return fmt.Errorf("start agent: %w", err)
+	}
 	log.Info("agent: listening", "address", agt.Address())
 	return grp.Wait()
 }
--- /dev/null
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// patience bounds every wait for a condition. It only guards against a test that hangs.
+const patience = 60 * time.Second
+
+const pollInterval = 5 * time.Millisecond
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"tarragonwheel": main})
+}
+
+// TestScenarios runs the scripts of testdata/scenarios, each of which states the failure that it guards against.
+// docs/SCENARIOS.md describes their commands.
+func TestScenarios(t *testing.T) {
+	cmds := make(map[string]func(ts *testscript.TestScript, neg bool, args []string))
+	for name, fn := range commands {
+		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			err := fn(ts.Value(scenarioKey{}).(*scenario), args)
+			switch {
+			case neg && err == nil:
+				ts.Fatalf("%s succeeded, and should have failed", name)
+			case !neg && err != nil:
+				ts.Fatalf("%s: %v", name, err)
+			}
+		}
+	}
+	testscript.Run(t, testscript.Params{Dir: "testdata/scenarios", Setup: setUp, Cmds: cmds})
+}
+
+// verb is a command of the scripts.
+type verb func(scn *scenario, args []string) error
+
+var commands map[string]verb
+
+func init() { // Breaks the cycle between the table and the commands that refer to it.
+	commands = map[string]verb{
+		"engine": startSim("engine", "--model"), "log": startSim("log"), "vms": startSim("vms"),
+		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
+		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
+		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
+		"post": httpCall("POST"), "active": checkActive, "metric": checkMetric,
+	}
+}
+
+type scenarioKey struct{}
+
+// scenario is the state of one script.
+type scenario struct {
+	dir       string
+	processes map[string]*process
+	addresses map[string]string // of processes and routes
+	calls     map[string]*call
+}
+
+const scenarioSecrets = `[deployment]
+secret = scenario-deployment-secret
+[accounts]
+desk = scenario-key-of-desk
+press = scenario-key-of-press
+[operators]
+ops = scenario-key-of-ops
+`
+
+func setUp(env *testscript.Env) error {
+	scn := &scenario{
+		dir: env.WorkDir, processes: make(map[string]*process), addresses: make(map[string]string),
+		calls: make(map[string]*call),
+	}
+	env.Values[scenarioKey{}] = scn
+	env.Defer(func() {
+		for _, cal := range scn.calls {
+			cal.cancel()
+		}
+		for name, prc := range scn.processes {
+			_ = prc.cmd.Process.Kill()
+			<-prc.done
+			env.T().Log(name + ":\n" + prc.text()) // Printed only if the test fails or is verbose.
+		}
+	})
+	return os.WriteFile(filepath.Join(env.WorkDir, "secrets.ini"), []byte(scenarioSecrets), 0o600)
+}
+
+// address resolves the name of a process or a route.
+func (scn *scenario) address(name string) (string, error) {
+	addr, ok := scn.addresses[name]
+	if !ok {
+		return "", fmt.Errorf("no process or route %q", name)
+	}
+	return addr, nil
+}
+
+// until repeats a command until it succeeds.
+func until(scn *scenario, args []string) error {
+	if len(args) == 0 || commands[args[0]] == nil {
+		return errors.New("usage: until COMMAND [ARGUMENT]")
+	}
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pollInterval) {
+		if err = commands[args[0]](scn, args[1:]); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("never succeeded: %w", err)
+}
+
+// options splits arguments of the form key=value from the others.
+func options(args []string) (rest []string, opts map[string]string) {
+	opts = make(map[string]string)
+	for _, arg := range args {
+		if key, val, ok := strings.Cut(arg, "="); ok {
+			opts[key] = val
+		} else {
+			rest = append(rest, arg)
+		}
+	}
+	return rest, opts
+}
+
+func take(opts map[string]string, key, fallback string) string {
+	val, ok := opts[key]
+	delete(opts, key)
+	if !ok {
+		return fallback
+	}
+	return val
+}
+
+// writeSettings writes an INI file. Keys have the form section.name.
+func (scn *scenario) writeSettings(name string, values map[string]string) (string, error) {
+	sections := make(map[string][]string)
+	for key, val := range values {
+		sec, nam, ok := strings.Cut(key, ".")
+		if !ok {
+			return "", fmt.Errorf("unknown word %q; settings have the form section.key=value", key)
+		}
+		sections[sec] = append(sections[sec], nam+" = "+val)
+	}
+	var text strings.Builder
+	for sec, lines := range sections {
+		slices.Sort(lines)
+		fmt.Fprintf(&text, "[%s]\n%s\n", sec, strings.Join(lines, "\n"))
+	}
+	file := filepath.Join(scn.dir, name+".ini")
+	return file, os.WriteFile(file, []byte(text.String()), 0o600)
+}
