--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -20,6 +20,7 @@
 	Engine *simEngineCommand `arg:"subcommand:engine" help:"model engine"`
 	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
 	Svc    *simSvcCommand    `arg:"subcommand:service" help:"plain service"`
+	Fault  *simFaultCommand  `arg:"subcommand:fault" help:"TCP proxy that injects faults"`
 }
 
 type simLogCommand struct {
