once: refuse for good once the log has lost records

Cause: when the log's end lay before what had been read, the follower waited and went on as soon as new records reached that offset. The records in between, and starts of other processes in them, were never read.

Ruled out: reading again from the start, because the lost records may hold starts that other processes ran.

Change: the follower ends, and the process refuses calls whose keys it does not know until it is started again.

Conclusion: a restored or emptied log needs a restart of the plain agents, and keys lost with it are not recognised.

--- a/once/follow.go
+++ b/once/follow.go
@@ -31,10 +31,11 @@
 		}
 		if bat.Next < next {
 			rec.opts.Metrics.Event("once-log-went-back")
-			rec.opts.Log.Info("once: the log has lost records; calls are refused", "stream", rec.stream, "next", next)
+			rec.opts.Log.Info("once: the log has lost records; calls are refused until this process is started again",
+				"stream", rec.stream, "next", next)
+			// New records would take offsets that count as read here, so foreign starts could be missed.
 			rec.setDown(true)
-			_ = rec.opts.Clock.Sleep(ctx, pollWait)
-			continue
+			return nil
 		}
 		if head == 0 {
 			head = bat.Next
@@ -87,7 +88,7 @@
 		case itemFinish:
 			if !rec.table.finish(own, itm, offset, now) {
 				rec.opts.Metrics.Event("once-conflict")
-				rec.opts.Log.Info("once: a call was finished by a process that does not own it", "offset", offset)
+				rec.opts.Log.Info("once: a call was finished by a process that does not own its key", "offset", offset)
 			}
 		case itemAbandon:
 			rec.table.abandon(own, itm.Key)
--- a/once/recorder_test.go
+++ b/once/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -255,3 +256,37 @@
 	man.Advance(2 * time.Minute)
 	is.Equal(rec.Remembered(), 0)
 }
+
+// Guards against decisions on a log that has lost records: new ones take offsets that count as read, so the start of
+// another process could be missed and its call run again.
+func TestLogThatWentBackIsNotTrusted(t *testing.T) {
+	is := is.New(t)
+	ben := newBench(t, timer.New())
+	svc := &service{}
+	var empty atomic.Bool
+	rec, _ := ben.start(t, func(opts *once.Options) {
+		opts.RecordLimit = 50 * time.Millisecond
+		opts.Read = func(
+			ctx context.Context, stream string, from int64, limit int, wait time.Duration,
+		) (logsvc.Batch, error) {
+			if empty.Swap(false) {
+				return logsvc.Batch{Oldest: 1, Next: 1}, nil
+			}
+			return ben.cli.Read(ctx, stream, from, limit, min(wait, 10*time.Millisecond))
+		}
+	})
+	until(t, func() bool {
+		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
+	})
+	empty.Store(true)
+	until(t, func() bool {
+		key := time.Now().String()
+		return rec.Do(context.Background(), ben.request(key, "b"), svc.run).Reason == once.ReasonLogUnavailable
+	})
+	for num := range 5 { // A follower that went on would have read the log again by then.
+		time.Sleep(20 * time.Millisecond)
+		res := rec.Do(context.Background(), ben.request(fmt.Sprint("other", num), "b"), svc.run)
+		is.Equal(res.Reason, once.ReasonLogUnavailable)
+	}
+	is.Equal(rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome, proto.OutcomeDone)
+}
