Add the agent's queue: due order, deadline check, bounded waits

Cause: requests reached the engine in order of arrival, and one that could not finish in time ran until its deadline. Ruled out: a fixed number of requests at the engine (short ones then wait behind a window full of long ones); a queue that stops at the first request that lacks memory (short ones wait for a long one); a queue that always passes over it (the long one starves). Change: package admit. Due order; refusal at arrival and again at hand-over if the predicted end is late; a window counted in prefill work of earlier due times; an overdue request that lacks memory is guarded by ReserveBeside. Conclusion: the agent can use it. A wait for memory is not part of the prediction at arrival.

--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,235 @@
+package admit_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/admit"
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/ledger"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// bench is a queue on a manual clock before an engine of 100,000 tokens that prefills 10,000 tokens a second.
+type bench struct {
+	*admit.Queue
+	clock *timer.Service
+	time  *timer.Manual
+	model *cost.Model
+	led   *ledger.Ledger
+	count int
+}
+
+func newBench() *bench {
+	bnc := &bench{model: cost.NewModel(), led: ledger.New(0.1)}
+	bnc.clock, bnc.time = timer.NewManual(time.Unix(0, 0))
+	bnc.model.ReportedRate(10_000)
+	bnc.led.Resize(100_000, 20)
+	bnc.Queue = admit.New(admit.Options{
+		Clock: bnc.clock, Model: bnc.model, Ledger: bnc.led, ShortBias: 8, ShortLimit: 10_000,
+		Window: 100 * time.Millisecond, Limit: 100,
+	})
+	return bnc
+}
+
+func (bnc *bench) submit(prompt int, remaining time.Duration) (*admit.Ticket, error) {
+	bnc.count++
+	return bnc.Submit(admit.Request{
+		ID: fmt.Sprint(bnc.count), PromptTokens: prompt, Remaining: remaining, Streamed: true,
+	})
+}
+
+func (bnc *bench) must(t *testing.T, prompt int) *admit.Ticket {
+	t.Helper()
+	tick, err := bnc.submit(prompt, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tick
+}
+
+// passed tells whether the request has been handed over, without waiting for it.
+func passed(tick *admit.Ticket) bool {
+	select {
+	case <-tick.Ready():
+		return tick.Wait(context.Background()) == nil
+	default:
+		return false
+	}
+}
+
+func reason(err error) string {
+	var ref *admit.Refusal
+	if errors.As(err, &ref) {
+		return ref.Reason
+	}
+	return fmt.Sprint(err)
+}
+
+// Guards against requests handed over first-come-first-served, and against an engine that receives so many requests
+// that its own order decides nothing.
+func TestDueOrderAndWindow(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	one, two := bnc.must(t, 20_000), bnc.must(t, 20_000)
+	long := bnc.must(t, 20_001)
+	is.True(passed(one) && passed(two))
+	is.True(!passed(long)) // The engine holds two of earlier due times.
+	short := bnc.must(t, 1000)
+	is.True(passed(short)) // Due before all that the engine holds.
+	is.True(short.Priority() < one.Priority())
+	bnc.time.Advance(17 * time.Second) // Now a short request is due after the long ones.
+	late := bnc.must(t, 1000)
+	is.True(!passed(late))
+	short.FirstToken()
+	one.FirstToken()
+	is.True(passed(long))
+	is.True(!passed(late))
+	two.FirstToken()
+	is.True(passed(late))
+}
+
+// Guards against requests that wait, or even run, although they cannot finish in time.
+func TestRefusesWhatCannotFinish(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	_, err := bnc.submit(100_001, time.Hour)
+	is.Equal(reason(err), admit.ReasonPromptTooLong)
+	_, err = bnc.submit(20_000, 1900*time.Millisecond)
+	is.Equal(reason(err), admit.ReasonCannotFinish)
+	bnc.must(t, 20_000)
+	second := bnc.must(t, 20_000)
+	_, err = bnc.submit(20_000, 5*time.Second) // 4 s of work are ahead.
+	is.Equal(reason(err), admit.ReasonCannotFinish)
+	third, err := bnc.submit(20_000, 6100*time.Millisecond)
+	is.NoErr(err)
+	bnc.time.Advance(5 * time.Second) // The engine stalls.
+	second.FirstToken()
+	is.Equal(reason(third.Wait(context.Background())), admit.ReasonCannotFinish)
+	bnc.Refuse("draining")
+	_, err = bnc.submit(1000, time.Hour)
+	is.Equal(reason(err), "draining")
+}
+
+// Guards against queued requests that reach the engine after their caller has gone or their time has run out, and
+// against reservations that such requests leave behind.
+func TestEndedInQueueNeverRuns(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	one, two := bnc.must(t, 20_000), bnc.must(t, 20_000)
+	gone, late := bnc.must(t, 20_000), bnc.must(t, 20_000)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(reason(gone.Wait(ctx)), admit.ReasonCancelled)
+	lim, stop := bnc.clock.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	bnc.time.Advance(time.Second)
+	is.Equal(reason(late.Wait(lim)), admit.ReasonTimeout)
+	is.Equal(bnc.State().Waiting, 0)
+	is.True(one.Release() && two.Release())
+	is.True(!one.Release())
+	is.Equal(reason(gone.Wait(context.Background())), admit.ReasonCancelled) // It stays refused.
+	is.Equal(bnc.led.Usage().Used, 0)
+	is.Equal(bnc.State().Work, time.Duration(0))
+}
+
+// Guards against a request handed over at the moment its caller goes away, whose reservation nobody releases.
+func TestCancelledAtHandOver(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	tick := bnc.must(t, 1000)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(reason(tick.Wait(ctx)), admit.ReasonCancelled)
+	is.Equal(bnc.led.Usage().Running, 0)
+}
+
+// Guards against starvation for memory in both directions: a long request that never sees enough free memory at once
+// because short ones keep taking it, and short requests that wait because a long one does.
+func TestMemoryWaitIsBounded(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	var running []*admit.Ticket
+	for range 8 {
+		tick := bnc.must(t, 11_000)
+		tick.FirstToken()
+		running = append(running, tick)
+	}
+	long := bnc.must(t, 80_000)
+	is.True(!passed(long))
+	bnc.time.Advance(65 * time.Second) // It is overdue.
+	overtook := 0
+	for idx := 0; idx < 100 && !passed(long); idx++ {
+		// Each request that ends is followed by a short one.
+		if len(running) > 0 {
+			running[0].Release()
+			running = running[1:]
+		}
+		tick := bnc.must(t, 2000)
+		if passed(tick) {
+			tick.FirstToken()
+			running = append(running, tick)
+			overtook++
+		}
+	}
+	is.True(passed(long))
+	is.True(overtook > 0)  // The headroom stays in use by short requests.
+	is.True(overtook < 20) // They cannot hold the long one up for ever.
+	small := bnc.must(t, 500)
+	is.True(passed(small))
+}
+
+// Guards against predictions that never follow the engine, also when one prefill interrupts another.
+func TestLearnsPrefillRate(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	for range 40 {
+		long, short := bnc.must(t, 20_000), bnc.must(t, 5000)
+		bnc.time.Advance(time.Second)
+		short.FirstToken()
+		bnc.time.Advance(4 * time.Second)
+		long.FirstToken()
+		is.True(long.Release() && short.Release())
+	}
+	rate := bnc.model.Rate()
+	is.True(rate > 4900 && rate < 5600) // 25,000 tokens in 5 s
+}
+
+// Guards against requests without visible first token that block the window until their whole answer has come.
+func TestUnseenPrefillEndsWhenPredicted(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	for idx := range 2 {
+		_, err := bnc.Submit(admit.Request{ID: fmt.Sprint("whole", idx), PromptTokens: 5000, Remaining: time.Hour})
+		is.NoErr(err)
+	}
+	next := bnc.must(t, 6000)
+	is.True(!passed(next))
+	bnc.time.Advance(600 * time.Millisecond)
+	is.True(passed(next))
+	is.Equal(bnc.model.Rate(), 10_000.0)
+}
+
+// Guards against an example that no longer matches the interface.
+func ExampleQueue() {
+	led := ledger.New(0.1)
+	led.Resize(100_000, 8)
+	que := admit.New(admit.Options{
+		Clock: timer.New(), Model: cost.NewModel(), Ledger: led, ShortBias: 8, ShortLimit: 10_000, Limit: 10,
+	})
+	tick, err := que.Submit(admit.Request{ID: "attempt", PromptTokens: 500, Remaining: time.Minute})
+	if err != nil {
+		return
+	}
+	fmt.Println(tick.Wait(context.Background()), led.Usage().Used)
+	tick.Release()
+	fmt.Println(led.Usage().Used)
+	// Output:
+	// <nil> 500
+	// 0
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -60,10 +60,39 @@
 func (led *Ledger) Reserve(rsv Reservation) error {
 	led.mu.Lock()
 	defer led.mu.Unlock()
+	return led.take(rsv, led.fits(rsv))
+}
+
+// ReserveBeside is like Reserve, but leaves alone what the waiting reservation needs: once those who hold memory now
+// have released it, waiting fits. Short requests may go on using the headroom.
+func (led *Ledger) ReserveBeside(rsv, waiting Reservation) error {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	return led.take(rsv, led.fits(rsv) && led.leavesRoom(rsv, waiting))
+}
+
+func (led *Ledger) leavesRoom(rsv, waiting Reservation) bool {
+	if rsv.Short {
+		shortSlots := led.slots - led.longSlots()
+		tokens := min(led.tokens-led.longTokens(), led.tokens-waiting.Tokens)
+		if led.used-led.usedLong+rsv.Tokens <= tokens && len(led.held)-led.longCount < shortSlots {
+			return true
+		}
+	}
+	if led.used+rsv.Tokens+waiting.Tokens > led.tokens || len(led.held)+2 > led.slots {
+		return false
+	}
+	if rsv.Short || waiting.Short {
+		return true
+	}
+	return led.usedLong+rsv.Tokens+waiting.Tokens <= led.longTokens() && led.longCount+2 <= led.longSlots()
+}
+
+func (led *Ledger) take(rsv Reservation, fits bool) error {
 	if _, taken := led.held[rsv.Owner]; taken {
 		return trace.AlreadyExists("ledger: attempt %s holds a reservation", rsv.Owner)
 	}
-	if !led.fits(rsv) {
+	if !fits {
 		return trace.LimitExceeded("ledger: %d tokens do not fit beside %d of %d", rsv.Tokens, led.used, led.tokens)
 	}
 	led.held[rsv.Owner] = rsv
