Add faults to the stand-in engine: crash, stall, leak, lost cancel, late load

Cause: the stand-in freed memory whenever a client went away, so no test could show that the agent returns memory. Ruled out: leak as a switch. Real engines may keep a request whose client has gone, so it is the only behaviour. Conclusion: the prefix cache of the stand-in is not done.

--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -29,11 +30,15 @@
 type simEngineCommand struct {
 	Listen string `arg:"required,--listen" help:"address to listen on"`
 	Model  string `arg:"required,--model" help:"name of the model"`
+	Marker string `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
 }
 
 func (cmd *simEngineCommand) run(ctx context.Context, std streams) error {
 	grp := group.New(ctx, "simeng")
 	eng := simeng.New(grp, simeng.DefaultModel(cmd.Model), timer.New())
+	if cmd.Marker != "" {
+		eng.CrashOn(cmd.Marker, func() { os.Exit(exitFailed) })
+	}
 	return serve(grp, cmd.Listen, eng.Handler(), std.err)
 }
 
--- a/simeng/engine.go
+++ b/simeng/engine.go
@@ -53,6 +53,8 @@
 	decoded   int
 	admitted  bool // memory is held
 	cancelled bool
+	crashed   bool
+	abandoned bool     // its client has gone; it makes no progress and keeps its memory until it is cancelled
 	tokens    chan int // index of each decoded token; closed at the end
 }
 
@@ -67,6 +69,7 @@
 	used    int
 	arrival int64
 	wake    chan struct{}
+	faults  faults
 }
 
 // New returns an Engine that runs until grp stops.
@@ -83,6 +86,10 @@
 
 func (eng *Engine) runStep(ctx context.Context) {
 	dur := eng.step()
+	if eng.stalled() {
+		_ = eng.clock.Sleep(ctx, stallCheck)
+		return
+	}
 	if dur == 0 {
 		select {
 		case <-eng.wake:
@@ -141,6 +148,9 @@
 func (eng *Engine) step() time.Duration {
 	eng.mu.Lock()
 	defer eng.mu.Unlock()
+	if eng.faults.Stall {
+		return 0
+	}
 	eng.admit()
 	dur := time.Duration(0)
 	if seq := eng.nextPrefill(); seq != nil {
@@ -191,7 +201,7 @@
 func (eng *Engine) nextPrefill() *sequence {
 	var best *sequence
 	for _, seq := range eng.seqs {
-		if !seq.admitted || seq.prefilled == seq.prompt {
+		if !seq.admitted || seq.abandoned || seq.prefilled == seq.prompt {
 			continue
 		}
 		if best == nil || before(seq, best) {
@@ -206,7 +216,7 @@
 	eng.mu.Lock()
 	defer eng.mu.Unlock()
 	for _, seq := range eng.seqs {
-		if !seq.admitted || seq.prefilled < seq.prompt {
+		if !seq.admitted || seq.abandoned || seq.prefilled < seq.prompt {
 			continue
 		}
 		seq.tokens <- seq.decoded // Never blocks: the channel holds the whole output.
--- a/simeng/http.go
+++ b/simeng/http.go
@@ -70,17 +70,18 @@
 		writeJSON(rw, http.StatusOK, map[string][]string{"requests": eng.activeIDs()})
 	})
 	mux.HandleFunc("DELETE /v1/requests/{id}", func(rw http.ResponseWriter, req *http.Request) {
-		if err := eng.cancel(req.PathValue("id")); err != nil {
+		err := eng.cancel(req.PathValue("id"))
+		if eng.losesCancel() {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
 			writeError(rw, err)
 		}
 	})
 	mux.HandleFunc("GET /v1/load", func(rw http.ResponseWriter, _ *http.Request) {
-		used, running, waiting := eng.usage()
-		writeJSON(rw, http.StatusOK, engine.Load{
-			Model: eng.model.Name, TotalTokens: eng.model.TotalTokens, UsedTokens: used, Running: running,
-			Waiting: waiting, PrefillRate: eng.model.PrefillRate, MaxRunning: eng.model.MaxRunning,
-		})
+		writeJSON(rw, http.StatusOK, eng.load())
 	})
+	eng.handleFaults(mux)
 	return mux
 }
 
@@ -106,11 +107,15 @@
 	}
 	seq.priority, _ = strconv.ParseInt(req.Header.Get(engine.HeaderPriority), 10, 64)
 	seq.decoded, _ = strconv.Atoi(req.Header.Get(engine.HeaderResume))
+	if eng.crashesOn(raw) {
+		eng.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if err := eng.add(seq); err != nil {
 		writeError(rw, err)
 		return
 	}
-	defer func() { _ = eng.cancel(seq.id) }()
+	defer eng.leave(seq)
 	wri := writer{eng: eng, rw: rw, seq: seq, chat: chat, seed: xxhash.Sum64(bytes.TrimSpace(raw))}
 	if body.Stream {
 		wri.stream(req)
@@ -141,6 +146,7 @@
 		select {
 		case idx, open := <-wri.seq.tokens:
 			if !open {
+				abortIfCrashed(wri.seq)
 				if !wri.seq.cancelled {
 					_, _ = io.WriteString(wri.rw, "data: [DONE]\n\n")
 				}
@@ -167,7 +173,11 @@
 		cho = choice{Delta: &message{Role: "assistant", Content: text}, FinishReason: finish}
 		object = "chat.completion.chunk"
 	}
-	raw, _ := json.Marshal(wri.answer(object, cho)) // These types always marshal.
+	ans := wri.answer(object, cho)
+	if finish != nil {
+		ans.Usage = &usage{wri.seq.prompt, wri.seq.output, wri.seq.prompt + wri.seq.output}
+	}
+	raw, _ := json.Marshal(ans) // These types always marshal.
 	_, _ = fmt.Fprintf(wri.rw, "data: %s\n\n", raw)
 }
 
@@ -177,6 +187,7 @@
 		select {
 		case idx, open := <-wri.seq.tokens:
 			if !open {
+				abortIfCrashed(wri.seq)
 				wri.finish(text.String())
 				return
 			}
