Make the agent the authority over its engine's memory

Cause: the agent handed over requests unasked, sent one cancel without checking its effect, knew nothing of requests of an earlier incarnation, reported itself healthy always and stopped in the middle of requests. Ruled out: counting failed calls as failed polls. Change: attempts pass the queue and hold a reservation; what the engine did not complete is cancelled with backoff until it is no longer listed and only then released; orphans are cancelled at start and every 5 s; health by polling, a failed call brings the poll forward; full reports, at once on change; Drain on the first signal. Conclusion: memory returns after each mixture of faults that was tried.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,9 +15,12 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonwheel/tarragonwheel/admit"
 	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/cost"
 	"github.com/tarragonwheel/tarragonwheel/engine"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/ledger"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
@@ -33,10 +36,23 @@
 	metrics *metric.Set
 	local   proto.Peer
 	engine  *engine.Client
+	model   *cost.Model
+	ledger  *ledger.Ledger
+	queue   *admit.Queue
+	grace   time.Duration
 	address string
+	changed chan struct{} // wakes the report loop
+	reclaim chan struct{} // wakes the reclaim loop
+	pollNow chan struct{} // wakes the poll loop
 
-	mu    sync.Mutex
-	conns map[*link.Conn]struct{}
+	mu       sync.Mutex
+	conns    map[*link.Conn]struct{}
+	attempts map[string]struct{}      // all that are being served
+	lost     map[string]*admit.Ticket // ended without the engine's completion, possibly still on the engine
+	draining bool
+	healthy  bool
+	listed   bool // the engine's requests have been listed since the start
+	failures int  // failed polls in a row
 }
 
 // New starts an Agent in grp. It returns once the agent listens.
@@ -44,11 +60,19 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Agent, error) {
 	agt := &Agent{
-		clock:   clk,
-		log:     log,
-		metrics: metric.New(),
-		engine:  engine.New(config.AgentUpstream.Of(set)),
-		conns:   make(map[*link.Conn]struct{}),
+		clock:    clk,
+		log:      log,
+		metrics:  metric.New(),
+		engine:   engine.New(config.AgentUpstream.Of(set)),
+		model:    cost.NewModel(),
+		ledger:   ledger.New(config.AgentShortHeadroom.Of(set)),
+		grace:    config.ProcessGrace.Of(set),
+		changed:  make(chan struct{}, 1),
+		reclaim:  make(chan struct{}, 1),
+		pollNow:  make(chan struct{}, 1),
+		conns:    make(map[*link.Conn]struct{}),
+		attempts: make(map[string]struct{}),
+		lost:     make(map[string]*admit.Ticket),
 		local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleAgent,
@@ -58,6 +82,19 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	agt.queue = admit.New(admit.Options{
+		Clock: clk, Model: agt.model, Ledger: agt.ledger,
+		ShortBias:  config.AgentShortBias.Of(set),
+		ShortLimit: config.AgentShortLimit.Of(set),
+		Window:     config.AgentEngineWindow.Of(set),
+		Limit:      config.AgentQueueLimit.Of(set),
+		Changed:    func() { wake(agt.changed) },
+	})
+	agt.queue.Refuse(ReasonUnavailable)
+	grp.Go("poll", agt.pollLoop)
+	grp.Go("sweep", agt.sweepLoop)
+	grp.Go("reclaim", agt.reclaimLoop)
+	grp.Go("report", agt.reportLoop)
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
 
@@ -118,7 +155,3 @@
 		agt.log.Info("agent: entry disconnected", "entry", con.Peer().Name)
 	}()
 }
-
-func (agt *Agent) report() proto.Report {
-	return proto.Report{Healthy: true}
-}
--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,154 @@
+package agent
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/engine"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+const soakSeed = 20261204
+
+// Guards against memory lost on the engine or in the ledger after cancels, broken connections, lost cancel answers and
+// engine crashes in any mixture, and against a reservation released while the engine still holds the request.
+func TestSoakReturnsAllMemory(t *testing.T) {
+	t.Logf("seed %d", soakSeed)
+	rig := newRig(t, fastModel(), "")
+	rig.start()
+	const workers, each = 20, 150
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := make(map[proto.Outcome]int)
+	for wkr := range workers {
+		wait.Go(func() {
+			rnd := rand.New(rand.NewSource(soakSeed + int64(wkr)))
+			con := rig.dial()
+			for range each {
+				if con == nil {
+					return
+				}
+				res, err := soakRequest(rig, con, rnd)
+				if err != nil {
+					con = rig.dial()
+				}
+				mu.Lock()
+				outcomes[res.Outcome]++
+				mu.Unlock()
+			}
+			con.Close()
+		})
+	}
+	wait.Wait()
+	t.Log(outcomes)
+	rig.eventually("ledger and engine return to zero", rig.empty)
+	if outcomes[proto.OutcomeDone] == 0 || outcomes[proto.OutcomeFailed] == 0 {
+		t.Fatal("the soak exercised too little")
+	}
+}
+
+// soakRequest runs one request and disturbs it at random.
+func soakRequest(rig *rig, con *link.Conn, rnd *rand.Rand) (proto.Result, error) {
+	ended := make(chan struct{})
+	delay := time.Duration(rnd.Intn(8000)) * time.Microsecond
+	var disturb func()
+	switch pick := rnd.Intn(100); {
+	case pick < 30:
+		disturb = func() { close(ended) }
+	case pick < 35:
+		disturb = con.Close
+	case pick < 36:
+		disturb = rig.engine.Crash
+	case pick < 38:
+		disturb = func() { rig.faults(`{"lose-cancels":3}`) }
+	}
+	if disturb != nil {
+		done := make(chan struct{})
+		timer := time.AfterFunc(delay, func() { disturb(); close(done) })
+		defer func() {
+			if !timer.Stop() {
+				<-done
+			}
+		}()
+	}
+	prompt := 1 + rnd.Intn(2000)
+	if rnd.Intn(10) == 0 {
+		prompt = 20_000 + rnd.Intn(50_000)
+	}
+	remaining := time.Duration(1+rnd.Intn(2000)) * time.Millisecond
+	return ask(con, request{prompt: prompt, output: 1 + rnd.Intn(20), remaining: remaining, ended: ended})
+}
+
+// Guards against a restarted agent that leaves its predecessor's requests on the engine, or takes work before it has
+// looked for them.
+func TestOrphansAreCancelledAtStart(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(t, fastModel(), "")
+	rig.faults(`{"stall":true}`)
+	rig.start()
+	con := rig.dial()
+	defer con.Close()
+	go func() { _, _ = ask(con, request{prompt: 100, output: 10, remaining: hangLimit}) }()
+	rig.eventually("the request is on the engine", func() bool { return !rig.engineEmpty() })
+	is.NoErr(rig.grp.Stop())
+	is.True(!rig.engineEmpty())
+	rig.start()
+	rig.eventually("the orphan is gone", rig.empty)
+}
+
+func (rig *rig) engineEmpty() bool {
+	ids, err := engine.New(rig.url[len("http://"):]).Active(context.Background())
+	return err == nil && len(ids) == 0
+}
+
+// Guards against a reservation freed while the engine still lists the request, and against one never freed because the
+// answers to its cancels were lost.
+func TestDeadlineOnStalledEngineFreesMemory(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(t, fastModel(), "")
+	rig.start()
+	rig.faults(`{"stall":true,"lose-cancels":2}`)
+	con := rig.dial()
+	defer con.Close()
+	res, err := ask(con, request{prompt: 100, output: 10, remaining: 100 * time.Millisecond})
+	is.NoErr(err)
+	is.Equal(res.Reason, ReasonTimeout)
+	is.Equal(res.Outcome, proto.OutcomeFailed)
+	rig.eventually("memory is free", rig.empty)
+}
+
+// Guards against a planned stop that breaks a request in flight, or accepts work that it cannot finish.
+func TestDrainFinishesWorkInFlight(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(t, fastModel(), "")
+	rig.start()
+	rig.faults(`{"stall":true}`)
+	con := rig.dial()
+	defer con.Close()
+	first := make(chan proto.Result, 1)
+	go func() {
+		res, _ := ask(con, request{prompt: 100, output: 10, remaining: hangLimit})
+		first <- res
+	}()
+	rig.eventually("the request is on the engine", func() bool { return !rig.engineEmpty() })
+	drained := make(chan struct{})
+	go func() {
+		rig.agent.Drain(context.Background())
+		close(drained)
+	}()
+	rig.eventually("draining is reported", func() bool { return rig.agent.report().Draining })
+	res, err := ask(con, request{prompt: 100, output: 10, remaining: hangLimit})
+	is.NoErr(err)
+	is.Equal(res.Outcome, proto.OutcomeNotRun)
+	is.Equal(res.Reason, ReasonDraining)
+	rig.faults(`{"stall":false}`)
+	is.Equal(<-first, proto.Result{Outcome: proto.OutcomeDone})
+	<-drained
+	is.True(rig.empty())
+}
--- /dev/null
+++ b/agent/rig_test.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/simeng"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const (
+	rigSecret = "a-secret-of-the-rig"
+	// hangLimit only ends a test that hangs.
+	hangLimit = 20 * time.Second
+)
+
+// rig is a real agent before a real stand-in engine, over loopback.
+type rig struct {
+	tb     testing.TB
+	engine *simeng.Engine
+	url    string
+	grp    *group.Group
+	agent  *Agent
+	extra  string
+}
+
+func fastModel() simeng.Model {
+	mdl := simeng.DefaultModel("m")
+	mdl.TotalTokens = 100_000
+	mdl.PrefillRate = 4_000_000
+	mdl.StepBase = 200 * time.Microsecond
+	mdl.StepPerSeq = time.Microsecond
+	return mdl
+}
+
+func newRig(tb testing.TB, mdl simeng.Model, extra string) *rig {
+	tb.Helper()
+	grp := group.New(context.Background(), "engine")
+	eng := simeng.New(grp, mdl, timer.New())
+	srv := httptest.NewServer(eng.Handler())
+	tb.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+		_ = grp.Stop()
+	})
+	return &rig{tb: tb, engine: eng, url: srv.URL, extra: extra}
+}
+
+// start starts an agent and waits until it is healthy.
+func (rig *rig) start() {
+	rig.tb.Helper()
+	set, err := config.Parse("[process]\nname = a\ndata-centre = d\nlisten = 127.0.0.1:0\nsecrets = none\n[agent]\n"+
+		"serves = m\nupstream = "+strings.TrimPrefix(rig.url, "http://")+"\n"+rig.extra, "agent")
+	if err != nil {
+		rig.tb.Fatal(err)
+	}
+	sec, err := config.ParseSecrets("[deployment]\nsecret = " + rigSecret)
+	if err != nil {
+		rig.tb.Fatal(err)
+	}
+	rig.grp = group.New(context.Background(), "agent")
+	rig.agent, err = New(rig.grp, set, sec, timer.New(), logr.Discard())
+	if err != nil {
+		rig.tb.Fatal(err)
+	}
+	rig.tb.Cleanup(func() { _ = rig.grp.Stop() })
+	rig.eventually("healthy", func() bool { return rig.agent.report().Healthy })
+}
+
+func (rig *rig) eventually(what string, cond func() bool) {
+	rig.tb.Helper()
+	for end := time.Now().Add(hangLimit); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			rig.tb.Fatalf("never: %s; %+v", what, rig.agent.ledger.Usage())
+		}
+	}
+}
+
+// empty tells whether neither ledger nor engine holds anything.
+func (rig *rig) empty() bool {
+	ids, err := rig.agent.engine.Active(context.Background())
+	usg := rig.agent.ledger.Usage()
+	return err == nil && len(ids) == 0 && usg.Used == 0 && usg.Running == 0 && rig.agent.inFlight() == 0
+}
+
+func (rig *rig) dial() *link.Conn {
+	con, err := link.Dial(context.Background(), rig.agent.Address(), link.Options{
+		Secret: []byte(rigSecret), Local: proto.Peer{Name: "e"}, Clock: timer.New(), Metrics: metric.New(),
+		Log: logr.Discard(), Beat: func() (proto.Kind, any) { return proto.KindBeat, proto.Beat{} },
+	})
+	if err != nil {
+		rig.tb.Error(err)
+		return nil
+	}
+	return con
+}
+
+func (rig *rig) faults(json string) {
+	req, _ := http.NewRequest(http.MethodPut, rig.url+"/sim/faults", strings.NewReader(json))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		rig.tb.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// request is one attempt as an entry makes it.
+type request struct {
+	prompt, output int
+	remaining      time.Duration
+	onToken        func() // called with the first part of the answer
+	ended          <-chan struct{}
+}
+
+// ask runs an attempt to its result, or until ended is closed, upon which it cancels.
+func ask(con *link.Conn, req request) (proto.Result, error) {
+	body := fmt.Appendf(nil, `{"model":"m","stream":true,"max_tokens":%d,"prompt":"%s"}`,
+		req.output, bytes.Repeat([]byte("word"), req.prompt))
+	str, err := con.Open(proto.Open{
+		Attempt: proto.NewAttemptID(), Serves: "m", Remaining: req.remaining, Path: "/v1/completions", Stream: true,
+		Cost: proto.Cost{PromptTokens: req.prompt, OutputTokens: req.output}, BodyBytes: int64(len(body)),
+	})
+	if err != nil {
+		return proto.Result{}, err
+	}
+	defer str.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-req.ended:
+			_ = str.Send(proto.KindCancel, proto.Cancel{})
+		case <-stop:
+		}
+	}()
+	for {
+		frm, err := str.Next(context.Background())
+		if err != nil {
+			return proto.Result{}, err
+		}
+		switch frm.Kind {
+		case proto.KindAccept:
+			go func() {
+				if _, err := str.Write(body); err == nil {
+					_ = str.CloseWrite()
+				}
+			}()
+		case proto.KindData:
+			if _, err := str.Data(frm); err != nil {
+				return proto.Result{}, err
+			}
+			if req.onToken != nil {
+				req.onToken()
+				req.onToken = nil
+			}
+		case proto.KindResult:
+			return proto.Parse[proto.Result](frm)
+		}
+	}
+}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -7,22 +7,25 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/admit"
 	"github.com/tarragonwheel/tarragonwheel/engine"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 )
 
-// Reason codes of results.
+// Reason codes of results, beside those of package admit.
 const (
 	ReasonEngineFailed = "engine-failed"
-	ReasonTimeout      = "deadline-exceeded"
-	ReasonCancelled    = "cancelled"
+	ReasonTimeout      = admit.ReasonTimeout
+	ReasonCancelled    = admit.ReasonCancelled
+	ReasonDraining     = "draining"
+	ReasonUnavailable  = "engine-unavailable"
+	ReasonDuplicate    = "duplicate-attempt"
 )
 
-const (
-	copyBytes   = 16 << 10
-	cancelLimit = 5 * time.Second
-)
+const copyBytes = 16 << 10
 
 // serve runs one attempt and sends its result.
 func (agt *Agent) serve(str *link.Stream, msg proto.Open) {
@@ -39,53 +42,140 @@
 }
 
 func (agt *Agent) run(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
-	if err := str.Send(proto.KindAccept, proto.Accept{}); err != nil {
+	id := msg.Attempt.String()
+	if !agt.register(id) {
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDuplicate}
+	}
+	defer agt.unregister(id)
+	tick, err := agt.queue.Submit(admit.Request{
+		ID:           id,
+		PromptTokens: msg.Cost.PromptTokens,
+		CachedTokens: msg.Cost.CachedTokens,
+		OutputTokens: msg.Cost.OutputTokens,
+		Remaining:    msg.Remaining,
+		Streamed:     msg.Stream,
+	})
+	if err == nil {
+		err = tick.Wait(ctx)
+	}
+	if err != nil {
+		return refused(err)
+	}
+	if err := str.Send(proto.KindAccept, proto.Accept{QueuedFor: tick.Queued()}); err != nil {
+		tick.Release()
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled}
 	}
+	completed, res := agt.execute(ctx, str, msg, tick)
+	if completed {
+		tick.Release()
+	} else {
+		agt.abandon(id, tick)
+	}
+	return res
+}
+
+func refused(err error) proto.Result {
+	res := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled, Detail: err.Error()}
+	var ref *admit.Refusal
+	if errors.As(err, &ref) {
+		res.Reason, res.Detail, res.RetryAfter = ref.Reason, ref.Detail, ref.RetryAfter
+	}
+	return res
+}
+
+func (agt *Agent) register(id string) bool {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	_, serving := agt.attempts[id]
+	_, lost := agt.lost[id]
+	if serving || lost {
+		return false
+	}
+	agt.attempts[id] = struct{}{}
+	return true
+}
+
+func (agt *Agent) unregister(id string) {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	delete(agt.attempts, id)
+}
+
+// execute runs an attempt on the engine. It tells whether the engine completed it, and so no longer holds it.
+func (agt *Agent) execute(
+	ctx context.Context, str *link.Stream, msg proto.Open, tick *admit.Ticket,
+) (bool, proto.Result) {
 	resp, err := agt.engine.Complete(ctx, engine.Request{
 		ID:         msg.Attempt.String(),
 		Path:       msg.Path,
+		Priority:   tick.Priority(),
 		ResumeFrom: msg.ResumeFrom,
 		Length:     msg.BodyBytes,
 		Body:       str.Body(ctx),
 	})
 	if err != nil {
-		agt.cancelOnEngine(msg.Attempt)
-		return agt.failure(ctx, err)
+		return false, agt.failure(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	head := proto.Head{Status: resp.StatusCode, Header: map[string]string{
 		"Content-Type": resp.Header.Get("Content-Type"),
 	}}
 	if err := str.Send(proto.KindHead, head); err != nil {
-		return agt.failure(ctx, err)
+		return false, agt.failure(ctx, err)
+	}
+	tai, err := agt.relay(str, resp, tick)
+	if err != nil {
+		return false, agt.failure(ctx, err)
+	}
+	refusedByEngine := resp.StatusCode != http.StatusOK // Whether it holds memory then is not known.
+	if !refusedByEngine && msg.Stream && !tai.ended() {
+		return false, agt.failure(ctx, trace.ConnectionProblem(nil, "agent: the engine cut the response short"))
 	}
-	if err := relay(str, resp); err != nil {
-		agt.cancelOnEngine(msg.Attempt)
-		return agt.failure(ctx, err)
+	if err := str.CloseWrite(); err != nil {
+		return !refusedByEngine, agt.failure(ctx, err)
 	}
-	return proto.Result{Outcome: proto.OutcomeDone}
+	return !refusedByEngine, proto.Result{Outcome: proto.OutcomeDone}
 }
 
-// relay sends the upstream's answer as it arrives.
-func relay(str *link.Stream, resp *http.Response) error {
+// relay sends the upstream's answer as it arrives, and observes it.
+func (agt *Agent) relay(str *link.Stream, resp *http.Response, tick *admit.Ticket) (*tail, error) {
 	buf := make([]byte, copyBytes)
+	tai := &tail{}
+	var first time.Time
 	for {
 		num, err := resp.Body.Read(buf)
 		if num > 0 {
+			if first.IsZero() {
+				first = agt.clock.Now()
+				tick.FirstToken()
+			}
+			tai.add(buf[:num])
 			if _, err := str.Write(buf[:num]); err != nil {
-				return err
+				return tai, err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return str.CloseWrite()
+			agt.observe(tai, tick, first)
+			return tai, nil
 		}
 		if err != nil {
-			return err
+			return tai, err
 		}
 	}
 }
 
+func (agt *Agent) observe(tai *tail, tick *admit.Ticket, first time.Time) {
+	prompt, output := tai.usage()
+	if output == 0 {
+		return
+	}
+	predicted, allowed := tick.Prompt()
+	agt.model.ObserveUsage(predicted, prompt, allowed, output)
+	if tai.ended() {
+		agt.model.ObserveDecode(output-1, agt.clock.Since(first))
+	}
+}
+
 func (agt *Agent) failure(ctx context.Context, err error) proto.Result {
 	switch {
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
@@ -93,14 +183,7 @@
 	case ctx.Err() != nil:
 		return proto.Result{Outcome: proto.OutcomeFailed, Reason: ReasonCancelled}
 	default:
+		wake(agt.pollNow)
 		return proto.Result{Outcome: proto.OutcomeFailed, Reason: ReasonEngineFailed, Detail: err.Error()}
 	}
 }
-
-func (agt *Agent) cancelOnEngine(aid proto.AttemptID) {
-	ctx, cancel := agt.clock.WithTimeout(context.Background(), cancelLimit)
-	defer cancel()
-	if err := agt.engine.Cancel(ctx, aid.String()); err != nil {
-		agt.log.Info("agent: cancel failed", "attempt", aid.String(), "error", err.Error())
-	}
-}
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -62,14 +62,20 @@
 	if err != nil {
 		return err
 	}
-	grp := group.New(ctx, "agent")
+	grp := group.New(context.WithoutCancel(ctx), "agent") // The signal starts the drain; the group stops after it.
 	agt, err := agent.New(grp, set, sec, timer.New(), log)
 	if err != nil {
 		_ = grp.Stop()
 		return fmt.Errorf("start agent: %w", err)
 	}
 	log.Info("agent: listening", "address", agt.Address())
-	return grp.Wait()
+	select {
+	case <-ctx.Done():
+		agt.Drain(grp.Context())
+		return grp.Stop()
+	case <-grp.Context().Done():
+		return grp.Wait()
+	}
 }
 
 func (cmd *checkCommand) run(_ context.Context, std streams) error {
--- a/config/keys.go
+++ b/config/keys.go
@@ -70,33 +70,3 @@
 		help: "longest time limit that a caller may ask for",
 	}, 10*time.Millisecond, 24*time.Hour)
 )
-
-// Keys of an agent.
-var (
-	AgentKind = choiceKey(definition{
-		section: "agent", name: "kind", fallback: "engine",
-		help: "kind of the upstream",
-	}, "engine", "plain")
-	AgentServes = textKey(definition{
-		section: "agent", name: "serves", required: true, roles: agentOnly,
-		help: "model or service name of the upstream",
-	})
-	AgentUpstream = addressKey(definition{
-		section: "agent", name: "upstream", required: true, roles: agentOnly,
-		help: "address of the upstream",
-	})
-	AgentShortBias = floatKey(definition{
-		section: "agent", name: "short-bias", fallback: "8",
-		help: "weight of short requests: a request may be overtaken by requests that arrive within this multiple " +
-			"of its own predicted prefill time; larger values favour the slowdown of short requests, smaller ones " +
-			"the time to first token across all lengths",
-	}, 0, 1000)
-	AgentShortLimit = intKey(definition{
-		section: "agent", name: "short-limit", unit: "tokens", fallback: "10000",
-		help: "longest prompt that counts as short",
-	}, 1, 10_000_000)
-	AgentShortHeadroom = floatKey(definition{
-		section: "agent", name: "short-headroom", fallback: "0.1",
-		help: "share of the engine's KV memory that only short requests may use",
-	}, 0, 0.9)
-)
