--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,6 +23,8 @@
 	"github.com/tarragonwheel/tarragonwheel/ledger"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/once"
+	"github.com/tarragonwheel/tarragonwheel/plain"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -40,10 +42,14 @@
 	ledger  *ledger.Ledger
 	queue   *admit.Queue
 	grace   time.Duration
+	changed chan struct{}  // wakes the report loop
+	reclaim chan struct{}  // wakes the reclaim loop
+	pollNow chan struct{}  // wakes the poll loop
+	plain   *plain.Client  // set if the upstream is a plain service
+	once    *once.Recorder // set if, in addition, there is a log
+	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
-	changed chan struct{} // wakes the report loop
-	reclaim chan struct{} // wakes the reclaim loop
-	pollNow chan struct{} // wakes the poll loop
+	config  *configuration
 
 	mu       sync.Mutex
 	conns    map[*link.Conn]struct{}
@@ -90,10 +96,17 @@
 		Limit:      config.AgentQueueLimit.Of(set),
 		Changed:    func() { wake(agt.changed) },
 	})
-	agt.queue.Refuse(ReasonUnavailable)
-	grp.Go("poll", agt.pollLoop)
-	grp.Go("sweep", agt.sweepLoop)
-	grp.Go("reclaim", agt.reclaimLoop)
+	agt.config = newConfiguration(grp, agt.local.Name, agt.report, clk, log, agt.metrics)
+	if agt.local.Kind == proto.UpstreamPlain {
+		agt.plain = plain.New(config.AgentUpstream.Of(set))
+		agt.startOnce(grp, set)
+		agt.healthy = true // A plain service has no load to poll; failed calls show its state.
+	} else {
+		agt.queue.Refuse(ReasonUnavailable)
+		grp.Go("poll", agt.pollLoop)
+		grp.Go("sweep", agt.sweepLoop)
+		grp.Go("reclaim", agt.reclaimLoop)
+	}
 	grp.Go("report", agt.reportLoop)
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
@@ -123,6 +136,7 @@
 		Metrics: agt.metrics,
 		Log:     agt.log,
 		Beat:    func() (proto.Kind, any) { return proto.KindReport, agt.report() },
+		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
 	}
 	mux := http.NewServeMux()
--- a/agent/report.go
+++ b/agent/report.go
@@ -33,10 +33,7 @@
 		Healthy:       agt.healthy,
 		WaitShort:     stt.WaitShort,
 	}
-	for con := range agt.conns {
-		rep.Entries = append(rep.Entries, proto.PeerVersion{Name: con.Peer().Name})
-	}
-	return rep
+	return agt.config.fill(rep)
 }
 
 // standing is the part of a report whose change entries learn at once.
@@ -98,6 +95,13 @@
 	agt.log.Info("agent: drained")
 }
 
+// stopping tells whether Drain has been called.
+func (agt *Agent) stopping() bool {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	return agt.draining
+}
+
 // inFlight counts attempts without a result and those whose memory the engine has not returned.
 func (agt *Agent) inFlight() int {
 	agt.mu.Lock()
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -20,7 +20,6 @@
 	ReasonEngineFailed = "engine-failed"
 	ReasonTimeout      = admit.ReasonTimeout
 	ReasonCancelled    = admit.ReasonCancelled
-	ReasonDraining     = "draining"
 	ReasonUnavailable  = "engine-unavailable"
 	ReasonDuplicate    = "duplicate-attempt"
 )
@@ -42,11 +41,17 @@
 }
 
 func (agt *Agent) run(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
+	if agt.config.drained() || agt.stopping() {
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
+	}
 	id := msg.Attempt.String()
 	if !agt.register(id) {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDuplicate}
 	}
 	defer agt.unregister(id)
+	if agt.plain != nil {
+		return agt.runPlain(ctx, str, msg)
+	}
 	tick, err := agt.queue.Submit(admit.Request{
 		ID:           id,
 		PromptTokens: msg.Cost.PromptTokens,
@@ -123,7 +128,7 @@
 	if err := str.Send(proto.KindHead, head); err != nil {
 		return false, agt.failure(ctx, err)
 	}
-	tai, err := agt.relay(str, resp, tick)
+	tai, err := agt.relayObserved(str, resp, tick)
 	if err != nil {
 		return false, agt.failure(ctx, err)
 	}
@@ -137,33 +142,51 @@
 	return !refusedByEngine, proto.Result{Outcome: proto.OutcomeDone}
 }
 
-// relay sends the upstream's answer as it arrives, and observes it.
-func (agt *Agent) relay(str *link.Stream, resp *http.Response, tick *admit.Ticket) (*tail, error) {
+// relay sends the upstream's answer as it arrives, and its end.
+func relay(str *link.Stream, resp *http.Response) error {
+	if err := relayParts(str, resp, func([]byte) {}); err != nil {
+		return err
+	}
+	return str.CloseWrite()
+}
+
+// relayParts sends the upstream's answer without its end. It calls seen with each part before it is sent.
+func relayParts(str *link.Stream, resp *http.Response, seen func(part []byte)) error {
 	buf := make([]byte, copyBytes)
-	tai := &tail{}
-	var first time.Time
 	for {
 		num, err := resp.Body.Read(buf)
 		if num > 0 {
-			if first.IsZero() {
-				first = agt.clock.Now()
-				tick.FirstToken()
-			}
-			tai.add(buf[:num])
+			seen(buf[:num])
 			if _, err := str.Write(buf[:num]); err != nil {
-				return tai, err
+				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			agt.observe(tai, tick, first)
-			return tai, nil
+			return nil
 		}
 		if err != nil {
-			return tai, err
+			return err
 		}
 	}
 }
 
+// relayObserved sends the engine's answer without its end, and learns from it.
+func (agt *Agent) relayObserved(str *link.Stream, resp *http.Response, tick *admit.Ticket) (*tail, error) {
+	tai := &tail{}
+	var first time.Time
+	err := relayParts(str, resp, func(part []byte) {
+		if first.IsZero() {
+			first = agt.clock.Now()
+			tick.FirstToken()
+		}
+		tai.add(part)
+	})
+	if err == nil {
+		agt.observe(tai, tick, first)
+	}
+	return tai, err
+}
+
 func (agt *Agent) observe(tai *tail, tick *admit.Ticket, first time.Time) {
 	prompt, output := tai.usage()
 	if output == 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,7 @@
 	metrics *metric.Set
 	opts    link.Options
 	address string
+	config  *configuration
 
 	mu    sync.Mutex
 	conns map[string]*link.Conn // by the agent's name
@@ -46,12 +47,14 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.config = newConfiguration(grp, config.PlatformLog.Of(set), clk, log, ent.metrics)
 	ent.opts = link.Options{
 		Secret:  sec.Deployment(),
 		Clock:   clk,
 		Metrics: ent.metrics,
 		Log:     log,
-		Beat:    func() (proto.Kind, any) { return proto.KindBeat, proto.Beat{} },
+		Beat:    ent.config.beat,
+		OnFrame: ent.config.onFrame,
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
@@ -67,6 +70,7 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
+		Models: ent.models, Ready: ent.config.store.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
@@ -80,6 +84,13 @@
 // Address returns the address on which the entry listens for callers.
 func (ent *Entry) Address() string { return ent.address }
 
+// Ready tells whether the balancer may send callers here.
+func (ent *Entry) Ready() bool {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	return len(ent.conns) > 0
+}
+
 // Metrics returns the entry's metrics.
 func (ent *Entry) Metrics() *metric.Set { return ent.metrics }
 
