Serve the callers' API with routing, retries and resumption

Cause: the entry sent every call to the first agent that served its model, never repeated an attempt, passed no call to a plain service, and gave up a token stream at its first break.

Ruled out: goa's generated transport for completions and plain services (it has neither this framing of server-sent events nor pass-through of method, path and body); comparing all agents for a call (entries with the same reports then choose the same agent); gjson on a byte slice (it copies the prompt it finds).

Change: package design with generated code for the list of models and the health checks; net/http handlers on the same muxer for the rest. Package route chooses the agent, package retry limits retries, the entry resumes token streams by whole events and answers at the deadline by itself.

Conclusion: the stock client github.com/sashabaranov/go-openai reads lists, whole answers and streams unchanged, and a stream whose engine drops the request mid-way arrives without a repeated or missing token.

--- a/config/keys.go
+++ b/config/keys.go
@@ -51,26 +51,6 @@
 	})
 )
 
-// Keys of an entry.
-var (
-	EntryAgents = addressesKey(definition{
-		section: "entry", name: "agents",
-		help: "addresses of agents known without the VM list",
-	})
-	EntryMaxBody = intKey(definition{
-		section: "entry", name: "max-body", unit: "bytes", fallback: "16777216",
-		help: "longest request body",
-	}, 1024, 1<<30)
-	EntryTimeLimit = durationKey(definition{
-		section: "entry", name: "time-limit", fallback: "120s",
-		help: "time limit of a request that states none of its own",
-	}, 10*time.Millisecond, time.Hour)
-	EntryMaxTimeLimit = durationKey(definition{
-		section: "entry", name: "max-time-limit", fallback: "600s",
-		help: "longest time limit that a caller may ask for",
-	}, 10*time.Millisecond, 24*time.Hour)
-)
-
 // Keys of an agent.
 var (
 	AgentKind = choiceKey(definition{
--- /dev/null
+++ b/config/keys_entry.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Keys of an entry.
+var (
+	EntryAgents = addressesKey(definition{
+		section: "entry", name: "agents",
+		help: "addresses of agents known without the VM list",
+	})
+	EntryMaxBody = intKey(definition{
+		section: "entry", name: "max-body", unit: "bytes", fallback: "16777216",
+		help: "longest request body",
+	}, 1024, 1<<30)
+	EntryTimeLimit = durationKey(definition{
+		section: "entry", name: "time-limit", fallback: "120s",
+		help: "time limit of a request that states none of its own",
+	}, 10*time.Millisecond, time.Hour)
+	EntryMaxTimeLimit = durationKey(definition{
+		section: "entry", name: "max-time-limit", fallback: "600s",
+		help: "longest time limit that a caller may ask for",
+	}, 10*time.Millisecond, 24*time.Hour)
+	EntryRepeatable = repeatableKey(definition{
+		section: "entry", name: "repeatable",
+		help: "calls to plain services that may run more than once, besides GET, HEAD and OPTIONS",
+	})
+	EntryPolicy = choiceKey(definition{
+		section: "entry", name: "policy", fallback: "predicted",
+		help: "how an agent is chosen; all but predicted are baselines for measurements",
+	}, "predicted", "round-robin", "fewest", "best-of-two")
+	EntryRemoteDelay = durationKey(definition{
+		section: "entry", name: "remote-delay", fallback: "5ms",
+		help: "time to first token that an agent in another data centre is taken to add",
+	}, 0, 10*time.Second)
+	EntryRetryFraction = floatKey(definition{
+		section: "entry", name: "retry-fraction", fallback: "0.1",
+		help: "retries allowed for each first attempt",
+	}, 0, 1)
+)
+
+// Repeatable names calls to a plain service that may run more than once.
+type Repeatable struct {
+	service string
+	method  string
+	prefix  string
+}
+
+// Matches tells whether a call is among those named. The prefix ends at a path segment.
+func (rep Repeatable) Matches(service, method, path string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(rep.prefix, "/"))
+	inside := ok && (rest == "" || rest[0] == '/')
+	return inside && rep.service == service && rep.method == method
+}
+
+func repeatableKey(def definition) Key[[]Repeatable] {
+	def.limits = "SERVICE METHOD /PATH-PREFIX, separated by commas"
+	return declare(def, func(text string) ([]Repeatable, error) {
+		var list []Repeatable
+		for _, part := range strings.Split(text, ",") {
+			words := strings.Fields(part)
+			if len(words) == 0 {
+				continue
+			}
+			if len(words) != 3 || words[1] != strings.ToUpper(words[1]) || !strings.HasPrefix(words[2], "/") {
+				return nil, trace.BadParameter("%q is not SERVICE METHOD /PATH-PREFIX", strings.TrimSpace(part))
+			}
+			list = append(list, Repeatable{service: words[0], method: words[1], prefix: words[2]})
+		}
+		return list, nil
+	})
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -1,4 +1,5 @@
-// Package edge is the callers' interface: the HTTP API that clients of language models speak.
+// Package edge is the callers' interface: the HTTP API that clients of language models speak, and the pass-through of
+// calls to plain services.
 package edge
 
 import (
@@ -13,14 +14,15 @@
 	Account    string
 	Serves     string // model or service name
 	Method     string
-	Path       string
+	Path       string // with the query
 	Header     map[string]string
 	Body       []byte
 	Stream     bool
 	Cost       proto.Cost
 	Deadline   time.Time // on the local clock
-	Key        string    // idempotency key, empty if the caller gave none
+	Key        string    // idempotency key, random if the call is not idempotent and the caller gave none
 	Idempotent bool
+	PrefixHash []uint64 // chained hashes of the prompt's leading blocks of PrefixBlock bytes
 }
 
 // Reply receives the response to a call. Head is called once and before any Write.
--- a/edge/server.go
+++ b/edge/server.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"strings"
+	"os"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/tidwall/gjson"
 	goahttp "goa.design/goa/v3/http"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
@@ -20,14 +18,6 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-// Headers of a call.
-const (
-	HeaderKey       = "Idempotency-Key"
-	HeaderTimeLimit = "X-Time-Limit" // a duration such as 30s
-)
-
-const defaultMaxTokens = 16
-
 // Server answers callers.
 type Server struct {
 	Settings *config.Settings
@@ -40,95 +30,102 @@
 	Dispatch func(ctx context.Context, cal Call, rep Reply) proto.Result
 	// Models returns the names of the models that an account may use.
 	Models func(account string) []string
+	// Known tells whether a model or service may exist. It is true while that cannot be told.
+	Known func(knd proto.UpstreamKind, name string) bool
 	// Ready tells whether the balancer may send callers here.
 	Ready func() bool
 }
 
-// Handler returns the callers' interface on a goa muxer. Completions are plain net/http handlers, because goa's
-// generated transport has no server-sent events with the framing that clients of this API expect.
+// Handler returns the callers' interface on a goa muxer. Completions and calls to plain services are net/http handlers
+// on that muxer, because goa's generated transport can express neither server-sent events in the framing that clients
+// of this API expect, nor a call whose method, path and body pass through unread.
 func (srv *Server) Handler() http.Handler {
 	mux := goahttp.NewMuxer()
-	mux.Handle(http.MethodPost, "/v1/completions", srv.completions)
-	mux.Handle(http.MethodPost, "/v1/chat/completions", srv.completions)
-	mux.Handle(http.MethodGet, "/healthz", func(rw http.ResponseWriter, _ *http.Request) {
-		rw.WriteHeader(http.StatusOK)
-	})
+	srv.mountGenerated(mux)
+	mux.Handle(http.MethodPost, "/v1/completions", srv.handler(srv.completion))
+	mux.Handle(http.MethodPost, "/v1/chat/completions", srv.handler(srv.completion))
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost, http.MethodPut, http.MethodPatch,
+		http.MethodDelete,
+	} {
+		mux.Handle(method, servicePrefix+"{service}", srv.handler(srv.service))
+		mux.Handle(method, servicePrefix+"{service}/{*rest}", srv.handler(srv.service))
+	}
 	return mux
 }
 
-func (srv *Server) completions(rw http.ResponseWriter, req *http.Request) {
-	cal, fault := srv.parse(rw, req)
-	if fault != nil {
-		srv.refuse(rw, *fault)
-		return
+func (srv *Server) handler(parse func(http.ResponseWriter, *http.Request) (Call, *refusal)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, req *http.Request) {
+		cal, ref := parse(rw, req)
+		if ref != nil {
+			srv.refuse(rw, ref)
+			return
+		}
+		srv.run(rw, req, cal)
 	}
+}
+
+// run dispatches a call and relays its response. Nothing of it lasts beyond the deadline, but for the error answer.
+func (srv *Server) run(rw http.ResponseWriter, req *http.Request, cal Call) {
 	ctx, cancel := srv.Clock.WithTimeout(req.Context(), cal.Deadline.Sub(srv.Clock.Now()))
 	defer cancel()
-	started := false
-	ctl := http.NewResponseController(rw)
-	start := srv.Clock.Now()
-	rep := Reply{
-		Head: func(hed proto.Head) error {
-			for name, val := range hed.Header {
-				rw.Header().Set(name, val)
-			}
-			started = true
-			rw.WriteHeader(hed.Status)
-			return nil
-		},
-		Write: func(body []byte) error {
-			if !start.IsZero() {
-				srv.Metrics.FirstToken(cost.Class(cal.Cost.PromptTokens), srv.Clock.Since(start).Seconds())
-				start = time.Time{}
-			}
-			if _, err := rw.Write(body); err != nil {
-				return err
-			}
-			return ctl.Flush()
-		},
-	}
-	res := srv.Dispatch(ctx, cal, rep)
+	rel := &relay{srv: srv, rw: rw, ctl: http.NewResponseController(rw), cal: cal, start: srv.Clock.Now()}
+	_ = rel.ctl.SetWriteDeadline(cal.Deadline)
+	res := srv.Dispatch(ctx, cal, Reply{Head: rel.head, Write: rel.write})
 	srv.Metrics.Request(string(res.Outcome))
-	if res.Outcome == proto.OutcomeDone {
+	if res.Outcome == proto.OutcomeDone && rel.broken == nil {
 		return
 	}
-	if started {
-		// The status is sent already: only breaking the response tells the caller that it is incomplete.
+	switch {
+	case errors.Is(rel.broken, os.ErrDeadlineExceeded):
+		srv.Metrics.Event(eventCallerStalled)
+		panic(http.ErrAbortHandler)
+	case rel.broken != nil || req.Context().Err() != nil:
+		srv.Metrics.Event(eventCallerGone)
 		panic(http.ErrAbortHandler)
+	case rel.started:
+		srv.breakOff(rw, cal, fromResult(cal, res))
+	default:
+		srv.refuse(rw, fromResult(cal, res))
 	}
-	srv.refuse(rw, fromResult(res))
 }
 
-func (srv *Server) parse(rw http.ResponseWriter, req *http.Request) (Call, *refusal) {
-	key := strings.TrimPrefix(req.Header.Get("Authorization"), "Bearer ")
-	account, ok := srv.Secrets.Account(key)
-	if !ok {
-		return Call{}, &refusal{status: http.StatusUnauthorized, code: "unknown-key", message: "unknown bearer key"}
+// relay writes a response to a caller.
+type relay struct {
+	srv     *Server
+	rw      http.ResponseWriter
+	ctl     *http.ResponseController
+	cal     Call
+	start   time.Time
+	started bool
+	wrote   bool
+	broken  error // of the caller's connection
+}
+
+func (rel *relay) head(hed proto.Head) error {
+	for name, val := range hed.Header {
+		if !slices.Contains(privateHeaders, http.CanonicalHeaderKey(name)) {
+			rel.rw.Header().Set(name, val)
+		}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(rw, req.Body, int64(config.EntryMaxBody.Of(srv.Settings))))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return Call{}, &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large", message: err.Error()}
+	rel.started = true
+	rel.rw.WriteHeader(hed.Status)
+	return nil
+}
+
+func (rel *relay) write(body []byte) error {
+	if !rel.wrote {
+		rel.wrote = true
+		took := rel.srv.Clock.Since(rel.start)
+		rel.srv.Metrics.FirstToken(cost.Class(rel.cal.Cost.PromptTokens), took.Seconds())
 	}
-	if err != nil || !json.Valid(body) {
-		return Call{}, &refusal{status: http.StatusBadRequest, code: "malformed-body", message: "body is not JSON"}
+	if _, err := rel.rw.Write(body); err != nil {
+		rel.broken = err
+		return err
 	}
-	maxTokens := int(gjson.GetBytes(body, "max_tokens").Int())
-	if maxTokens <= 0 {
-		maxTokens = defaultMaxTokens
+	if err := rel.ctl.Flush(); err != nil {
+		rel.broken = err
+		return err
 	}
-	limit := config.EntryTimeLimit.Of(srv.Settings)
-	return Call{
-		Kind:       proto.UpstreamEngine,
-		Account:    account,
-		Serves:     gjson.GetBytes(body, "model").String(),
-		Method:     req.Method,
-		Path:       req.URL.Path,
-		Body:       body,
-		Stream:     gjson.GetBytes(body, "stream").Bool(),
-		Cost:       proto.Cost{PromptTokens: cost.Tokens(len(body)), OutputTokens: maxTokens},
-		Deadline:   srv.Clock.Now().Add(limit),
-		Key:        req.Header.Get(HeaderKey),
-		Idempotent: true,
-	}, nil
+	return nil
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
-	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/route"
 )
 
 // Reason codes of results.
@@ -15,91 +15,102 @@
 	ReasonNoUpstream = "no-upstream"
 	ReasonTimeout    = "deadline-exceeded"
 	ReasonAgentLost  = "agent-lost"
+	ReasonBroken     = "stream-incomplete"
+	ReasonCallerGone = "caller-gone"
 )
 
+// leastAttempt is the shortest time in which an attempt can be worth its cost.
+const leastAttempt = 20 * time.Millisecond
+
+// dispatch runs a call: one attempt after another, as long as it may and can be repeated.
 func (ent *Entry) dispatch(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
-	con := ent.pick(cal)
-	if con == nil {
-		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream serves this"}
+	run := &running{ent: ent, cal: cal, rep: rep}
+	ent.budget.First()
+	var tried []string
+	for number := 1; ; number++ {
+		res, agent := ent.attempt(ctx, run, tried)
+		if !run.again(ctx, res) {
+			return run.final(ctx, res)
+		}
+		if agent != "" {
+			tried = append(tried, agent)
+		}
+		delay, denied := ent.budget.Again(number, cal.Deadline.Sub(ent.clock.Now()), leastAttempt)
+		if denied != "" {
+			ent.metrics.Event(denied)
+			return run.final(ctx, res)
+		}
+		ent.metrics.Retry(res.Reason)
+		if err := ent.clock.Sleep(ctx, max(delay, res.RetryAfter)); err != nil {
+			return run.final(ctx, res)
+		}
 	}
-	return ent.attempt(ctx, con, cal, rep)
 }
 
-func (ent *Entry) pick(cal edge.Call) *link.Conn {
-	ent.mu.Lock()
-	defer ent.mu.Unlock()
-	for _, con := range ent.conns {
-		if con.Peer().Kind == cal.Kind && con.Peer().Serves == cal.Serves {
-			return con
-		}
-	}
-	return nil
+// running is a call on its way through one or more attempts.
+type running struct {
+	ent      *Entry
+	cal      edge.Call
+	rep      edge.Reply
+	evs      events
+	headSent bool
+	sent     int   // body bytes delivered to the caller
+	broken   error // of the caller's connection
+	unsure   bool  // an attempt may have run
 }
 
-func (ent *Entry) attempt(ctx context.Context, con *link.Conn, cal edge.Call, rep edge.Reply) proto.Result {
-	str, err := con.Open(proto.Open{
-		Attempt:    proto.NewAttemptID(),
-		Kind:       cal.Kind,
-		Account:    cal.Account,
-		Serves:     cal.Serves,
-		Cost:       cal.Cost,
-		Remaining:  cal.Deadline.Sub(ent.clock.Now()),
-		Key:        cal.Key,
-		Idempotent: cal.Idempotent,
-		Method:     cal.Method,
-		Path:       cal.Path,
-		BodyBytes:  int64(len(cal.Body)),
-		Stream:     cal.Stream,
-	})
-	if err != nil {
-		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonAgentLost, Detail: err.Error()}
+// again tells whether a further attempt is allowed. A call that is not idempotent is repeated only if no attempt can
+// have run. A response of which the caller has a part is repeated only as a token stream, which resumes.
+func (run *running) again(ctx context.Context, res proto.Result) bool {
+	switch {
+	case res.Outcome == proto.OutcomeDone, ctx.Err() != nil, run.broken != nil, run.evs.done:
+		return false
+	case res.Outcome == proto.OutcomeNotRun:
+		return !permanent[res.Reason]
+	case !run.cal.Idempotent, run.headSent && !run.resumable():
+		run.unsure = true
+		return false
 	}
-	defer str.Close()
-	res, err := ent.follow(ctx, str, cal, rep)
-	if err == nil {
+	run.unsure = true
+	return transient[res.Reason]
+}
+
+// resumable tells whether the response is a token stream of which only whole events were delivered.
+func (run *running) resumable() bool {
+	return run.cal.Kind == proto.UpstreamEngine && run.cal.Stream
+}
+
+// permanent are the reasons of refusals that another agent would repeat.
+var permanent = map[string]bool{edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true}
+
+// transient are the reasons of failures that another agent need not share.
+var transient = map[string]bool{ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true}
+
+// final is the result that the caller is told.
+func (run *running) final(ctx context.Context, res proto.Result) proto.Result {
+	if res.Outcome == proto.OutcomeDone {
 		return res
 	}
-	_ = str.Send(proto.KindCancel, proto.Cancel{Reason: "given-up"})
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return proto.Result{Outcome: proto.OutcomeUnknown, Reason: ReasonTimeout, Detail: "the time limit ran out"}
+		res.Reason = ReasonTimeout
+		res.Detail = "the time limit ran out"
+	}
+	if run.unsure && res.Outcome == proto.OutcomeNotRun {
+		res.Outcome = proto.OutcomeUnknown // An earlier attempt may have run, at least in part.
 	}
-	return proto.Result{Outcome: proto.OutcomeUnknown, Reason: ReasonAgentLost, Detail: err.Error()}
+	return res
 }
 
-// follow relays an attempt until its result.
-func (ent *Entry) follow(
-	ctx context.Context, str *link.Stream, cal edge.Call, rep edge.Reply,
-) (proto.Result, error) {
-	for {
-		frm, err := str.Next(ctx)
-		if err != nil {
-			return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
-		}
-		switch frm.Kind {
-		case proto.KindAccept:
-			go func() {
-				if _, err := str.Write(cal.Body); err == nil {
-					_ = str.CloseWrite()
-				}
-			}()
-		case proto.KindHead:
-			hed, err := proto.Parse[proto.Head](frm)
-			if err != nil {
-				return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
-			}
-			if err := rep.Head(hed); err != nil {
-				return proto.Result{}, fmt.Errorf("entry: relay head: %w", err)
-			}
-		case proto.KindData:
-			body, err := str.Data(frm)
-			if err != nil {
-				return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
-			}
-			if err := rep.Write(body); err != nil {
-				return proto.Result{}, fmt.Errorf("entry: relay body: %w", err)
-			}
-		case proto.KindResult:
-			return proto.Parse[proto.Result](frm)
-		}
+// verdict is what a result shows about the agent.
+func (run *running) verdict(ctx context.Context, res proto.Result) route.Verdict {
+	switch {
+	case res.Outcome == proto.OutcomeDone:
+		return route.Worked
+	case ctx.Err() != nil || run.broken != nil:
+		return route.Neutral
+	case res.Outcome == proto.OutcomeNotRun && res.Reason != ReasonAgentLost:
+		return route.Refused
+	default:
+		return route.Failed
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,8 @@
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/retry"
+	"github.com/tarragonwheel/tarragonwheel/route"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -37,6 +39,9 @@
 	opts    link.Options
 	address string
 
+	table  *route.Table
+	budget *retry.Budget
+
 	mu    sync.Mutex
 	conns map[string]*link.Conn // by the agent's name
 }
@@ -46,11 +51,19 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.table = route.NewTable(route.Options{
+		Clock:       clk,
+		DataCentre:  config.ProcessDataCentre.Of(set),
+		RemoteDelay: config.EntryRemoteDelay.Of(set),
+		Policy:      config.EntryPolicy.Of(set),
+	})
+	ent.budget = retry.NewBudget(config.EntryRetryFraction.Of(set), nil)
 	ent.opts = link.Options{
 		Secret:  sec.Deployment(),
 		Clock:   clk,
 		Metrics: ent.metrics,
 		Log:     log,
+		OnFrame: ent.onFrame,
 		Beat:    func() (proto.Kind, any) { return proto.KindBeat, proto.Beat{} },
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
@@ -67,6 +80,11 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
+		Models: func(string) []string { return ent.table.Models() },
+		Known: func(knd proto.UpstreamKind, name string) bool {
+			return ent.table.Known(route.Target{Kind: knd, Serves: name})
+		},
+		Ready: ent.table.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
@@ -102,24 +120,3 @@
 	})
 	return nil
 }
-
-func (ent *Entry) stayConnected(ctx context.Context, addr string) {
-	for ctx.Err() == nil {
-		con, err := link.Dial(ctx, addr, ent.opts)
-		if err != nil {
-			ent.log.V(1).Info("entry: agent not reached", "address", addr, "error", err.Error())
-			_ = ent.clock.Sleep(ctx, redialDelay)
-			continue
-		}
-		name := con.Peer().Name
-		ent.mu.Lock()
-		ent.conns[name] = con
-		ent.mu.Unlock()
-		<-con.Done()
-		ent.mu.Lock()
-		if ent.conns[name] == con {
-			delete(ent.conns, name)
-		}
-		ent.mu.Unlock()
-	}
-}
--- /dev/null
+++ b/entry/serve_test.go
@@ -0,0 +1,320 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/sashabaranov/go-openai"
+
+	"github.com/tarragonwheel/tarragonwheel/agent"
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/engine"
+	"github.com/tarragonwheel/tarragonwheel/entry"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/simeng"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const (
+	accountKey = "account-key-0123456789"
+	secrets    = "[deployment]\nsecret = deployment-secret-0123\n[accounts]\nhuellas = " + accountKey + "\n"
+)
+
+func must[T any](tb testing.TB) func(val T, err error) T {
+	return func(val T, err error) T {
+		tb.Helper()
+		if err != nil {
+			tb.Fatal(err)
+		}
+		return val
+	}
+}
+
+// startEngine starts an engine stand-in with an agent beside it and returns both addresses.
+func startEngine(tb testing.TB, name string, mdl simeng.Model) (eng, agt string) {
+	tb.Helper()
+	grp := group.New(context.Background(), name)
+	srv := httptest.NewServer(simeng.New(grp, mdl, timer.New()).Handler())
+	tb.Cleanup(srv.Close)
+	tb.Cleanup(func() { _ = grp.Stop() })
+	eng = strings.TrimPrefix(srv.URL, "http://")
+	set := must[*config.Settings](tb)(config.Parse(fmt.Sprintf("[process]\nname = %s\ndata-centre = a\n"+
+		"listen = 127.0.0.1:0\nsecrets = -\n[agent]\nserves = %s\nupstream = %s\n", name, mdl.Name, eng), "agent"))
+	sec := must[*config.Secrets](tb)(config.ParseSecrets(secrets))
+	agn := must[*agent.Agent](tb)(agent.New(grp, set, sec, timer.New(), logr.Discard()))
+	return eng, agn.Address()
+}
+
+// startEntry starts an entry that knows the given agents and returns it and its base URL once it is ready.
+func startEntry(tb testing.TB, more string, agents ...string) (*entry.Entry, string) {
+	tb.Helper()
+	grp := group.New(context.Background(), "entry")
+	tb.Cleanup(func() { _ = grp.Stop() })
+	set := must[*config.Settings](tb)(config.Parse("[process]\nname = e\ndata-centre = a\nlisten = 127.0.0.1:0\n"+
+		"secrets = -\n[entry]\nagents = "+strings.Join(agents, ",")+"\n"+more, "entry"))
+	sec := must[*config.Secrets](tb)(config.ParseSecrets(secrets))
+	ent := must[*entry.Entry](tb)(entry.New(grp, set, sec, timer.New(), logr.Discard()))
+	base := "http://" + ent.Address()
+	eventually(tb, "entry is ready", func() bool {
+		status, _ := call(tb, http.MethodGet, base+"/readyz", "", nil)
+		return status == http.StatusOK
+	})
+	return ent, base
+}
+
+func eventually(tb testing.TB, what string, cond func() bool) {
+	tb.Helper()
+	for range 2000 {
+		if cond() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	tb.Fatal("not in time: ", what)
+}
+
+func call(tb testing.TB, method, url, body string, header map[string]string) (status int, text string) {
+	tb.Helper()
+	req := must[*http.Request](tb)(http.NewRequest(method, url, strings.NewReader(body)))
+	req.Header.Set("Authorization", "Bearer "+accountKey)
+	for name, val := range header {
+		req.Header.Set(name, val)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, string(must[[]byte](tb)(io.ReadAll(resp.Body)))
+}
+
+func fastModel() simeng.Model {
+	mdl := simeng.DefaultModel("m")
+	mdl.StepBase = time.Millisecond
+	return mdl
+}
+
+func stockClient(base string) *openai.Client {
+	cfg := openai.DefaultConfig(accountKey)
+	cfg.BaseURL = base + "/v1"
+	return openai.NewClientWithConfig(cfg)
+}
+
+func readStream(str *openai.CompletionStream, each func(num int)) (string, error) {
+	defer func() { _ = str.Close() }()
+	text := ""
+	for num := 1; ; num++ {
+		rsp, err := str.Recv()
+		if errors.Is(err, io.EOF) {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+		text += rsp.Choices[0].Text
+		each(num)
+	}
+}
+
+// Guards against answers that the stock client of the API cannot read, streamed or whole.
+func TestStockClient(t *testing.T) {
+	is := is.New(t)
+	eng, agt := startEngine(t, "a1", fastModel())
+	_, base := startEntry(t, "", agt)
+	cli := stockClient(base)
+	ctx := context.Background()
+
+	list, err := cli.ListModels(ctx)
+	is.NoErr(err)
+	is.Equal(len(list.Models), 1)
+	is.Equal(list.Models[0].ID, "m")
+
+	chat, err := cli.CreateChatCompletion(ctx, openai.ChatCompletionRequest{
+		Model:     "m",
+		MaxTokens: 3, //nolint:staticcheck // Deprecated, but what most clients send.
+		Messages:  []openai.ChatCompletionMessage{{Role: "user", Content: "hello"}},
+	})
+	is.NoErr(err)
+	is.Equal(len(strings.Fields(chat.Choices[0].Message.Content)), 3)
+
+	req := openai.CompletionRequest{Model: "m", Prompt: "hello", MaxTokens: 9, Stream: true}
+	direct, err := stockClient("http://"+eng).CreateCompletionStream(ctx, req)
+	is.NoErr(err)
+	want, err := readStream(direct, func(int) {})
+	is.NoErr(err)
+	str, err := cli.CreateCompletionStream(ctx, req)
+	is.NoErr(err)
+	got, err := readStream(str, func(int) {})
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
+// Guards against bad input that reaches an upstream, goes uncounted or gets an unclear answer.
+func TestBadInput(t *testing.T) {
+	_, agt := startEngine(t, "a1", fastModel())
+	ent, base := startEntry(t, "max-body = 1024\n", agt)
+	good := `{"model":"m","prompt":"x"}`
+	for _, tst := range []struct {
+		code, path, body, header, value string
+		status                          int
+	}{
+		{"malformed-body", "/v1/completions", `{"model":"m","prompt":"x`, "", "", 400},
+		{"malformed-body", "/v1/completions", `{"model":"m","prompt":"x","max_tokens":-1}`, "", "", 400},
+		{"malformed-body", "/v1/completions", `{"model":"m","prompt":"x","stream":"yes"}`, "", "", 400},
+		{"body-too-large", "/v1/completions", good + strings.Repeat(" ", 1024), "", "", 413},
+		{"unknown-model", "/v1/chat/completions", `{"model":"other","messages":[]}`, "", "", 404},
+		{"unknown-service", "/v1/services/other/x", "", "", "", 404},
+		{"unknown-key", "/v1/completions", good, "Authorization", "Bearer nobody", 401},
+		{"bad-time-limit", "/v1/completions", good, "X-Time-Limit", "soon", 400},
+		{"bad-time-limit", "/v1/completions", good, "X-Time-Limit", "9000h", 400},
+		{"bad-idempotency-key", "/v1/completions", good, "Idempotency-Key", strings.Repeat("k", 256), 400},
+		{"unsupported-encoding", "/v1/completions", good, "Content-Encoding", "gzip", 415},
+	} {
+		t.Run(tst.code, func(t *testing.T) {
+			is := is.New(t)
+			before := refusals(ent, tst.code)
+			hdr := map[string]string{}
+			if tst.header != "" {
+				hdr[tst.header] = tst.value
+			}
+			status, text := call(t, http.MethodPost, base+tst.path, tst.body, hdr)
+			var got struct {
+				Error struct {
+					Code   string `json:"code"`
+					NotRun bool   `json:"not_run"`
+				} `json:"error"`
+			}
+			is.NoErr(json.Unmarshal([]byte(text), &got))
+			is.Equal(status, tst.status)
+			is.Equal(got.Error.Code, tst.code)
+			is.True(got.Error.NotRun)
+			is.Equal(refusals(ent, tst.code), before+1)
+		})
+	}
+}
+
+func refusals(ent *entry.Entry, reason string) float64 {
+	list, _ := ent.Metrics().Registry().Gather()
+	for _, fam := range list {
+		for _, met := range fam.GetMetric() {
+			if fam.GetName() == "tarragonwheel_refusals_total" && met.GetLabel()[0].GetValue() == reason {
+				return met.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+// Guards against work that goes on for a caller that has left mid-stream.
+func TestCallerGoneLeavesNothingOnTheEngine(t *testing.T) {
+	is := is.New(t)
+	eng, agt := startEngine(t, "a1", simeng.DefaultModel("m"))
+	_, base := startEntry(t, "", agt)
+	str, err := stockClient(base).CreateCompletionStream(context.Background(), openai.CompletionRequest{
+		Model: "m", Prompt: "hello", MaxTokens: 50_000, Stream: true,
+	})
+	is.NoErr(err)
+	_, err = str.Recv()
+	is.NoErr(err)
+	is.Equal(len(active(t, eng)), 1)
+	is.NoErr(str.Close())
+	eventually(t, "the engine has nothing to do", func() bool { return len(active(t, eng)) == 0 })
+}
+
+func active(tb testing.TB, eng string) []string {
+	tb.Helper()
+	return must[[]string](tb)(engine.New(eng).Active(context.Background()))
+}
+
+// Guards against a repeated or missing token when the engine drops a request mid-stream.
+func TestBrokenStreamResumes(t *testing.T) {
+	is := is.New(t)
+	one, agtOne := startEngine(t, "a1", fastModel())
+	two, agtTwo := startEngine(t, "a2", fastModel())
+	_, base := startEntry(t, "", agtOne, agtTwo)
+	req := openai.CompletionRequest{Model: "m", Prompt: "hello", MaxTokens: 200, Stream: true}
+	ctx := context.Background()
+	direct, err := stockClient("http://"+one).CreateCompletionStream(ctx, req)
+	is.NoErr(err)
+	want, err := readStream(direct, func(int) {})
+	is.NoErr(err)
+	str, err := stockClient(base).CreateCompletionStream(ctx, req)
+	is.NoErr(err)
+	got, err := readStream(str, func(num int) {
+		if num != 20 {
+			return
+		}
+		for _, eng := range []string{one, two} {
+			for _, id := range active(t, eng) {
+				is.NoErr(engine.New(eng).Cancel(ctx, id))
+			}
+		}
+	})
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
+// fakeAgent starts an agent for the service or model "m" whose streams are handled by onOpen.
+func fakeAgent(t *testing.T, knd proto.UpstreamKind, onOpen func(str *link.Stream, msg proto.Open)) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	opts := link.Options{
+		Secret: []byte("deployment-secret-0123"), Clock: timer.New(), Metrics: metric.New(), Log: logr.Discard(),
+		Local:  proto.Peer{Name: "fake", Role: proto.RoleAgent, Kind: knd, Serves: "m"},
+		Beat:   func() (proto.Kind, any) { return proto.KindReport, proto.Report{Healthy: true} },
+		OnOpen: onOpen,
+	}
+	srv := httptest.NewServer(link.Handler(ctx, opts, func(*link.Conn) {}))
+	t.Cleanup(srv.Close)
+	t.Cleanup(cancel)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// Guards against a caller that waits for an agent that says nothing, and against a wrong statement that it ran.
+func TestSilentAgentMeetsDeadline(t *testing.T) {
+	is := is.New(t)
+	agt := fakeAgent(t, proto.UpstreamEngine, func(str *link.Stream, _ proto.Open) { <-str.Context().Done() })
+	_, base := startEntry(t, "", agt)
+	status, text := call(t, http.MethodPost, base+"/v1/completions", `{"model":"m","prompt":"x"}`,
+		map[string]string{"X-Time-Limit": "50ms"})
+	is.Equal(status, http.StatusGatewayTimeout)
+	is.True(strings.Contains(text, `"code":"deadline-exceeded"`))
+	is.True(strings.Contains(text, `"not_run":true`))
+}
+
+// Guards against a second run of a call that may have run, and against a retry missed after not-run.
+func TestNonIdempotentCall(t *testing.T) {
+	is := is.New(t)
+	var opens atomic.Int64
+	agt := fakeAgent(t, proto.UpstreamPlain, func(str *link.Stream, msg proto.Open) {
+		if msg.Key == "" || msg.Idempotent || msg.Method != http.MethodPost || msg.Path != "/book?x=1" {
+			t.Errorf("wrong open message: %+v", msg)
+		}
+		if opens.Add(1) == 1 {
+			_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeNotRun, Reason: "queue-full"})
+			return
+		}
+		_ = str.Send(proto.KindAccept, proto.Accept{})
+		_, _ = io.Copy(io.Discard, str.Body(str.Context()))
+		str.Conn().Close()
+	})
+	_, base := startEntry(t, "", agt)
+	status, text := call(t, http.MethodPost, base+"/v1/services/m/book?x=1", "body", nil)
+	is.Equal(status, http.StatusConflict)
+	is.True(strings.Contains(text, `"code":"outcome-unknown"`))
+	is.Equal(opens.Load(), int64(2))
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,39 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/retry"
+)
+
+// Guards against retries that multiply the load of a fleet that fails every attempt.
+func TestBudgetBoundsRetries(t *testing.T) {
+	is := is.New(t)
+	bud := retry.NewBudget(0.1, nil)
+	retries := 0
+	for range 1000 {
+		bud.First()
+		if _, denied := bud.Again(1, time.Minute, 0); denied == "" {
+			retries++
+		} else {
+			is.Equal(denied, retry.DeniedBudget)
+		}
+	}
+	is.True(retries >= 100 && retries <= 110) // A tenth of first attempts and the burst.
+}
+
+// Guards against a retry that cannot be finished, and against its cost to the budget.
+func TestNoRetryWithoutTime(t *testing.T) {
+	is := is.New(t)
+	bud := retry.NewBudget(0, func() float64 { return 0.5 })
+	for range 20 {
+		_, denied := bud.Again(1, 25*time.Millisecond, 20*time.Millisecond)
+		is.Equal(denied, retry.DeniedTime)
+	}
+	delay, denied := bud.Again(3, time.Second, 20*time.Millisecond)
+	is.Equal(denied, "")
+	is.Equal(delay, 40*time.Millisecond)
+}
--- /dev/null
+++ b/route/policy.go
@@ -0,0 +1,87 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Values of entry.policy.
+const (
+	PolicyPredicted  = "predicted"
+	PolicyRoundRobin = "round-robin"
+	PolicyFewest     = "fewest"
+	PolicyBestOfTwo  = "best-of-two"
+)
+
+// choose returns one of the usable agents, of which there is at least one.
+func (tab *Table) choose(usable []*view, qry Query, now time.Time) *view {
+	switch tab.opts.Policy {
+	case PolicyRoundRobin:
+		return usable[tab.turn.Add(1)%uint64(len(usable))]
+	case PolicyFewest:
+		return lowest(sample(usable, len(usable)), (*view).fewest)
+	case PolicyBestOfTwo:
+		return lowest(sample(usable, 2), (*view).fewest)
+	default:
+		return lowest(tab.candidates(usable, qry), func(vie *view) time.Duration {
+			return vie.predict(now, qry, tab.opts)
+		})
+	}
+}
+
+// candidates returns random agents, one of which is replaced by the agent that probably has most of the prompt cached:
+// with many agents, a few random ones rarely include it.
+func (tab *Table) candidates(usable []*view, qry Query) []*view {
+	list := sample(usable, candidateCount)
+	if len(list) == len(usable) || len(qry.PrefixHash) == 0 {
+		return list
+	}
+	best, most := (*view)(nil), 0
+	for _, vie := range usable {
+		vie.lock.Lock()
+		num := vie.prefixes.cached(qry.PrefixHash)
+		vie.lock.Unlock()
+		if num > most {
+			best, most = vie, num
+		}
+	}
+	if best != nil {
+		list[len(list)-1] = best
+	}
+	return list
+}
+
+func lowest[T int | time.Duration](list []*view, value func(vie *view) T) *view {
+	best := list[0]
+	least := value(best)
+	for _, vie := range list[1:] {
+		if val := value(vie); val < least {
+			best, least = vie, val
+		}
+	}
+	return best
+}
+
+// sticky chooses by rendezvous hashing over all agents of the target, so that a repeated call meets the agent that
+// knows the first one. Only an agent that can be given no work is passed over.
+func (tab *Table) sticky(list []*view, qry Query, now time.Time) *Placement {
+	tried := make(map[*view]bool)
+	for len(tried) < len(list) {
+		var best *view
+		var most uint64
+		for _, vie := range list {
+			if tried[vie] {
+				continue
+			}
+			if sum := xxhash.Sum64String(qry.Sticky + "\x00" + vie.peer.Name); best == nil || sum > most {
+				best, most = vie, sum
+			}
+		}
+		tried[best] = true
+		if plc := best.place(tab, qry, now); plc != nil {
+			return plc
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/route/view.go
@@ -0,0 +1,206 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+const (
+	// freshFor is the age up to which a report counts in full.
+	freshFor = 3 * time.Second
+	// staleQueue is what a report that has lost its weight is taken to say.
+	staleQueue = 2 * time.Second
+	// assumedRate in tokens a second is used until an agent reports one that it has observed.
+	assumedRate = 20_000
+	// reportLag is the time that a dispatch may need to show up in a report: the way to the agent and back.
+	reportLag = 50 * time.Millisecond
+	// penalty is added to the prediction after a refusal or failure and halves every penaltyHalfLife.
+	refusalPenalty  = time.Second
+	failurePenalty  = 4 * time.Second
+	penaltyHalfLife = 250 * time.Millisecond
+	maxPenalty      = 10 * time.Second
+	// probeAfter is the time after a failure before a single call probes the agent.
+	probeAfter = 250 * time.Millisecond
+)
+
+// view is what an entry knows of an agent. The lock of its shard guards all but peer.
+type view struct {
+	peer proto.Peer
+	lock *sync.Mutex
+
+	report      proto.Report
+	reportAt    time.Time // zero before the first report
+	sent        []*Placement
+	outstanding int
+	penalty     time.Duration
+	penaltyAt   time.Time
+	failed      bool // since the last success; then only one call at a time
+	failedAt    time.Time
+	probing     bool
+	prefixes    prefixes
+}
+
+func (vie *view) takeReport(now time.Time, rep proto.Report) {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	vie.report = rep
+	vie.reportAt = now
+	kept := vie.sent[:0]
+	for _, plc := range vie.sent {
+		if now.Sub(plc.sentAt) < reportLag {
+			kept = append(kept, plc)
+		}
+	}
+	clear(vie.sent[len(kept):])
+	vie.sent = kept
+}
+
+func (vie *view) usable(now time.Time) bool {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	return vie.mayTake(now)
+}
+
+func (vie *view) mayTake(now time.Time) bool {
+	if vie.reportAt.IsZero() || now.Sub(vie.reportAt) > silentAfter || vie.report.Draining || !vie.report.Healthy {
+		return false
+	}
+	return !vie.failed || (!vie.probing && now.Sub(vie.failedAt) >= probeAfter)
+}
+
+// predict returns the predicted time to first token.
+func (vie *view) predict(now time.Time, qry Query, opts Options) time.Duration {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	queue := vie.report.QueuedPrefill
+	if age := now.Sub(vie.reportAt); age > freshFor {
+		weight := float64(silentAfter-age) / float64(silentAfter-freshFor)
+		queue = time.Duration(weight*float64(queue) + (1-weight)*float64(max(queue, staleQueue)))
+	}
+	for _, plc := range vie.sent {
+		queue += plc.work
+	}
+	sum := queue + vie.ownWork(qry) + vie.currentPenalty(now)
+	if vie.peer.DataCentre != opts.DataCentre {
+		sum += opts.RemoteDelay
+	}
+	return sum
+}
+
+// ownWork returns the prefill time of the query's prompt, less the prefix that this agent has probably cached.
+func (vie *view) ownWork(qry Query) time.Duration {
+	rate := vie.report.PrefillRate
+	if rate <= 0 {
+		rate = assumedRate
+	}
+	return cost.Prefill(max(0, qry.Cost.PromptTokens-vie.prefixes.cached(qry.PrefixHash)), rate)
+}
+
+func (vie *view) currentPenalty(now time.Time) time.Duration {
+	halves := float64(now.Sub(vie.penaltyAt)) / float64(penaltyHalfLife)
+	return time.Duration(float64(vie.penalty) * math.Exp2(-halves))
+}
+
+func (vie *view) fewest() int {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	return vie.outstanding
+}
+
+// place counts a call as sent. It returns nil if the agent may no longer take it.
+func (vie *view) place(tab *Table, qry Query, now time.Time) *Placement {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	if !vie.mayTake(now) {
+		return nil
+	}
+	plc := &Placement{tab: tab, view: vie, sentAt: now, probe: vie.failed, work: vie.ownWork(qry)}
+	plc.Cost = qry.Cost
+	plc.Cost.CachedTokens = min(vie.prefixes.cached(qry.PrefixHash), qry.Cost.PromptTokens)
+	vie.probing = vie.failed
+	vie.outstanding++
+	vie.sent = append(vie.sent, plc)
+	vie.prefixes.add(qry.PrefixHash)
+	return plc
+}
+
+// Placement is a call sent to an agent.
+type Placement struct {
+	Cost   proto.Cost // with the cached part that is expected at the agent
+	tab    *Table
+	view   *view
+	sentAt time.Time
+	work   time.Duration
+	probe  bool
+	ended  bool
+}
+
+// Agent returns the name of the chosen agent.
+func (plc *Placement) Agent() string { return plc.view.peer.Name }
+
+// Verdict tells what a call has shown about its agent.
+type Verdict int
+
+// Verdicts.
+const (
+	Neutral Verdict = iota // nothing, for example because the caller went away
+	Worked
+	Refused
+	Failed
+)
+
+// Started tells the table that the agent has begun to answer, which proves a probed agent healthy before a long answer
+// has ended.
+func (plc *Placement) Started() {
+	plc.view.lock.Lock()
+	defer plc.view.lock.Unlock()
+	plc.recovered()
+}
+
+func (plc *Placement) recovered() {
+	plc.view.failed = false
+	plc.view.probing = false
+}
+
+// End takes the call off the agent's account. Further calls do nothing.
+func (plc *Placement) End(ver Verdict) {
+	now := plc.tab.opts.Clock.Now()
+	vie := plc.view
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	if plc.ended {
+		return
+	}
+	plc.ended = true
+	vie.outstanding--
+	for idx, other := range vie.sent {
+		if other == plc {
+			vie.sent = append(vie.sent[:idx], vie.sent[idx+1:]...)
+			break
+		}
+	}
+	if plc.probe {
+		vie.probing = false
+	}
+	switch ver {
+	case Worked:
+		plc.recovered()
+	case Refused:
+		vie.punish(now, refusalPenalty)
+		plc.recovered() // An agent that refuses is alive.
+	case Failed:
+		vie.punish(now, failurePenalty)
+		vie.failed = true
+		vie.failedAt = now
+	case Neutral:
+	}
+}
+
+func (vie *view) punish(now time.Time, amount time.Duration) {
+	vie.penalty = min(maxPenalty, vie.currentPenalty(now)+amount)
+	vie.penaltyAt = now
+}
