--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,8 @@
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/once"
+	"github.com/tarragonwheel/tarragonwheel/plain"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -33,7 +35,11 @@
 	metrics *metric.Set
 	local   proto.Peer
 	engine  *engine.Client
+	plain   *plain.Client  // set if the upstream is a plain service
+	once    *once.Recorder // set if, in addition, there is a log
+	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
+	config  *configuration
 
 	mu    sync.Mutex
 	conns map[*link.Conn]struct{}
@@ -58,6 +64,11 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	agt.config = newConfiguration(grp, agt.local.Name, agt.report, clk, log, agt.metrics)
+	if agt.local.Kind == proto.UpstreamPlain {
+		agt.plain = plain.New(config.AgentUpstream.Of(set))
+		agt.startOnce(grp, set)
+	}
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
 
@@ -86,6 +97,7 @@
 		Metrics: agt.metrics,
 		Log:     agt.log,
 		Beat:    func() (proto.Kind, any) { return proto.KindReport, agt.report() },
+		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
 	}
 	mux := http.NewServeMux()
@@ -120,5 +132,5 @@
 }
 
 func (agt *Agent) report() proto.Report {
-	return proto.Report{Healthy: true}
+	return agt.config.fill(proto.Report{Healthy: true})
 }
--- a/edge/refuse.go
+++ b/edge/refuse.go
@@ -90,11 +90,12 @@
 
 // statuses are the HTTP statuses of results by reason code. Other results are 503 if the call did not run, else 502.
 var statuses = map[string]int{
-	CodeDeadline:       http.StatusGatewayTimeout,
-	CodeUnknownModel:   http.StatusNotFound,
-	CodeUnknownService: http.StatusNotFound,
-	CodeQuota:          http.StatusTooManyRequests,
-	CodePromptTooLong:  http.StatusRequestEntityTooLarge,
+	CodeDeadline:        http.StatusGatewayTimeout,
+	CodeUnknownModel:    http.StatusNotFound,
+	CodeUnknownService:  http.StatusNotFound,
+	"model-not-granted": http.StatusForbidden,
+	CodeQuota:           http.StatusTooManyRequests,
+	CodePromptTooLong:   http.StatusRequestEntityTooLarge,
 }
 
 func fromResult(cal Call, res proto.Result) *refusal {
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -9,6 +9,7 @@
 
 // onFrame takes in the frames that belong to a connection rather than to a call.
 func (ent *Entry) onFrame(con *link.Conn, frm proto.Frame) {
+	ent.config.onFrame(con, frm)
 	if frm.Kind != proto.KindReport {
 		return
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -24,6 +24,9 @@
 
 // dispatch runs a call: one attempt after another, as long as it may and can be repeated.
 func (ent *Entry) dispatch(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
+	if res, no := ent.config.forbidden(cal.Kind, cal.Account, cal.Serves); no {
+		return res
+	}
 	run := &running{ent: ent, cal: cal, rep: rep}
 	ent.budget.First()
 	var tried []string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 	address string
 
 	table  *route.Table
+	config *configuration
 	budget *retry.Budget
 
 	mu    sync.Mutex
@@ -51,10 +52,12 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.config = newConfiguration(grp, config.PlatformLog.Of(set), clk, log, ent.metrics)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
 		DataCentre:  config.ProcessDataCentre.Of(set),
 		RemoteDelay: config.EntryRemoteDelay.Of(set),
+		Drained:     ent.config.store.Drained,
 		Policy:      config.EntryPolicy.Of(set),
 	})
 	ent.budget = retry.NewBudget(config.EntryRetryFraction.Of(set), nil)
@@ -64,7 +67,7 @@
 		Metrics: ent.metrics,
 		Log:     log,
 		OnFrame: ent.onFrame,
-		Beat:    func() (proto.Kind, any) { return proto.KindBeat, proto.Beat{} },
+		Beat:    ent.config.beat,
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
@@ -80,11 +83,11 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
-		Models: func(string) []string { return ent.table.Models() },
+		Models: ent.models,
 		Known: func(knd proto.UpstreamKind, name string) bool {
 			return ent.table.Known(route.Target{Kind: knd, Serves: name})
 		},
-		Ready: ent.table.Ready,
+		Ready: ent.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
@@ -98,6 +101,11 @@
 // Address returns the address on which the entry listens for callers.
 func (ent *Entry) Address() string { return ent.address }
 
+// Ready tells whether the balancer may send callers here: configuration is known and an agent can be given work.
+func (ent *Entry) Ready() bool {
+	return ent.config.store.Ready() && ent.table.Ready()
+}
+
 // Metrics returns the entry's metrics.
 func (ent *Entry) Metrics() *metric.Set { return ent.metrics }
 
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -31,7 +31,7 @@
 
 const (
 	accountKey = "account-key-0123456789"
-	secrets    = "[deployment]\nsecret = deployment-secret-0123\n[accounts]\nhuellas = " + accountKey + "\n"
+	callerFile = "[deployment]\nsecret = deployment-secret-0123\n[accounts]\nhuellas = " + accountKey + "\n"
 )
 
 func must[T any](tb testing.TB) func(val T, err error) T {
@@ -54,19 +54,19 @@
 	eng = strings.TrimPrefix(srv.URL, "http://")
 	set := must[*config.Settings](tb)(config.Parse(fmt.Sprintf("[process]\nname = %s\ndata-centre = a\n"+
 		"listen = 127.0.0.1:0\nsecrets = -\n[agent]\nserves = %s\nupstream = %s\n", name, mdl.Name, eng), "agent"))
-	sec := must[*config.Secrets](tb)(config.ParseSecrets(secrets))
+	sec := must[*config.Secrets](tb)(config.ParseSecrets(callerFile))
 	agn := must[*agent.Agent](tb)(agent.New(grp, set, sec, timer.New(), logr.Discard()))
 	return eng, agn.Address()
 }
 
-// startEntry starts an entry that knows the given agents and returns it and its base URL once it is ready.
-func startEntry(tb testing.TB, more string, agents ...string) (*entry.Entry, string) {
+// startServing starts an entry that knows the given agents and returns it and its base URL once it is ready.
+func startServing(tb testing.TB, more string, agents ...string) (*entry.Entry, string) {
 	tb.Helper()
 	grp := group.New(context.Background(), "entry")
 	tb.Cleanup(func() { _ = grp.Stop() })
 	set := must[*config.Settings](tb)(config.Parse("[process]\nname = e\ndata-centre = a\nlisten = 127.0.0.1:0\n"+
 		"secrets = -\n[entry]\nagents = "+strings.Join(agents, ",")+"\n"+more, "entry"))
-	sec := must[*config.Secrets](tb)(config.ParseSecrets(secrets))
+	sec := must[*config.Secrets](tb)(config.ParseSecrets(callerFile))
 	ent := must[*entry.Entry](tb)(entry.New(grp, set, sec, timer.New(), logr.Discard()))
 	base := "http://" + ent.Address()
 	eventually(tb, "entry is ready", func() bool {
@@ -134,7 +134,7 @@
 func TestStockClient(t *testing.T) {
 	is := is.New(t)
 	eng, agt := startEngine(t, "a1", fastModel())
-	_, base := startEntry(t, "", agt)
+	_, base := startServing(t, "", agt)
 	cli := stockClient(base)
 	ctx := context.Background()
 
@@ -166,7 +166,7 @@
 // Guards against bad input that reaches an upstream, goes uncounted or gets an unclear answer.
 func TestBadInput(t *testing.T) {
 	_, agt := startEngine(t, "a1", fastModel())
-	ent, base := startEntry(t, "max-body = 1024\n", agt)
+	ent, base := startServing(t, "max-body = 1024\n", agt)
 	good := `{"model":"m","prompt":"x"}`
 	for _, tst := range []struct {
 		code, path, body, header, value string
@@ -223,7 +223,7 @@
 func TestCallerGoneLeavesNothingOnTheEngine(t *testing.T) {
 	is := is.New(t)
 	eng, agt := startEngine(t, "a1", simeng.DefaultModel("m"))
-	_, base := startEntry(t, "", agt)
+	_, base := startServing(t, "", agt)
 	str, err := stockClient(base).CreateCompletionStream(context.Background(), openai.CompletionRequest{
 		Model: "m", Prompt: "hello", MaxTokens: 50_000, Stream: true,
 	})
@@ -245,7 +245,7 @@
 	is := is.New(t)
 	one, agtOne := startEngine(t, "a1", fastModel())
 	two, agtTwo := startEngine(t, "a2", fastModel())
-	_, base := startEntry(t, "", agtOne, agtTwo)
+	_, base := startServing(t, "", agtOne, agtTwo)
 	req := openai.CompletionRequest{Model: "m", Prompt: "hello", MaxTokens: 200, Stream: true}
 	ctx := context.Background()
 	direct, err := stockClient("http://"+one).CreateCompletionStream(ctx, req)
@@ -288,7 +288,7 @@
 func TestSilentAgentMeetsDeadline(t *testing.T) {
 	is := is.New(t)
 	agt := fakeAgent(t, proto.UpstreamEngine, func(str *link.Stream, _ proto.Open) { <-str.Context().Done() })
-	_, base := startEntry(t, "", agt)
+	_, base := startServing(t, "", agt)
 	status, text := call(t, http.MethodPost, base+"/v1/completions", `{"model":"m","prompt":"x"}`,
 		map[string]string{"X-Time-Limit": "50ms"})
 	is.Equal(status, http.StatusGatewayTimeout)
@@ -312,7 +312,7 @@
 		_, _ = io.Copy(io.Discard, str.Body(str.Context()))
 		str.Conn().Close()
 	})
-	_, base := startEntry(t, "", agt)
+	_, base := startServing(t, "", agt)
 	status, text := call(t, http.MethodPost, base+"/v1/services/m/book?x=1", "body", nil)
 	is.Equal(status, http.StatusConflict)
 	is.True(strings.Contains(text, `"code":"outcome-unknown"`))
--- a/route/table.go
+++ b/route/table.go
@@ -31,6 +31,9 @@
 	DataCentre  string        // of this entry
 	RemoteDelay time.Duration // added to the prediction for an agent in another data centre
 	Policy      string        // a value of entry.policy
+
+	// Drained tells whether configuration drains an agent, which may not know yet; nil drains none.
+	Drained func(name string) bool
 }
 
 // Table is an entry's view of the agents it is connected to.
@@ -71,7 +74,8 @@
 func (tab *Table) Connect(peer proto.Peer) {
 	tgt := Target{Kind: peer.Kind, Serves: peer.Serves}
 	tab.seen.Store(tgt, struct{}{})
-	vie := &view{peer: peer, lock: &tab.shards[maphash.String(tab.seed, peer.Name)%shardCount]}
+	shard := &tab.shards[maphash.String(tab.seed, peer.Name)%shardCount]
+	vie := &view{peer: peer, drained: tab.opts.Drained, lock: shard}
 	vie.prefixes.init()
 	tab.change(peer, func(list []*view) []*view { return append(list, vie) })
 }
@@ -114,18 +118,6 @@
 	}
 }
 
-// Models returns the names of models that a connected agent serves, sorted.
-func (tab *Table) Models() []string {
-	var names []string
-	for tgt := range *tab.index.Load() {
-		if tgt.Kind == proto.UpstreamEngine {
-			names = append(names, tgt.Serves)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Known tells whether an agent for the target has ever been connected. It is true while none has been at all, since
 // then nothing can be told.
 func (tab *Table) Known(tgt Target) bool {
--- a/route/view.go
+++ b/route/view.go
@@ -27,10 +27,12 @@
 	probeAfter = 250 * time.Millisecond
 )
 
-// view is what an entry knows of an agent. The lock of its shard guards all but peer.
+// view is what an entry knows of an agent. The lock of its shard guards all but peer and drained.
 type view struct {
 	peer proto.Peer
 	lock *sync.Mutex
+	// drained asks the configuration; nil if there is none.
+	drained func(name string) bool
 
 	report      proto.Report
 	reportAt    time.Time // zero before the first report
@@ -69,6 +71,9 @@
 	if vie.reportAt.IsZero() || now.Sub(vie.reportAt) > silentAfter || vie.report.Draining || !vie.report.Healthy {
 		return false
 	}
+	if vie.drained != nil && vie.drained(vie.peer.Name) {
+		return false
+	}
 	return !vie.failed || (!vie.probing && now.Sub(vie.failedAt) >= probeAfter)
 }
 
