--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,8 @@
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/retry"
+	"github.com/tarragonwheel/tarragonwheel/route"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -36,7 +38,10 @@
 	metrics *metric.Set
 	opts    link.Options
 	address string
-	config  *configuration
+
+	table  *route.Table
+	config *configuration
+	budget *retry.Budget
 
 	mu    sync.Mutex
 	conns map[string]*link.Conn // by the agent's name
@@ -48,13 +53,21 @@
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
 	ent.config = newConfiguration(grp, config.PlatformLog.Of(set), clk, log, ent.metrics)
+	ent.table = route.NewTable(route.Options{
+		Clock:       clk,
+		DataCentre:  config.ProcessDataCentre.Of(set),
+		RemoteDelay: config.EntryRemoteDelay.Of(set),
+		Drained:     ent.config.store.Drained,
+		Policy:      config.EntryPolicy.Of(set),
+	})
+	ent.budget = retry.NewBudget(config.EntryRetryFraction.Of(set), nil)
 	ent.opts = link.Options{
 		Secret:  sec.Deployment(),
 		Clock:   clk,
 		Metrics: ent.metrics,
 		Log:     log,
+		OnFrame: ent.onFrame,
 		Beat:    ent.config.beat,
-		OnFrame: ent.config.onFrame,
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
@@ -70,7 +83,11 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
-		Models: ent.models, Ready: ent.config.store.Ready,
+		Models: ent.models,
+		Known: func(knd proto.UpstreamKind, name string) bool {
+			return ent.table.Known(route.Target{Kind: knd, Serves: name})
+		},
+		Ready: ent.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
@@ -84,11 +101,9 @@
 // Address returns the address on which the entry listens for callers.
 func (ent *Entry) Address() string { return ent.address }
 
-// Ready tells whether the balancer may send callers here.
+// Ready tells whether the balancer may send callers here: configuration is known and an agent can be given work.
 func (ent *Entry) Ready() bool {
-	ent.mu.Lock()
-	defer ent.mu.Unlock()
-	return len(ent.conns) > 0
+	return ent.config.store.Ready() && ent.table.Ready()
 }
 
 // Metrics returns the entry's metrics.
@@ -113,24 +128,3 @@
 	})
 	return nil
 }
-
-func (ent *Entry) stayConnected(ctx context.Context, addr string) {
-	for ctx.Err() == nil {
-		con, err := link.Dial(ctx, addr, ent.opts)
-		if err != nil {
-			ent.log.V(1).Info("entry: agent not reached", "address", addr, "error", err.Error())
-			_ = ent.clock.Sleep(ctx, redialDelay)
-			continue
-		}
-		name := con.Peer().Name
-		ent.mu.Lock()
-		ent.conns[name] = con
-		ent.mu.Unlock()
-		<-con.Done()
-		ent.mu.Lock()
-		if ent.conns[name] == con {
-			delete(ent.conns, name)
-		}
-		ent.mu.Unlock()
-	}
-}
