Plan declarations of operators

Cause: an operator has to see what a declaration changes, and whom it affects, before anything changes.

Ruled out: whole-state declarations, because a file of one operator would remove what another has added; the INI library's own handling of repeated sections and cut files, because it merges or accepts them silently.

Change: package intent parses declarations, refuses faulty ones whole, and makes plans whose ID is derived from their content, and undo plans.

Conclusion: a plan names operations, basis, accounts, replicas left and warnings, and cannot be altered between plan and confirm.

--- /dev/null
+++ b/intent/intent_test.go
@@ -0,0 +1,82 @@
+package intent_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/intent"
+	"github.com/tarragonwheel/tarragonwheel/state"
+)
+
+// Guards against a faulty declaration that is taken in part, and against an error that does not name the place.
+func TestFaultyDeclarationsAreRefusedWhole(t *testing.T) {
+	for text, want := range map[string]string{
+		"[upstream u1]\ndrained = true\n":                                      "cut short",
+		"[upstream u1]\ndrained = true\n[upstream u1]\n[end]\n":                "file.ini:3",
+		"[upstream u1]\ndrained = true\ndrained = false\n[end]\n":              "file.ini:3",
+		"[upstream u1]\ndrianed = true\n[end]\n":                               "drianed: unknown key",
+		"[upstream u1]\ndrained = perhaps\n[end]\n":                            "drained: neither",
+		"[planned-stop s]\nupstreams = a, a\nat = 2026-01-31T22:00:00Z\n[end]": "a is named twice",
+		"[machine u1]\n[end]\n":                                                "want a kind",
+		"[end]\n":                                                              "declares nothing",
+	} {
+		_, err := intent.Parse("file.ini", text)
+		if !trace.IsBadParameter(err) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+}
+
+func force(t *testing.T, sto *state.Store, pla intent.Plan) {
+	t.Helper()
+	con := pla.Confirm("olive", 1)
+	raw, err := state.Entry{ID: pla.Plan, Confirm: &con}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	off := sto.Version() + 1
+	sto.Read([]state.Record{{Offset: off, Data: raw}}, 1, off+1)
+}
+
+// Guards against a plan that hides the drain of a last replica, grants a missing model, can be altered between plan and
+// confirm, or cannot be undone.
+func TestPlanConfirmUndo(t *testing.T) {
+	is := is.New(t)
+	sto := state.NewStore()
+	ups := []intent.Upstream{{Name: "u1", Serves: "m1"}}
+	declare := func(text string) (intent.Plan, error) {
+		ops, err := intent.Parse("f", text+"\n[end]\n")
+		is.NoErr(err)
+		return intent.New(sto, ops, ups)
+	}
+	_, err := declare("[account a1]\nmodels = m1")
+	is.True(trace.IsBadParameter(err))
+	first, err := declare("[model m1]\nreplicas = 1\n[account a1]\nmodels = m1")
+	is.NoErr(err)
+	force(t, sto, first)
+	pla, err := declare("[upstream u1]\ndrained = true")
+	is.NoErr(err)
+	is.Equal(pla.Accounts, []string{"a1"})
+	is.Equal(pla.Warnings[0], "model m1 would have 0 of 1 replicas")
+	is.Equal(pla.Warnings[1], "the last replica of model m1 would be drained")
+	raw, err := json.Marshal(pla)
+	is.NoErr(err)
+	_, err = intent.ParsePlan(raw)
+	is.NoErr(err)
+	_, err = intent.ParsePlan([]byte(strings.ReplaceAll(string(raw), "u1", "u2")))
+	is.True(trace.IsBadParameter(err))
+	force(t, sto, pla)
+	is.True(sto.Drained("u1"))
+	ops, err := intent.Undo(sto, pla.Plan)
+	is.NoErr(err)
+	undo, err := intent.New(sto, ops, ups)
+	is.NoErr(err)
+	force(t, sto, undo)
+	is.True(!sto.Drained("u1"))
+	_, err = intent.Undo(sto, pla.Plan)
+	is.True(trace.IsCompareFailed(err))
+}
