Add the operator API and its commands

Cause: operators have to plan, confirm and undo changes through any entry, and have to be told the truth when an answer of the log is lost.

Ruled out: plans kept on entries, because any VM may be replaced; retrying an append after a lost answer, because the record may have been written.

Change: package admin serves plan, undo, confirm, outcome, status, history and explain; the commands save plans as files. A confirm reads the log first, appends, and then decides by the state alone. The first read of the stream does not wait, because a long poll of an empty stream left an entry unready for 20 s.

Conclusion: in 20 rounds of two conflicting confirms through two entries with up to two lost answers, exactly one takes effect and both operators are told so.

--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,176 @@
+package admin_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/admin"
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/entry"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/intent"
+	"github.com/tarragonwheel/tarragonwheel/simlog"
+	"github.com/tarragonwheel/tarragonwheel/state"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const secrets = `
+[deployment]
+secret = 0123456789abcdef0123
+[operators]
+olive = operator-key-olive
+piet = operator-key-piet-2
+`
+
+type node struct {
+	ent  *entry.Entry
+	addr string
+}
+
+func (nod node) client(key string) *admin.Client { return admin.NewClient(nod.addr, key) }
+
+func start(t *testing.T, name, log string) node {
+	t.Helper()
+	set, err := config.Parse(fmt.Sprintf("[process]\nname = %s\ndata-centre = dc1\nlisten = 127.0.0.1:0\n"+
+		"secrets = x\n[platform]\nlog = %s\n[admin]\nlisten = 127.0.0.1:0\n", name, log), "entry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sec, err := config.ParseSecrets(secrets)
+	if err != nil {
+		t.Fatal(err)
+	}
+	grp := group.New(context.Background(), name)
+	t.Cleanup(func() { _ = grp.Stop() })
+	clk := timer.New()
+	ent, err := entry.New(grp, set, sec, clk, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	adm, err := admin.New(grp, set, sec, clk, logr.Discard(), ent.Metrics(), admin.Source{
+		Name: name, Store: ent.Configuration(), Exchange: ent.Exchange(),
+		Upstreams: func() []intent.Upstream { return nil },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready(t, ent.Configuration(), 0)
+	return node{ent, adm.Address()}
+}
+
+// ready waits for a version. The limit only keeps a failed test from hanging.
+func ready(t *testing.T, sto *state.Store, version int64) {
+	t.Helper()
+	limit := time.Now().Add(30 * time.Second)
+	for !sto.Ready() || sto.Version() < version {
+		if time.Now().After(limit) {
+			t.Fatalf("version %d, want %d", sto.Version(), version)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func startLog(t *testing.T) (*simlog.Log, string) {
+	t.Helper()
+	log := simlog.New(simlog.Options{Clock: timer.New()})
+	srv := httptest.NewServer(log.Handler())
+	t.Cleanup(srv.CloseClientConnections)
+	return log, strings.TrimPrefix(srv.URL, "http://")
+}
+
+func declare(t *testing.T, cli *admin.Client, text string) intent.Plan {
+	t.Helper()
+	pla, err := cli.Plan(context.Background(), admin.Declaration{File: "f.ini", Text: text + "\n[end]\n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pla
+}
+
+// Guards against two contractors who both win, both lose, or are told otherwise than the log decided, when answers of
+// the log are lost; and against processes that disagree.
+func TestTwoContractorsThroughTwoEntriesWithLostAnswers(t *testing.T) {
+	is := is.New(t)
+	log, addr := startLog(t)
+	one, two := start(t, "e1", addr), start(t, "e2", addr)
+	for round := 0; round < 20; round++ {
+		ready(t, one.ent.Configuration(), two.ent.Configuration().Version())
+		ready(t, two.ent.Configuration(), one.ent.Configuration().Version())
+		olive, piet := one.client("operator-key-olive"), two.client("operator-key-piet-2")
+		plans := []intent.Plan{
+			declare(t, olive, fmt.Sprintf("[account a]\nlimit = %d", 2*round+1)),
+			declare(t, piet, fmt.Sprintf("[account a]\nlimit = %d", 2*round+2)),
+		}
+		log.LoseAnswers(round % 3)
+		outs := make([]admin.Outcome, 2)
+		var wait sync.WaitGroup
+		for idx, cli := range []*admin.Client{olive, piet} {
+			wait.Go(func() {
+				out, err := cli.Confirm(context.Background(), plans[idx])
+				if err != nil {
+					t.Error(err)
+				}
+				outs[idx] = out
+			})
+		}
+		wait.Wait()
+		log.LoseAnswers(0)
+		is.True(outs[0].Outcome != outs[1].Outcome)
+		for idx, out := range outs {
+			is.True(out.Outcome == admin.InForce || out.Outcome == admin.NotInForce)
+			if out.Outcome == admin.InForce {
+				is.Equal(one.ent.Configuration().Limit("a"), 2*round+1+idx)
+			} else {
+				is.True(len(out.Conflicts) == 1 && out.Conflicts[0].Plan == plans[1-idx].Plan)
+			}
+		}
+		again, err := olive.Confirm(context.Background(), plans[0])
+		is.NoErr(err)
+		is.Equal(again.Outcome, outs[0].Outcome)
+	}
+	ready(t, two.ent.Configuration(), one.ent.Configuration().Version())
+	first, _, err := one.ent.Configuration().Encode()
+	is.NoErr(err)
+	second, _, err := two.ent.Configuration().Encode()
+	is.NoErr(err)
+	is.Equal(first, second)
+}
+
+// Guards against a confirm that is accepted or hangs without a log, a key that opens the API without being an
+// operator's, and an altered plan that is confirmed.
+func TestConfirmIsRefused(t *testing.T) {
+	is := is.New(t)
+	log, addr := startLog(t)
+	nod := start(t, "e1", addr)
+	cli := nod.client("operator-key-olive")
+	pla := declare(t, cli, "[upstream u1]\ndrained = true")
+	_, err := nod.client("wrong-operator-key").Confirm(context.Background(), pla)
+	is.True(trace.IsBadParameter(err))
+	altered := pla
+	altered.From++
+	_, err = cli.Confirm(context.Background(), altered)
+	is.True(trace.IsBadParameter(err))
+	log.SetDown(true)
+	out, err := cli.Confirm(context.Background(), pla)
+	is.NoErr(err)
+	is.Equal(out.Reason, admin.ReasonLogUnavailable)
+	is.True(out.Outcome != admin.InForce)
+	is.Equal(log.Appends(), 0)
+	log.SetDown(false)
+	out, err = cli.Confirm(context.Background(), pla)
+	is.NoErr(err)
+	is.Equal(out.Outcome, admin.InForce)
+	is.True(nod.ent.Configuration().Drained("u1"))
+	exp, err := cli.Explain(context.Background(), "u1")
+	is.NoErr(err)
+	is.Equal(exp.Objects[0].Object.Operator, "olive")
+}
--- a/cmd/tarragonwheel/main.go
+++ b/cmd/tarragonwheel/main.go
@@ -25,12 +25,20 @@
 
 // command is the command line.
 type command struct {
-	Entry *entryCommand `arg:"subcommand:entry" help:"run an entry, which serves callers"`
-	Agent *agentCommand `arg:"subcommand:agent" help:"run an agent, beside an upstream"`
-	Check *checkCommand `arg:"subcommand:check" help:"check a settings file"`
-	Sim   *simCommand   `arg:"subcommand:sim" help:"run a stand-in for an outside system"`
-	Load  *loadCommand  `arg:"subcommand:load" help:"offer a reproducible mix of requests and report"`
-	Demo  *demoCommand  `arg:"subcommand:demo" help:"run the whole path in one process and show a table"`
+	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry, which serves callers"`
+	Agent   *agentCommand   `arg:"subcommand:agent" help:"run an agent, beside an upstream"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file"`
+	Sim     *simCommand     `arg:"subcommand:sim" help:"run a stand-in for an outside system"`
+	Plan    *planCommand    `arg:"subcommand:plan" help:"show what a declaration would change; changes nothing"`
+	Confirm *confirmCommand `arg:"subcommand:confirm" help:"put a saved plan in force"`
+	Outcome *outcomeCommand `arg:"subcommand:outcome" help:"ask what became of a confirm"`
+	Undo    *undoCommand    `arg:"subcommand:undo" help:"show the plan that undoes an earlier plan; changes nothing"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show the configuration and who has which version"`
+	History *historyCommand `arg:"subcommand:history" help:"list confirms"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"show who made an object as it is"`
+
+	Load *loadCommand `arg:"subcommand:load" help:"offer a reproducible mix of requests and report"`
+	Demo *demoCommand `arg:"subcommand:demo" help:"run the whole path in one process and show a table"`
 }
 
 // Description implements arg.Described.
--- /dev/null
+++ b/cmd/tarragonwheel/operate.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/admin"
+	"github.com/tarragonwheel/tarragonwheel/intent"
+)
+
+// operate are the flags of all operator commands.
+type operate struct {
+	Entry   string `arg:"required,--entry" help:"address of an entry's operator API"`
+	KeyFile string `arg:"required,--key-file" help:"file that holds the operator's key"`
+	JSON    bool   `arg:"--json" help:"print JSON"`
+}
+
+type planCommand struct {
+	operate
+	File string `arg:"required,-f,--file" help:"declaration (INI)"`
+	Save string `arg:"--save" help:"file for the plan [default: PLAN.plan in the current directory]"`
+}
+
+type undoCommand struct {
+	operate
+	Plan string `arg:"positional,required" help:"ID of the plan to undo"`
+	Save string `arg:"--save" help:"file for the new plan [default: PLAN.plan in the current directory]"`
+}
+
+type confirmCommand struct {
+	operate
+	Plan string `arg:"positional,required" help:"saved plan: its file, or its ID if it is in the current directory"`
+}
+
+type outcomeCommand struct {
+	operate
+	Plan string `arg:"positional,required" help:"saved plan: its file, or its ID if it is in the current directory"`
+}
+
+type statusCommand struct{ operate }
+
+type historyCommand struct{ operate }
+
+type explainCommand struct {
+	operate
+	Name string `arg:"positional,required" help:"name of an upstream, account, model, service or planned stop"`
+}
+
+func (opr operate) client() (*admin.Client, error) {
+	raw, err := os.ReadFile(opr.KeyFile)
+	if err != nil {
+		return nil, trace.BadParameter("key file: %v", err)
+	}
+	return admin.NewClient(opr.Entry, strings.TrimSpace(string(raw))), nil
+}
+
+func (opr operate) print(std streams, val any, text func(out *strings.Builder)) error {
+	if opr.JSON {
+		enc := json.NewEncoder(std.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(val)
+	}
+	var out strings.Builder
+	text(&out)
+	_, err := fmt.Fprint(std.out, out.String())
+	return err
+}
+
+func (cmd *planCommand) run(ctx context.Context, std streams) error {
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(cmd.File)
+	if err != nil {
+		return trace.BadParameter("declaration: %v", err)
+	}
+	pla, err := cli.Plan(ctx, admin.Declaration{File: filepath.Base(cmd.File), Text: string(text)})
+	if err != nil {
+		return err
+	}
+	return cmd.showPlan(std, pla, cmd.Save)
+}
+
+func (cmd *undoCommand) run(ctx context.Context, std streams) error {
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	pla, err := cli.Undo(ctx, cmd.Plan)
+	if err != nil {
+		return err
+	}
+	return cmd.showPlan(std, pla, cmd.Save)
+}
+
+func (opr operate) showPlan(std streams, pla intent.Plan, file string) error {
+	if file == "" {
+		file = pla.Plan + ".plan"
+	}
+	raw, err := json.MarshalIndent(pla, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode plan: %w", err)
+	}
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return fmt.Errorf("save plan: %w", err)
+	}
+	return opr.print(std, pla, func(out *strings.Builder) {
+		writePlan(out, pla)
+		line(out, "Nothing has changed. To put this plan in force:")
+		line(out, "  tarragonwheel confirm %s --entry %s --key-file %s", file, opr.Entry, opr.KeyFile)
+	})
+}
+
+// readPlan reads a saved plan by file name or ID.
+func readPlan(name string) (intent.Plan, error) {
+	raw, err := os.ReadFile(filepath.Clean(name))
+	if os.IsNotExist(err) {
+		raw, err = os.ReadFile(filepath.Clean(name + ".plan"))
+	}
+	if err != nil {
+		return intent.Plan{}, trace.BadParameter("plan: %v", err)
+	}
+	return intent.ParsePlan(raw)
+}
+
+func (cmd *confirmCommand) run(ctx context.Context, std streams) error {
+	pla, err := readPlan(cmd.Plan)
+	if err != nil {
+		return err
+	}
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	out, err := cli.Confirm(ctx, pla)
+	if trace.IsConnectionProblem(err) {
+		// The entry may have written the record before the connection broke.
+		out, err = admin.Outcome{Outcome: admin.NotKnownYet, Plan: pla.Plan, Detail: err.Error()}, nil
+	}
+	if err != nil {
+		return err
+	}
+	return cmd.showOutcome(std, out, cmd.Plan)
+}
+
+func (cmd *outcomeCommand) run(ctx context.Context, std streams) error {
+	pla, err := readPlan(cmd.Plan)
+	if err != nil {
+		return err
+	}
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	out, err := cli.Outcome(ctx, pla)
+	if err != nil {
+		return err
+	}
+	return cmd.showOutcome(std, out, cmd.Plan)
+}
+
+func (opr operate) showOutcome(std streams, out admin.Outcome, file string) error {
+	err := opr.print(std, out, func(txt *strings.Builder) {
+		writeOutcome(txt, out)
+		if out.Outcome == admin.NotKnownYet {
+			line(txt, "Ask again (this changes nothing):")
+			line(txt, "  tarragonwheel outcome %s --entry %s --key-file %s", file, opr.Entry, opr.KeyFile)
+		}
+	})
+	if err != nil || out.Outcome == admin.InForce {
+		return err
+	}
+	return trace.CompareFailed("plan %s is %s", out.Plan, out.Outcome)
+}
+
+func (cmd *statusCommand) run(ctx context.Context, std streams) error {
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	sta, err := cli.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return cmd.print(std, sta, func(out *strings.Builder) { writeStatus(out, sta) })
+}
+
+func (cmd *historyCommand) run(ctx context.Context, std streams) error {
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	his, err := cli.History(ctx)
+	if err != nil {
+		return err
+	}
+	return cmd.print(std, his, func(out *strings.Builder) { writeHistory(out, his) })
+}
+
+func (cmd *explainCommand) run(ctx context.Context, std streams) error {
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	exp, err := cli.Explain(ctx, cmd.Name)
+	if err != nil {
+		return err
+	}
+	return cmd.print(std, exp, func(out *strings.Builder) { writeExplanation(out, exp) })
+}
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -7,10 +7,12 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/admin"
 	"github.com/tarragonwheel/tarragonwheel/agent"
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/entry"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/intent"
 	"github.com/tarragonwheel/tarragonwheel/logs"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -57,10 +59,27 @@
 	if err := serveMetrics(grp, set, ent.Metrics(), ent.Ready); err != nil {
 		return err
 	}
-	log.Info("entry: listening", "address", ent.Address())
+	adm, err := admin.New(grp, set, sec, timer.New(), log, ent.Metrics(), operatorSource(set, ent))
+	if err != nil {
+		_ = grp.Stop()
+		return fmt.Errorf("start operator API: %w", err)
+	}
+	log.Info("entry: listening", "address", ent.Address(), "admin", adm.Address())
 	return grp.Wait()
 }
 
+func operatorSource(set *config.Settings, ent *entry.Entry) admin.Source {
+	return admin.Source{
+		Name: config.ProcessName.Of(set), Store: ent.Configuration(), Exchange: ent.Exchange(),
+		Upstreams: func() (list []intent.Upstream) {
+			ent.Upstreams(func(name, serves string) {
+				list = append(list, intent.Upstream{Name: name, Serves: serves})
+			})
+			return list
+		},
+	}
+}
+
 func (cmd *agentCommand) run(ctx context.Context, std streams) error {
 	set, sec, log, err := readSettings(cmd.Settings, "agent", std.err)
 	if err != nil {
--- a/entry/config.go
+++ b/entry/config.go
@@ -109,13 +109,16 @@
 // follow reads the config stream until ctx ends.
 func (cfg *configuration) follow(ctx context.Context) {
 	scan := int64(1)
+	wait := time.Duration(0) // The first read returns at once, so that an empty stream is known to be empty.
 	for ctx.Err() == nil {
-		bat, err := cfg.client.Read(ctx, state.Stream, cfg.readFrom(scan), configPage, configPoll)
+		bat, err := cfg.client.Read(ctx, state.Stream, cfg.readFrom(scan), configPage, wait)
 		cfg.noteLog(err)
 		if err != nil {
+			wait = 0
 			_ = cfg.clock.Sleep(ctx, configRetry)
 			continue
 		}
+		wait = configPoll
 		cfg.take(bat)
 		if num := len(bat.Records); num > 0 {
 			scan = bat.Records[num-1].Offset + 1
@@ -195,3 +198,15 @@
 
 // Configuration returns the entry's configuration state.
 func (ent *Entry) Configuration() *state.Store { return ent.config.store }
+
+// Exchange returns what the entry knows of the configuration of other processes.
+func (ent *Entry) Exchange() *state.Exchange { return ent.config.exchange }
+
+// Upstreams calls fn with name and model of each connected agent.
+func (ent *Entry) Upstreams(fn func(name, serves string)) {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	for _, con := range ent.conns {
+		fn(con.Peer().Name, con.Peer().Serves)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,7 +70,7 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
-		Models: ent.models, Ready: ent.config.store.Ready,
+		Models: ent.models, Ready: ent.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
@@ -88,7 +88,7 @@
 func (ent *Entry) Ready() bool {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
-	return len(ent.conns) > 0
+	return len(ent.conns) > 0 && ent.config.store.Ready()
 }
 
 // Metrics returns the entry's metrics.
