--- a/agent/serve.go
+++ b/agent/serve.go
@@ -42,6 +42,9 @@
 	if agt.config.drained() {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
 	}
+	if agt.plain != nil {
+		return agt.runPlain(ctx, str, msg)
+	}
 	if err := str.Send(proto.KindAccept, proto.Accept{}); err != nil {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled}
 	}
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -56,7 +56,7 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start entry: %w", err)
 	}
-	if err := serveMetrics(grp, set, ent.Metrics(), ent.Ready); err != nil {
+	if err := serveMetrics(grp, set, ent.Metrics(), ent.Ready, log); err != nil {
 		return err
 	}
 	adm, err := admin.New(grp, set, sec, timer.New(), log, ent.Metrics(), operatorSource(set, ent))
@@ -91,7 +91,7 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start agent: %w", err)
 	}
-	if err := serveMetrics(grp, set, agt.Metrics(), func() bool { return true }); err != nil {
+	if err := serveMetrics(grp, set, agt.Metrics(), func() bool { return true }, log); err != nil {
 		return err
 	}
 	log.Info("agent: listening", "address", agt.Address())
@@ -110,14 +110,18 @@
 	return err
 }
 
-func serveMetrics(grp *group.Group, set *config.Settings, mts *metric.Set, ready func() bool) error {
+func serveMetrics(
+	grp *group.Group, set *config.Settings, mts *metric.Set, ready func() bool, log logr.Logger,
+) error {
 	addr := config.ProcessMetrics.Of(set)
 	if addr == "" {
 		return nil
 	}
-	if _, err := mts.Serve(grp, addr, ready); err != nil {
+	served, err := mts.Serve(grp, addr, ready)
+	if err != nil {
 		_ = grp.Stop()
 		return fmt.Errorf("start metrics: %w", err)
 	}
+	log.Info("metrics: served", "address", served)
 	return nil
 }
