--- a/entry/config.go
+++ b/entry/config.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/logsvc"
@@ -42,10 +44,12 @@
 	failed error // of the last read of the log
 }
 
-// newConfiguration follows the log at addr in grp. Without a log, the empty state is current until a peer has more.
+// newConfiguration follows the log in grp and competes for the duty of republishing the snapshot. Without a log,
+// the empty state is current until a peer has more.
 func newConfiguration(
-	grp *group.Group, addr string, clk *timer.Service, log logr.Logger, met *metric.Set,
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set,
 ) *configuration {
+	addr := config.PlatformLog.Of(set)
 	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met}
 	cfg.exchange = state.NewExchange(cfg.store, clk, cfg.beat)
 	grp.Go("announce configuration", func(ctx context.Context) error {
@@ -61,6 +65,17 @@
 		cfg.follow(ctx)
 		return nil
 	})
+	snp := duty.NewSnapshots(duty.Options{
+		Process: config.ProcessName.Of(set), Store: cfg.store, Clock: clk,
+		Append: func(ctx context.Context, raw []byte) error {
+			_, err := cfg.client.Append(ctx, state.Stream, raw)
+			return err
+		},
+	}, config.PlatformLogRetention.Of(set), log, met)
+	grp.Go("republish snapshot", func(ctx context.Context) error {
+		snp.Run(ctx)
+		return nil
+	})
 	return cfg
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,7 +47,7 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
-	ent.config = newConfiguration(grp, config.PlatformLog.Of(set), clk, log, ent.metrics)
+	ent.config = newConfiguration(grp, set, clk, log, ent.metrics)
 	ent.opts = link.Options{
 		Secret:  sec.Deployment(),
 		Clock:   clk,
