Warn of planned stops beyond the wanted replicas and drains in roll-outs

Cause: a plan has to warn before a stop or drain takes a model's capacity.

Ruled out: comparing the times of stops, because a declaration does not say how long a stop lasts.

--- a/intent/plan.go
+++ b/intent/plan.go
@@ -145,10 +145,56 @@
 			pla.Accounts = append(pla.Accounts, key.Name)
 		}
 	}
+	pla.assessStops(after, ups)
+	pla.assessRollOut(serves)
 	slices.Sort(pla.Accounts)
 	slices.Sort(pla.Warnings)
 }
 
+// assessStops warns if all planned stops together leave a model fewer replicas than are wanted. Stops count together
+// whatever their times, because a declaration does not say how long they last.
+func (pla *Plan) assessStops(after map[state.Key]state.Value, ups []Upstream) {
+	planned := func(chg state.Change) bool { return chg.Key.Kind == state.KindStop }
+	if !slices.ContainsFunc(pla.Changes, planned) {
+		return
+	}
+	stopped := make(map[string]bool)
+	for _, val := range after {
+		if val.Stop != nil {
+			for _, name := range val.Stop.Upstreams {
+				stopped[name] = true
+			}
+		}
+	}
+	left := make(map[string]int)
+	for _, ups := range ups {
+		val := after[state.NewKey(state.KindUpstream, ups.Name)].Upstream
+		if !stopped[ups.Name] && (val == nil || !val.Drained) {
+			left[ups.Serves]++
+		}
+	}
+	for key, val := range after {
+		if val.Model != nil && left[key.Name] < val.Model.Replicas {
+			pla.warn("all planned stops together leave model %s %d of %d replicas",
+				key.Name, left[key.Name], val.Model.Replicas)
+		}
+	}
+}
+
+// assessRollOut warns of an upstream that is drained in the same plan as its model changes version.
+func (pla *Plan) assessRollOut(serves map[string]string) {
+	changing := make(map[string]bool)
+	for _, chg := range pla.Changes {
+		old, val := chg.Before.Model, chg.After.Model
+		changing[chg.Key.Name] = old != nil && val != nil && old.Version != val.Version || changing[chg.Key.Name]
+	}
+	for _, chg := range pla.Changes {
+		if val := chg.After.Upstream; val != nil && val.Drained && changing[serves[chg.Key.Name]] {
+			pla.warn("%s is drained while model %s changes version", chg.Key, serves[chg.Key.Name])
+		}
+	}
+}
+
 func (pla *Plan) countReplicas(
 	model string, now map[state.Key]state.Object, after map[state.Key]state.Value, ups []Upstream,
 ) {
