Test conflicting confirms across log outages

Cause: two contractors may confirm while the log is down.

Ruled out: nothing.

Change: every fifth round of the two-entry test confirms during an outage, sees the refusal, and confirms again afterwards.

Conclusion: one plan takes effect and both operators learn which.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -97,7 +97,7 @@
 }
 
 // Guards against two contractors who both win, both lose, or are told otherwise than the log decided, when answers of
-// the log are lost; and against processes that disagree.
+// the log are lost or it is down; and against processes that disagree.
 func TestTwoContractorsThroughTwoEntriesWithLostAnswers(t *testing.T) {
 	is := is.New(t)
 	log, addr := startLog(t)
@@ -111,6 +111,7 @@
 			declare(t, piet, fmt.Sprintf("[account a]\nlimit = %d", 2*round+2)),
 		}
 		log.LoseAnswers(round % 3)
+		log.SetDown(round%5 == 4)
 		outs := make([]admin.Outcome, 2)
 		var wait sync.WaitGroup
 		for idx, cli := range []*admin.Client{olive, piet} {
@@ -123,6 +124,15 @@
 			})
 		}
 		wait.Wait()
+		log.SetDown(false)
+		for idx, cli := range []*admin.Client{olive, piet} {
+			is.True(round%5 != 4 || outs[idx].Reason == admin.ReasonLogUnavailable)
+			for outs[idx].Outcome == admin.NotKnownYet {
+				out, err := cli.Confirm(context.Background(), plans[idx])
+				is.NoErr(err)
+				outs[idx] = out
+			}
+		}
 		log.LoseAnswers(0)
 		is.True(outs[0].Outcome != outs[1].Outcome)
 		for idx, out := range outs {
