Decide a confirm from one version of the state

Cause: an operator whose plan took effect was told not-in-force, with the plan's own change as the conflict: history and conflicts were read one after the other, and the record was folded in between.

Ruled out: weakening the test.

Change: Store.Decide reads both under one lock.

Conclusion: the answer and the log agree.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -134,7 +134,9 @@
 			}
 		}
 		log.LoseAnswers(0)
-		is.True(outs[0].Outcome != outs[1].Outcome)
+		if outs[0].Outcome == outs[1].Outcome {
+			t.Fatalf("round %d: both are told the same: %+v", round, outs)
+		}
 		for idx, out := range outs {
 			is.True(out.Outcome == admin.InForce || out.Outcome == admin.NotInForce)
 			if out.Outcome == admin.InForce {
--- a/admin/confirm.go
+++ b/admin/confirm.go
@@ -111,7 +111,8 @@
 // decided returns what the state says of a plan. A plan whose basis has moved is decided even if its record is still
 // on its way, because versions never return.
 func (srv *Server) decided(con state.Confirm) Outcome {
-	if past, known := srv.src.Store.Plan(con.Plan); known {
+	past, known, conflicts := srv.src.Store.Decide(con)
+	if known {
 		out := Outcome{
 			Outcome: InForce, Plan: con.Plan, Version: past.Offset, Operator: past.Operator,
 			Reason: past.Reason, Conflicts: past.Conflicts,
@@ -121,8 +122,8 @@
 		}
 		return out
 	}
-	if list := srv.src.Store.Conflicts(con); len(list) > 0 {
-		return Outcome{Outcome: NotInForce, Plan: con.Plan, Reason: ReasonStale, Conflicts: list}
+	if len(conflicts) > 0 {
+		return Outcome{Outcome: NotInForce, Plan: con.Plan, Reason: ReasonStale, Conflicts: conflicts}
 	}
 	return Outcome{Outcome: NotKnownYet, Plan: con.Plan, Detail: "no record of this plan has been read"}
 }
--- a/state/view.go
+++ b/state/view.go
@@ -105,11 +105,16 @@
 	return sto.fold.Plan(plan)
 }
 
-// Conflicts returns the objects that have changed since a plan was made.
-func (sto *Store) Conflicts(con Confirm) []Conflict {
+// Decide returns the confirm of a plan if the history still has it, and otherwise the objects that have changed since
+// the plan was made. Both come from one version: read one after the other, a plan that takes effect in between would
+// seem to conflict with itself.
+func (sto *Store) Decide(con Confirm) (past Past, known bool, conflicts []Conflict) {
 	sto.mu.RLock()
 	defer sto.mu.RUnlock()
-	return sto.fold.Conflicts(con)
+	if past, known = sto.fold.Plan(con.Plan); known {
+		return past, true, nil
+	}
+	return Past{}, false, sto.fold.Conflicts(con)
 }
 
 // Duty returns the last effective claim of a duty; its offset is 0 if there is none.
