Recognise a plan in force that the history no longer has

Cause: repeating a confirm after more than 100 others said not-in-force, with the plan's own change as the conflict.

Change: an object that carries the plan's ID proves that it took effect.

Conclusion: tested with 101 confirms in between.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -186,3 +186,22 @@
 	is.NoErr(err)
 	is.Equal(exp.Objects[0].Object.Operator, "olive")
 }
+
+// Guards against an operator who is told that a plan is not in force because the history no longer has it.
+func TestRepeatedConfirmOfOldPlan(t *testing.T) {
+	is := is.New(t)
+	_, addr := startLog(t)
+	cli := start(t, "e1", addr).client("operator-key-olive")
+	pla := declare(t, cli, "[upstream u1]\ndrained = true")
+	_, err := cli.Confirm(context.Background(), pla)
+	is.NoErr(err)
+	for num := range 101 {
+		other := declare(t, cli, fmt.Sprintf("[account a]\nlimit = %d", num+1))
+		_, err := cli.Confirm(context.Background(), other)
+		is.NoErr(err)
+	}
+	out, err := cli.Confirm(context.Background(), pla)
+	is.NoErr(err)
+	is.Equal(out.Outcome, admin.InForce)
+	is.Equal(out.Version, int64(1))
+}
--- a/admin/confirm.go
+++ b/admin/confirm.go
@@ -122,6 +122,11 @@
 		}
 		return out
 	}
+	for _, cfl := range conflicts {
+		if cfl.Plan == con.Plan { // The plan took effect, and the history no longer has it.
+			return Outcome{Outcome: InForce, Plan: con.Plan, Version: cfl.Version, Operator: cfl.Operator}
+		}
+	}
 	if len(conflicts) > 0 {
 		return Outcome{Outcome: NotInForce, Plan: con.Plan, Reason: ReasonStale, Conflicts: conflicts}
 	}
