--- a/entry/config.go
+++ b/entry/config.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/logsvc"
@@ -42,10 +44,12 @@
 	failed error // of the last read of the log
 }
 
-// newConfiguration follows the log at addr in grp. Without a log, the empty state is current until a peer has more.
+// newConfiguration follows the log in grp and competes for the duty of republishing the snapshot. Without a log,
+// the empty state is current until a peer has more.
 func newConfiguration(
-	grp *group.Group, addr string, clk *timer.Service, log logr.Logger, met *metric.Set,
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set,
 ) *configuration {
+	addr := config.PlatformLog.Of(set)
 	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met}
 	cfg.exchange = state.NewExchange(cfg.store, clk, cfg.beat)
 	grp.Go("announce configuration", func(ctx context.Context) error {
@@ -61,6 +65,17 @@
 		cfg.follow(ctx)
 		return nil
 	})
+	snp := duty.NewSnapshots(duty.Options{
+		Process: config.ProcessName.Of(set), Store: cfg.store, Clock: clk,
+		Append: func(ctx context.Context, raw []byte) error {
+			_, err := cfg.client.Append(ctx, state.Stream, raw)
+			return err
+		},
+	}, config.PlatformLogRetention.Of(set), log, met)
+	grp.Go("republish snapshot", func(ctx context.Context) error {
+		snp.Run(ctx)
+		return nil
+	})
 	return cfg
 }
 
@@ -109,13 +124,16 @@
 // follow reads the config stream until ctx ends.
 func (cfg *configuration) follow(ctx context.Context) {
 	scan := int64(1)
+	wait := time.Duration(0) // The first read returns at once, so that an empty stream is known to be empty.
 	for ctx.Err() == nil {
-		bat, err := cfg.client.Read(ctx, state.Stream, cfg.readFrom(scan), configPage, configPoll)
+		bat, err := cfg.client.Read(ctx, state.Stream, cfg.readFrom(scan), configPage, wait)
 		cfg.noteLog(err)
 		if err != nil {
+			wait = 0
 			_ = cfg.clock.Sleep(ctx, configRetry)
 			continue
 		}
+		wait = configPoll
 		cfg.take(bat)
 		if num := len(bat.Records); num > 0 {
 			scan = bat.Records[num-1].Offset + 1
@@ -195,3 +213,15 @@
 
 // Configuration returns the entry's configuration state.
 func (ent *Entry) Configuration() *state.Store { return ent.config.store }
+
+// Exchange returns what the entry knows of the configuration of other processes.
+func (ent *Entry) Exchange() *state.Exchange { return ent.config.exchange }
+
+// Upstreams calls fn with name and model of each connected agent.
+func (ent *Entry) Upstreams(fn func(name, serves string)) {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	for _, con := range ent.conns {
+		fn(con.Peer().Name, con.Peer().Serves)
+	}
+}
