Resolve the merge of routing and configuration in the entry

Change: the entry uses the route table together with the settings-based configuration follower; readiness needs both a usable agent and a state.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,8 +52,7 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
-<<<<<<< HEAD
-	ent.config = newConfiguration(grp, config.PlatformLog.Of(set), clk, log, ent.metrics)
+	ent.config = newConfiguration(grp, set, clk, log, ent.metrics)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
 		DataCentre:  config.ProcessDataCentre.Of(set),
@@ -62,9 +61,6 @@
 		Policy:      config.EntryPolicy.Of(set),
 	})
 	ent.budget = retry.NewBudget(config.EntryRetryFraction.Of(set), nil)
-=======
-	ent.config = newConfiguration(grp, set, clk, log, ent.metrics)
->>>>>>> state
 	ent.opts = link.Options{
 		Secret:  sec.Deployment(),
 		Clock:   clk,
@@ -87,15 +83,11 @@
 	}
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
-<<<<<<< HEAD
 		Models: ent.models,
 		Known: func(knd proto.UpstreamKind, name string) bool {
 			return ent.table.Known(route.Target{Kind: knd, Serves: name})
 		},
 		Ready: ent.Ready,
-=======
-		Models: ent.models, Ready: ent.Ready,
->>>>>>> state
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
@@ -111,13 +103,7 @@
 
 // Ready tells whether the balancer may send callers here: configuration is known and an agent can be given work.
 func (ent *Entry) Ready() bool {
-<<<<<<< HEAD
 	return ent.config.store.Ready() && ent.table.Ready()
-=======
-	ent.mu.Lock()
-	defer ent.mu.Unlock()
-	return len(ent.conns) > 0 && ent.config.store.Ready()
->>>>>>> state
 }
 
 // Metrics returns the entry's metrics.
