Select agents by rendezvous hashing over the VM list

Cause: an entry knew only the agents of its settings, so each entry had a connection to every agent, and an agent at a new address or one that was leaving needed new settings.

Ruled out: keeping each agent's ordered list of entries, which has to be recomputed when a ranked entry leaves. The number of entries that outrank this one is enough: a change costs one hash per process of the other role. A complete list without VMs after one with some is not adopted.

Change: vmlist (client), simvms (stand-in with lag, outages and forgotten history), member (ranks, sessions with bounded and jittered redial), entry/members.go, setting entry.entry-fanout, scenarios agent-leaves-list, agent-moves, entry-leaves and agent-drains.

Figures: with 20 entries and 480 agents every agent has exactly 4 entries, and no entry 160 or more connections (member test); before, 480 per entry by design.

--- a/cmd/tarragonwheel/scenario_http_test.go
+++ b/cmd/tarragonwheel/scenario_http_test.go
@@ -337,3 +337,31 @@
 	err = cal.check(scn, map[string]string{})
 	return string(cal.body), err
 }
+
+// listVM adds or changes a VM in a list: LIST NAME ROLE STATE [at=PROCESS]. The address is that of the process of the
+// same name unless another one is given.
+func listVM(scn *scenario, args []string) error {
+	words, opts := options(args)
+	if len(words) != 4 {
+		return errors.New("usage: vm LIST NAME entry|agent live|leaving|gone [at=PROCESS]")
+	}
+	addr, err := scn.address(take(opts, "at", words[1]))
+	if err != nil {
+		return err
+	}
+	list, err := scn.address(words[0])
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(map[string]string{
+		"name": words[1], "role": words[2], "state": words[3], "address": addr, "data-centre": "dc1",
+	})
+	if err != nil {
+		return err
+	}
+	cal, err := begin(http.MethodPost, "http://"+list+"/sim/vms", "", string(body))
+	if err != nil {
+		return err
+	}
+	return cal.check(scn, opts)
+}
--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -19,6 +19,7 @@
 	Engine *simEngineCommand `arg:"subcommand:engine" help:"model engine"`
 	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
 	Fault  *simFaultCommand  `arg:"subcommand:fault" help:"TCP proxy that injects faults"`
+	VMs    *simVMsCommand    `arg:"subcommand:vms" help:"list of VMs"`
 }
 
 type simLogCommand struct {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 			return nil
 		})
 	}
+	ent.startMembers(grp, set)
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
 	}
--- /dev/null
+++ b/simvms/list.go
@@ -0,0 +1,186 @@
+// Package simvms is a small stand-in for the platform's list of VMs, for tests, the demo and measurements.
+package simvms
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/timer"
+	"github.com/tarragonwheel/tarragonwheel/vmlist"
+)
+
+const (
+	historyLength = 10_000 // changes kept; a client that is further behind gets the whole list
+	maxWait       = 30 * time.Second
+	maxBody       = 1 << 20
+)
+
+// List is the stand-in. Its lag and outages can be switched at any time.
+type List struct {
+	clock *timer.Service
+
+	mu       sync.Mutex
+	vms      map[string]vmlist.VM
+	history  []vmlist.VM // states after each of the latest changes, the last of which made the present revision
+	revision int64
+	lag      time.Duration
+	down     bool
+	grown    chan struct{} // closed and replaced on each change
+}
+
+// New returns an empty List whose changes become visible after lag.
+func New(clk *timer.Service, lag time.Duration) *List {
+	return &List{clock: clk, lag: lag, vms: make(map[string]vmlist.VM), grown: make(chan struct{})}
+}
+
+// Set adds or changes a VM, or removes it if its state is vmlist.StateGone, after the present lag.
+func (lst *List) Set(mac vmlist.VM) {
+	lst.mu.Lock()
+	lag := lst.lag
+	lst.mu.Unlock()
+	if lag <= 0 {
+		lst.apply(mac)
+		return
+	}
+	lst.clock.After(lag, func() { lst.apply(mac) })
+}
+
+func (lst *List) apply(mac vmlist.VM) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	if mac.State == vmlist.StateGone {
+		delete(lst.vms, mac.Name)
+	} else {
+		lst.vms[mac.Name] = mac
+	}
+	lst.revision++
+	lst.history = append(lst.history, mac)
+	if len(lst.history) > historyLength {
+		lst.history = lst.history[1:]
+	}
+	lst.wake()
+}
+
+// SetLag changes the lag of later changes.
+func (lst *List) SetLag(lag time.Duration) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	lst.lag = lag
+}
+
+// SetDown starts or ends an outage.
+func (lst *List) SetDown(down bool) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	lst.down = down
+	lst.wake()
+}
+
+// Forget drops the history, so that the next query of each client is answered with the whole list.
+func (lst *List) Forget() {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	lst.history = nil
+	lst.revision++
+	lst.wake()
+}
+
+// wake ends the waits of all queries. The caller holds the lock.
+func (lst *List) wake() {
+	close(lst.grown)
+	lst.grown = make(chan struct{})
+}
+
+// since returns what a query is answered, whether the list is down, and a channel that is closed on the next change.
+func (lst *List) since(revision int64) (vmlist.Changes, bool, <-chan struct{}) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	chg := vmlist.Changes{Revision: lst.revision, VMs: []vmlist.VM{}}
+	behind := lst.revision - revision
+	if revision <= 0 || behind < 0 || behind > int64(len(lst.history)) {
+		chg.Complete = true
+		for _, mac := range lst.vms {
+			chg.VMs = append(chg.VMs, mac)
+		}
+	} else {
+		newest := make(map[string]vmlist.VM)
+		for _, mac := range lst.history[int64(len(lst.history))-behind:] {
+			newest[mac.Name] = mac
+		}
+		for _, mac := range newest {
+			chg.VMs = append(chg.VMs, mac)
+		}
+	}
+	sort.Slice(chg.VMs, func(one, two int) bool { return chg.VMs[one].Name < chg.VMs[two].Name })
+	return chg, lst.down, lst.grown
+}
+
+// Handler serves the list, and under /sim/ its content and faults: POST /sim/vms with a VM as JSON,
+// POST /sim/lag?value=DURATION, POST /sim/down?value=BOOL, POST /sim/forget.
+func (lst *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/vms", lst.query)
+	mux.HandleFunc("POST /sim/vms", func(rw http.ResponseWriter, req *http.Request) {
+		var mac vmlist.VM
+		err := json.NewDecoder(http.MaxBytesReader(rw, req.Body, maxBody)).Decode(&mac)
+		if err == nil && (mac.Name == "" || mac.State == "") {
+			err = trace.BadParameter("simvms: name and state are needed")
+		}
+		reply(rw, err, func() { lst.Set(mac) })
+	})
+	mux.HandleFunc("POST /sim/lag", func(rw http.ResponseWriter, req *http.Request) {
+		lag, err := time.ParseDuration(req.FormValue("value"))
+		reply(rw, err, func() { lst.SetLag(lag) })
+	})
+	mux.HandleFunc("POST /sim/down", func(rw http.ResponseWriter, req *http.Request) {
+		down, err := strconv.ParseBool(req.FormValue("value"))
+		reply(rw, err, func() { lst.SetDown(down) })
+	})
+	mux.HandleFunc("POST /sim/forget", func(http.ResponseWriter, *http.Request) { lst.Forget() })
+	return mux
+}
+
+func reply(rw http.ResponseWriter, err error, apply func()) {
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	apply()
+}
+
+func (lst *List) query(rw http.ResponseWriter, req *http.Request) {
+	revision, err := strconv.ParseInt(req.FormValue("since"), 10, 64)
+	if err != nil {
+		http.Error(rw, "since is not a number", http.StatusBadRequest)
+		return
+	}
+	wait, _ := time.ParseDuration(req.FormValue("wait")) // No wait if it is absent or malformed.
+	expired := make(chan struct{})
+	sub := lst.clock.After(min(wait, maxWait), func() { close(expired) })
+	defer sub.Stop()
+	for {
+		chg, down, grown := lst.since(revision)
+		if down {
+			http.Error(rw, "unavailable", http.StatusServiceUnavailable)
+			return
+		}
+		if chg.Complete || len(chg.VMs) > 0 || wait <= 0 {
+			rw.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(rw).Encode(chg)
+			return
+		}
+		select {
+		case <-grown:
+		case <-expired:
+			wait = 0
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
