Log the use of agents and keep retired connections retired

Cause: agent-leaves-list and entry-leaves each failed once in runs of the whole package. Both scripts waited for conditions that another process reached first, or that need not occur: the agent logs a connection before the entry uses it, a change of the list reaches the entry later, and an entry that reads both names at once never connects.

Keeper.Retired tells a retired connection, because such an agent still reports. A connection to a process of another name is reported Down as well.

--- a/member/keeper.go
+++ b/member/keeper.go
@@ -49,8 +49,9 @@
 
 	mu       sync.Mutex
 	ranks    *Ranks
-	sessions map[string]*session // by the agent's name
-	known    bool                // the list has been received
+	sessions map[string]*session     // by the agent's name
+	known    bool                    // the list has been received
+	retired  map[*link.Conn]struct{} // open, but without new work
 }
 
 // session is the connection to one agent at one address, which is redialled until the session is retired.
@@ -63,7 +64,7 @@
 func New(grp *group.Group, opts Options) *Keeper {
 	kpr := &Keeper{
 		opts: opts, grp: grp, ranks: NewRanks(opts.Self, opts.Fanout), sessions: make(map[string]*session),
-		dials: make(chan struct{}, dialLimit),
+		dials: make(chan struct{}, dialLimit), retired: make(map[*link.Conn]struct{}),
 	}
 	grp.Go("vm list", func(ctx context.Context) error {
 		kpr.follow(ctx)
@@ -79,6 +80,15 @@
 	return kpr.known
 }
 
+// Retired tells whether a connection is open only until its streams have ended. It must get no new work, even while
+// its agent still reports.
+func (kpr *Keeper) Retired(con *link.Conn) bool {
+	kpr.mu.Lock()
+	defer kpr.mu.Unlock()
+	_, yes := kpr.retired[con]
+	return yes
+}
+
 // follow asks for changes until ctx ends. The last list stays in force during an outage.
 func (kpr *Keeper) follow(ctx context.Context) {
 	revision, failures := int64(0), 0
@@ -181,6 +191,7 @@
 		kpr.opts.Metrics.Event(reasonNotSelf)
 		kpr.opts.Log.Info("member: another process answers", "agent", mac.Name, "peer", peer.Name)
 		con.Close()
+		kpr.opts.Down(con)
 		return nil
 	}
 	return con
@@ -189,14 +200,21 @@
 // use returns when the connection has ended. After ctx has ended it gets no new work, and is closed once its streams
 // have ended.
 func (kpr *Keeper) use(ctx context.Context, con *link.Conn) {
+	log := kpr.opts.Log.WithValues("agent", con.Peer().Name)
 	kpr.opts.Up(con)
+	log.Info("member: agent connected")
 	select {
 	case <-con.Done():
 		kpr.opts.Down(con)
+		log.Info("member: agent connection lost")
 		return
 	case <-ctx.Done():
 	}
+	kpr.mu.Lock()
+	kpr.retired[con] = struct{}{}
+	kpr.mu.Unlock()
 	kpr.opts.Down(con)
+	log.Info("member: agent retired, no new work")
 	// The first pause also covers a stream that is being opened on a connection chosen just before Down.
 	for kpr.opts.Clock.Sleep(kpr.grp.Context(), retireCheck) == nil {
 		if con.OpenStreams() == 0 {
@@ -204,4 +222,8 @@
 		}
 	}
 	con.Close()
+	kpr.opts.Down(con)
+	kpr.mu.Lock()
+	delete(kpr.retired, con)
+	kpr.mu.Unlock()
 }
