--- a/entry/members.go
+++ b/entry/members.go
@@ -16,7 +16,7 @@
 	if addr == "" {
 		return
 	}
-	member.New(grp, member.Options{
+	ent.members.Store(member.New(grp, member.Options{
 		Self:    config.ProcessName.Of(set),
 		Fanout:  config.EntryFanout.Of(set),
 		Static:  config.EntryAgents.Of(set),
@@ -27,23 +27,13 @@
 		Dial: func(ctx context.Context, addr string) (*link.Conn, error) {
 			return link.Dial(ctx, addr, ent.opts)
 		},
-		Up:   ent.addMember,
-		Down: ent.dropMember,
-	})
+		Up:   ent.attach,
+		Down: ent.detach,
+	}))
 }
 
-// addMember makes a connection available for new work.
-func (ent *Entry) addMember(con *link.Conn) {
-	ent.mu.Lock()
-	defer ent.mu.Unlock()
-	ent.conns[con.Peer().Name] = con
-}
-
-// dropMember ends new work on a connection. Streams that are open on it go on.
-func (ent *Entry) dropMember(con *link.Conn) {
-	ent.mu.Lock()
-	defer ent.mu.Unlock()
-	if ent.conns[con.Peer().Name] == con {
-		delete(ent.conns, con.Peer().Name)
-	}
+// retired tells whether a connection gets no new work any more, although its agent may still report.
+func (ent *Entry) retired(con *link.Conn) bool {
+	kpr := ent.members.Load()
+	return kpr != nil && kpr.Retired(con)
 }
