--- a/entry/dial.go
+++ b/entry/dial.go
@@ -40,7 +40,7 @@
 func (ent *Entry) attach(con *link.Conn) {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
-	if con.Err() != nil || ent.conns[con.Peer().Name] == con {
+	if con.Err() != nil || ent.retired(con) || ent.conns[con.Peer().Name] == con {
 		return
 	}
 	ent.conns[con.Peer().Name] = con
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -19,6 +20,7 @@
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/member"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/retry"
@@ -43,6 +45,8 @@
 	config *configuration
 	budget *retry.Budget
 
+	members atomic.Pointer[member.Keeper] // nil without a VM list
+
 	mu    sync.Mutex
 	conns map[string]*link.Conn // by the agent's name
 }
@@ -81,6 +85,7 @@
 			return nil
 		})
 	}
+	ent.startMembers(grp, set)
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
 		Models: ent.models,
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/member"
+	"github.com/tarragonwheel/tarragonwheel/vmlist"
+)
+
+// startMembers keeps connections to the agents that the VM list assigns to this entry, if there is a VM list.
+func (ent *Entry) startMembers(grp *group.Group, set *config.Settings) {
+	addr := config.PlatformVMs.Of(set)
+	if addr == "" {
+		return
+	}
+	ent.members.Store(member.New(grp, member.Options{
+		Self:    config.ProcessName.Of(set),
+		Fanout:  config.EntryFanout.Of(set),
+		Static:  config.EntryAgents.Of(set),
+		Clock:   ent.clock,
+		Log:     ent.log,
+		Metrics: ent.metrics,
+		Query:   vmlist.New(addr).Since,
+		Dial: func(ctx context.Context, addr string) (*link.Conn, error) {
+			return link.Dial(ctx, addr, ent.opts)
+		},
+		Up:   ent.attach,
+		Down: ent.detach,
+	}))
+}
+
+// retired tells whether a connection gets no new work any more, although its agent may still report.
+func (ent *Entry) retired(con *link.Conn) bool {
+	kpr := ent.members.Load()
+	return kpr != nil && kpr.Retired(con)
+}
