Check for a drain after an attempt is registered

Cause: an attempt that was checked just before Drain and registered just after it was not counted, so Drain could return while a call on a plain service began. Ruled out: holding the agent's lock over the whole decision, which the queue's own lock would then nest in. Change: the check follows the registration. Conclusion: Drain either waits for an attempt or makes it refuse. No test reaches the interval between the two lines.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -41,14 +41,15 @@
 }
 
 func (agt *Agent) run(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
-	if agt.config.drained() || agt.stopping() {
-		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
-	}
 	id := msg.Attempt.String()
 	if !agt.register(id) {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDuplicate}
 	}
 	defer agt.unregister(id)
+	// Checked after registration, so that Drain either waits for this attempt or makes it refuse.
+	if agt.config.drained() || agt.stopping() {
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
+	}
 	if agt.plain != nil {
 		return agt.runPlain(ctx, str, msg)
 	}
