Measure due order without headroom

Cause: the first measurement changed due order and headroom together. Change: the benchmark runs a third setting, short-bias 8 with short-headroom 0. This load leaves 9,800 tokens free beside the long requests, so it does not show what headroom does when memory is full; that remains to be measured.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -15,6 +15,9 @@
 	b.Run("first-come-first-served", func(b *testing.B) {
 		benchmarkMix(b, "short-bias = 0\nshort-headroom = 0\n")
 	})
+	b.Run("due-order-alone", func(b *testing.B) {
+		benchmarkMix(b, "short-bias = 8\nshort-headroom = 0\n")
+	})
 	b.Run("due-order-and-headroom", func(b *testing.B) {
 		benchmarkMix(b, "short-bias = 8\nshort-headroom = 0.1\n")
 	})
