--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,69 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/simeng"
+)
+
+// BenchmarkPath compares requests through entry and agent with requests to the engine stand-in itself. The engine's
+// own time is negligible here, so that the difference is what entry and agent add. Bytes per request count all
+// processes, since they share the benchmark's.
+func BenchmarkPath(b *testing.B) {
+	mdl := simeng.DefaultModel("m")
+	mdl.TotalTokens, mdl.PrefillRate, mdl.ChunkTokens = 4_000_000, 1e9, 4_000_000
+	mdl.StepBase = time.Microsecond
+	eng, agt := startEngine(b, "a1", mdl)
+	_, base := startServing(b, "", agt)
+	for _, size := range []int{4 << 10, 4 << 20} {
+		body := `{"model":"m","max_tokens":1,"prompt":"` + strings.Repeat("word ", size/5) + `"}`
+		for _, way := range []struct{ name, url string }{{"direct", "http://" + eng}, {"entry", base}} {
+			b.Run(fmt.Sprintf("%s/bytes=%d", way.name, size), func(b *testing.B) {
+				measure(b, way.url+"/v1/completions", body)
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, url, body string) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	took := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for range b.N {
+		start := time.Now()
+		post(b, url, body)
+		took = append(took, time.Since(start))
+	}
+	b.StopTimer()
+	runtime.ReadMemStats(&after)
+	slices.Sort(took)
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(b.N), "alloc-B/op")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+}
+
+func post(b *testing.B, url, body string) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+accountKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		b.Fatalf("status %d, %v: %s", resp.StatusCode, err, text)
+	}
+}
