Test that a stream that cannot resume fails clearly

Cause: only the successful resumption was tested. Ruled out: nothing. Change: a test with an agent that refuses to resume. Conclusion: the caller gets the whole events, then an error and no [DONE].

--- /dev/null
+++ b/entry/broken_test.go
@@ -0,0 +1,36 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sashabaranov/go-openai"
+
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// Guards against a stream that cannot resume looking complete, and against part of an event reaching the caller.
+func TestStreamThatCannotResumeFailsClearly(t *testing.T) {
+	is := is.New(t)
+	agt := fakeAgent(t, proto.UpstreamEngine, func(str *link.Stream, msg proto.Open) {
+		if msg.ResumeFrom > 0 {
+			_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeNotRun, Reason: "prompt-too-long"})
+			return
+		}
+		_ = str.Send(proto.KindAccept, proto.Accept{})
+		hdr := map[string]string{"Content-Type": "text/event-stream"}
+		_ = str.Send(proto.KindHead, proto.Head{Status: 200, Header: hdr})
+		_, _ = str.Write([]byte("data: {\"choices\":[{\"text\":\"one\"}]}\n\ndata: {\"choi"))
+		_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeFailed, Reason: "engine-failed"})
+	})
+	_, base := startServing(t, "", agt)
+	str, err := stockClient(base).CreateCompletionStream(context.Background(), openai.CompletionRequest{
+		Model: "m", Prompt: "hello", Stream: true,
+	})
+	is.NoErr(err)
+	got, err := readStream(str, func(int) {})
+	is.Equal(got, "one")
+	is.True(err != nil) // neither an orderly end nor part of an event
+}
