Send the heartbeats of a process from one timer and encode them once

Cause: an idle entry with 96 connections, its number at the target's size, took 25 mCPU and, with a report of 129 B a second from each agent, more than the 7 KB/s that control may cost. Each connection had a timer of its own and encoded the same message; each frame was encoded twice, payload first; reports carried zero values and the names of all entries.

Ruled out: a longer heartbeat interval, since a silent agent must lose its new work within 3 s; fewer connections per agent, since fewer entries could then lose sight of it.

Change: link.Pulse sends for all connections of a process; proto.Encode writes the payload in place; report fields are omitted when zero; reports list the entries' versions every 5 s and on change.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -135,7 +135,7 @@
 		Clock:   agt.clock,
 		Metrics: agt.metrics,
 		Log:     agt.log,
-		Beat:    func() (proto.Kind, any) { return proto.KindReport, agt.report() },
+		Pulse: link.NewPulse(grp, agt.clock, func() (proto.Kind, any) { return proto.KindReport, agt.report() }),
 		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
 	}
--- a/agent/config.go
+++ b/agent/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -16,6 +18,9 @@
 // ReasonDraining refuses new work on an upstream that configuration drains.
 const ReasonDraining = "draining"
 
+// entriesInterval is the time between two reports that carry the entries' versions while nothing changes.
+const entriesInterval = 5 * time.Second
+
 // configuration keeps the agent's state level with its entries, and relays it to entries that are behind.
 type configuration struct {
 	store    *state.Store
@@ -23,13 +28,18 @@
 	name     string
 	log      logr.Logger
 	metrics  *metric.Set
+	clock    *timer.Service
+
+	mu     sync.Mutex
+	listed time.Time // when a report last carried the entries' versions
+	sent   int64     // own version in that report
 }
 
 // newConfiguration announces each change in grp, with the message that report returns.
 func newConfiguration(
 	grp *group.Group, name string, report func() proto.Report, clk *timer.Service, log logr.Logger, met *metric.Set,
 ) *configuration {
-	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met}
+	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met, clock: clk}
 	cfg.exchange = state.NewExchange(cfg.store, clk, func() (proto.Kind, any) { return proto.KindReport, report() })
 	grp.Go("announce configuration", func(ctx context.Context) error {
 		for {
@@ -51,11 +61,27 @@
 // fill adds the configuration's part to a report.
 func (cfg *configuration) fill(rep proto.Report) proto.Report {
 	rep.StateVersion = cfg.store.Version()
-	rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+	if cfg.listsEntries(rep.StateVersion) {
+		rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+	}
 	rep.Draining = rep.Draining || cfg.drained()
 	return rep
 }
 
+// listsEntries tells whether a report carries the versions of the entries. Only operators read them, and they are the
+// larger part of an idle agent's report.
+func (cfg *configuration) listsEntries(version int64) bool {
+	cfg.mu.Lock()
+	defer cfg.mu.Unlock()
+	now := cfg.clock.Now()
+	if version == cfg.sent && now.Sub(cfg.listed) < entriesInterval {
+		return false
+	}
+	cfg.sent = version
+	cfg.listed = now
+	return true
+}
+
 // onFrame takes the versions in heartbeats, and state messages.
 func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
 	per := state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
--- a/cmd/tarragonwheel/idle_test.go
+++ b/cmd/tarragonwheel/idle_test.go
@@ -71,7 +71,8 @@
 	for role, list := range names {
 		after, num := total(b, scn, list), float64(len(list))
 		sec := idleWindow.Seconds()
-		b.ReportMetric((after.sent-before[role].sent)/sec/num, role+"-B/s")
+		b.ReportMetric((after.sent-before[role].sent)/sec/num, role+"-sent-B/s")
+		b.ReportMetric((after.received-before[role].received)/sec/num, role+"-received-B/s")
 		b.ReportMetric((after.ticks-before[role].ticks)/ticksPerCore/sec/num*1000, role+"-mCPU")
 		b.ReportMetric(after.resident/num/1024, role+"-MiB")
 		b.ReportMetric(float64(sessions)/num, role+"-conns")
@@ -88,11 +89,12 @@
 	return sum
 }
 
-// usage sums over processes: bytes written, CPU time in clock ticks, and resident memory in KiB.
-type usage struct{ sent, ticks, resident float64 }
+// usage sums over processes: bytes written and read, CPU time in clock ticks, and resident memory in KiB.
+type usage struct{ sent, received, ticks, resident float64 }
 
 var (
 	writtenBytes = regexp.MustCompile(`wchar: (\d+)`)
+	readBytes    = regexp.MustCompile(`rchar: (\d+)`)
 	residentSize = regexp.MustCompile(`VmRSS:\s+(\d+)`)
 )
 
@@ -114,6 +116,7 @@
 			return num
 		}
 		sum.sent += number(writtenBytes.FindStringSubmatch(read("io"))[1])
+		sum.received += number(readBytes.FindStringSubmatch(read("io"))[1])
 		sum.resident += number(residentSize.FindStringSubmatch(read("status"))[1])
 		stat := read("stat")
 		fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,7 +71,7 @@
 		Metrics: ent.metrics,
 		Log:     log,
 		OnFrame: ent.onFrame,
-		Beat:    ent.config.beat,
+		Pulse:   link.NewPulse(grp, clk, ent.config.beat),
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
--- a/link/conn.go
+++ b/link/conn.go
@@ -50,8 +50,10 @@
 	Metrics *metric.Set
 	Log     logr.Logger
 
-	// Beat returns the heartbeat message of this process.
-	Beat func() (proto.Kind, any)
+	// Pulse sends the heartbeats of all connections of the process. If it is nil, a connection has one of its own with
+	// the message that Beat returns.
+	Pulse *Pulse
+	Beat  func() (proto.Kind, any)
 	// OnFrame receives each frame that belongs to the connection rather than to a stream. It must not block.
 	OnFrame func(con *Conn, frm proto.Frame)
 	// OnOpen receives each stream that the peer opens, on its own goroutine.
@@ -89,8 +91,12 @@
 	}
 	sock.SetReadLimit(maxFrameBytes)
 	con.lastIn.Store(opts.Clock.Now().UnixNano())
-	beat := opts.Clock.Every(HeartbeatInterval, con.heartbeat)
-	con.grp.OnStop(beat.Stop)
+	pls := opts.Pulse
+	if pls == nil {
+		pls = NewPulse(con.grp, opts.Clock, opts.Beat)
+	}
+	pls.add(con)
+	con.grp.OnStop(func() { pls.remove(con) })
 	con.grp.OnStop(func() { _ = sock.CloseNow() })
 	con.grp.OnStop(con.endStreams)
 	con.grp.Go("read", con.readLoop)
@@ -169,20 +175,6 @@
 	}
 }
 
-func (con *Conn) heartbeat() {
-	silent := con.opts.Clock.Now().UnixNano() - con.lastIn.Load()
-	if time.Duration(silent) > SilenceLimit {
-		con.opts.Log.Info("link: peer is silent, closing", "peer", con.peer.Name)
-		con.opts.Metrics.Event("peer-silent")
-		go con.Close()
-		return
-	}
-	knd, msg := con.opts.Beat()
-	if err := con.Send(knd, msg); err != nil {
-		con.opts.Log.V(1).Info("link: heartbeat not sent", "peer", con.peer.Name, "error", err.Error())
-	}
-}
-
 func (con *Conn) writeLoop(ctx context.Context) error {
 	for {
 		raw, err := con.nextOut(ctx)
--- a/proto/frame.go
+++ b/proto/frame.go
@@ -82,16 +82,21 @@
 	return mode
 }
 
+// outgoing has the encoding of a Frame. Its payload is encoded in place, which saves a copy of each body.
+type outgoing struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint8
+	Kind    Kind
+	Stream  uint64
+	Payload any
+}
+
 // Encode returns the bytes of a frame that carries msg.
 func Encode(knd Kind, stream uint64, msg any) ([]byte, error) {
-	payload, err := encMode.Marshal(msg)
+	raw, err := encMode.Marshal(outgoing{Version: Version, Kind: knd, Stream: stream, Payload: msg})
 	if err != nil {
 		return nil, fmt.Errorf("proto: encode %s: %w", knd, err)
 	}
-	raw, err := encMode.Marshal(Frame{Version: Version, Kind: knd, Stream: stream, Payload: payload})
-	if err != nil {
-		return nil, fmt.Errorf("proto: encode frame: %w", err)
-	}
 	return raw, nil
 }
 
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -135,15 +135,15 @@
 
 // Report is an agent's load and state, sent every heartbeat interval and on change.
 type Report struct {
-	Queued        int           `cbor:"1,keyasint"` // requests waiting
-	Running       int           `cbor:"2,keyasint"`
-	QueuedPrefill time.Duration `cbor:"3,keyasint"` // predicted prefill work ahead of a new request
-	FreeTokens    int           `cbor:"4,keyasint"` // KV memory not reserved
-	TotalTokens   int           `cbor:"5,keyasint"`
-	PrefillRate   float64       `cbor:"6,keyasint"` // observed tokens per second
+	Queued        int           `cbor:"1,keyasint,omitempty"` // requests waiting
+	Running       int           `cbor:"2,keyasint,omitempty"`
+	QueuedPrefill time.Duration `cbor:"3,keyasint,omitempty"` // predicted prefill work ahead of a new request
+	FreeTokens    int           `cbor:"4,keyasint,omitempty"` // KV memory not reserved
+	TotalTokens   int           `cbor:"5,keyasint,omitempty"`
+	PrefillRate   float64       `cbor:"6,keyasint,omitempty"` // observed tokens per second
 	Draining      bool          `cbor:"7,keyasint,omitempty"`
-	Healthy       bool          `cbor:"8,keyasint"` // the upstream answers
-	StateVersion  int64         `cbor:"9,keyasint"`
+	Healthy       bool          `cbor:"8,keyasint,omitempty"` // the upstream answers
+	StateVersion  int64         `cbor:"9,keyasint,omitempty"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 }
