--- a/cmd/tarragonwheel/idle_test.go
+++ b/cmd/tarragonwheel/idle_test.go
@@ -29,56 +29,92 @@
 	}
 }
 
-func measureIdle(b *testing.B, entries, agents int) {
+// fleet is a scenario without a script, for benchmarks.
+type fleet struct {
+	*scenario
+	b     *testing.B
+	names map[string][]string // by role
+}
+
+// newFleet starts a VM list. Its processes end with the benchmark.
+func newFleet(b *testing.B) *fleet {
+	b.Helper()
 	scn := &scenario{dir: b.TempDir(), processes: make(map[string]*process), addresses: make(map[string]string)}
-	defer func() {
+	flt := &fleet{scenario: scn, b: b, names: make(map[string][]string)}
+	b.Cleanup(func() {
 		for _, prc := range scn.processes {
 			_ = prc.cmd.Process.Kill()
 			<-prc.done
 		}
-	}()
-	run := func(line string) {
-		words := strings.Fields(line)
-		if err := commands[words[0]](scn, words[1:]); err != nil {
-			b.Fatal(err)
-		}
-	}
+	})
 	if err := os.WriteFile(filepath.Join(scn.dir, "secrets.ini"), []byte(scenarioSecrets), 0o600); err != nil {
 		b.Fatal(err)
 	}
-	run("vms V")
-	run("engine E1 listing-text")
-	names := map[string][]string{}
-	start := func(role, rest string, count int) {
-		for num := range count {
-			name := fmt.Sprintf("%s-%d", role, num)
-			run(fmt.Sprintf(rest, name))
-			run(fmt.Sprintf("vm V %s %s live", name, role))
-			names[role] = append(names[role], name)
-		}
+	flt.run("vms V")
+	return flt
+}
+
+// run executes one line of the scenario language.
+func (flt *fleet) run(format string, args ...any) {
+	flt.b.Helper()
+	words := strings.Fields(fmt.Sprintf(format, args...))
+	if err := commands[words[0]](flt.scenario, words[1:]); err != nil {
+		flt.b.Fatal(err)
 	}
-	start("entry", "entry %s dc1 vms=V", entries)
-	start("agent", "agent %s listing-text dc1 engine=E1", agents)
-	sessions := 4 * agents
-	for end := time.Now().Add(settleTimeout); countConnected(scn, names["agent"]) != sessions; {
+}
+
+// launch starts a process with the line of the scenario language, and lists its VM.
+func (flt *fleet) launch(role, name, format string, args ...any) {
+	flt.run(format, args...)
+	flt.run("vm V %s %s live", name, role)
+	flt.names[role] = append(flt.names[role], name)
+}
+
+// waitConnected waits until the agents hold so many connections in all.
+func (flt *fleet) waitConnected(sessions int) {
+	for end := time.Now().Add(settleTimeout); countConnected(flt.scenario, flt.names["agent"]) != sessions; {
 		if time.Now().After(end) {
-			b.Fatalf("%d connections, want %d", countConnected(scn, names["agent"]), sessions)
+			flt.b.Fatalf("%d connections, want %d", countConnected(flt.scenario, flt.names["agent"]), sessions)
 		}
 		time.Sleep(pollInterval * 20)
 	}
-	before := map[string]usage{"entry": total(b, scn, names["entry"]), "agent": total(b, scn, names["agent"])}
-	time.Sleep(idleWindow)
-	for role, list := range names {
-		after, num := total(b, scn, list), float64(len(list))
-		sec := idleWindow.Seconds()
-		b.ReportMetric((after.sent-before[role].sent)/sec/num, role+"-sent-B/s")
-		b.ReportMetric((after.received-before[role].received)/sec/num, role+"-received-B/s")
-		b.ReportMetric((after.ticks-before[role].ticks)/ticksPerCore/sec/num*1000, role+"-mCPU")
-		b.ReportMetric(after.resident/num/1024, role+"-MiB")
-		b.ReportMetric(float64(sessions)/num, role+"-conns")
+}
+
+// measure runs fn and reports the mean use of each role's processes meanwhile.
+func (flt *fleet) measure(fn func()) {
+	before := make(map[string]usage)
+	for role, list := range flt.names {
+		before[role] = total(flt.b, flt.scenario, list)
+	}
+	start := time.Now()
+	fn()
+	sec := time.Since(start).Seconds()
+	for role, list := range flt.names {
+		after, num := total(flt.b, flt.scenario, list), float64(len(list))
+		flt.b.ReportMetric((after.sent-before[role].sent)/sec/num, role+"-sent-B/s")
+		flt.b.ReportMetric((after.received-before[role].received)/sec/num, role+"-received-B/s")
+		flt.b.ReportMetric((after.ticks-before[role].ticks)/ticksPerCore/sec/num*1000, role+"-mCPU")
+		flt.b.ReportMetric(after.resident/num/1024, role+"-MiB")
 	}
 }
 
+func measureIdle(b *testing.B, entries, agents int) {
+	flt := newFleet(b)
+	flt.run("engine E1 listing-text")
+	for num := range entries {
+		name := fmt.Sprintf("entry-%d", num)
+		flt.launch("entry", name, "entry %s dc1 vms=V", name)
+	}
+	for num := range agents {
+		name := fmt.Sprintf("agent-%d", num)
+		flt.launch("agent", name, "agent %s listing-text dc1 engine=E1", name)
+	}
+	sessions := 4 * agents
+	flt.waitConnected(sessions)
+	flt.measure(func() { time.Sleep(idleWindow) })
+	b.ReportMetric(float64(sessions)/float64(entries), "entry-conns")
+}
+
 // countConnected returns how many connections the agents hold.
 func countConnected(scn *scenario, agents []string) int {
 	sum := 0
