once: spread the keys of a service over slots

Cause: every agent of a service followed one stream and held all keys. At 430 calls a second that is 162 kB/s read (as the log encodes it) and 120 MB in a window of 10 minutes per agent, against 7 KB/s and 32 MB.

Change: the key's hash names a slot with a stream once-SERVICE-SLOT. An agent follows a slot from its first call on and stops when the slot had no call for longer than the window; the next call reads on from there before anything is decided. Batches of the slots are appended in turn within one append-rate. The memory for answers is one pool over all slots. When one stream has lost records, all slots refuse.

Ruled out: 64 slots as the default.

Conclusion: read volume and keys follow an agent's share of the calls.

--- a/agent/plain_once.go
+++ b/agent/plain_once.go
@@ -30,6 +30,7 @@
 	cli := logsvc.New(addr)
 	agt.once = once.New(grp, once.Options{
 		Service:      config.AgentServes.Of(set),
+		Slots:        config.OnceSlots.Of(set),
 		AppendRate:   config.OnceAppendRate.Of(set),
 		RecordLimit:  config.OnceRecordLimit.Of(set),
 		Window:       config.OnceWindow.Of(set),
--- a/config/keys_once.go
+++ b/config/keys_once.go
@@ -2,12 +2,16 @@
 
 import "time"
 
-// Keys of at-most-once execution at an agent beside a plain service.
+// Keys of at-most-once execution of calls of plain services.
 var (
 	OnceAppendRate = floatKey(definition{
 		section: "once", name: "append-rate", unit: "appends per second", fallback: "20",
-		help: "most appends a second that this agent makes to the log; calls wait up to the reciprocal for a batch",
+		help: "most appends a second that this agent makes to the log, over all slots",
 	}, 0.1, 1000)
+	OnceSlots = intKey(definition{
+		section: "once", name: "slots", fallback: "16",
+		help: "streams over which a service's keys are spread; the same at all entries and agents, see AT-MOST-ONCE.md",
+	}, 1, 4096)
 	OnceRecordLimit = durationKey(definition{
 		section: "once", name: "record-limit", fallback: "2s",
 		help: "longest time that a call waits to be recorded before it is refused",
--- a/logsvc/client.go
+++ b/logsvc/client.go
@@ -19,7 +19,7 @@
 const (
 	callLimit  = 5 * time.Second
 	maxAnswer  = 64 << 20
-	idleConns  = 16
+	idleConns  = 128 // an agent has a waiting read for each slot of package once that it follows
 	streamPath = "/v1/streams/"
 )
 
--- a/once/commit.go
+++ b/once/commit.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
-
-	"github.com/gravitational/trace"
 )
 
 const (
@@ -18,132 +15,110 @@
 	flushLimit    = 2 * time.Second
 )
 
-// enqueue adds an item to the next batch. The caller holds the lock.
-func (rec *Recorder) enqueue(itm item) {
-	rec.queue = append(rec.queue, itm)
-	rec.notify()
-}
-
-func (rec *Recorder) notify() {
+// list puts a slot at the end of the slots with queued items.
+func (rec *Recorder) list(slt *slot) {
+	rec.mu.Lock()
+	rec.pending = append(rec.pending, slt)
+	rec.mu.Unlock()
 	select {
 	case rec.wake <- struct{}{}:
 	default:
 	}
 }
 
-// dropQueued removes a start that no batch has taken yet. The caller holds the lock.
-func (rec *Recorder) dropQueued(seq uint64) {
-	rec.queue = slices.DeleteFunc(rec.queue, func(itm item) bool { return itm.Kind == itemStart && itm.Seq == seq })
+// nextSlot returns the slot that has waited longest for its next batch, or nil.
+func (rec *Recorder) nextSlot() *slot {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if len(rec.pending) == 0 {
+		return nil
+	}
+	slt := rec.pending[0]
+	rec.pending = rec.pending[1:]
+	return slt
 }
 
-// commitLoop appends what is queued, at most at the set rate. On a planned stop it appends the ends of calls.
+// commitLoop appends what is queued, at most at the set rate over all slots, one batch of one slot at a time. On a
+// planned stop it appends the ends of calls.
 func (rec *Recorder) commitLoop(ctx context.Context) error {
-	clk := rec.opts.Clock
 	interval := time.Duration(float64(time.Second) / rec.opts.AppendRate)
-	slots := make(chan struct{}, maxInFlight)
+	room := make(chan struct{}, maxInFlight)
 	for {
 		select {
 		case <-rec.wake:
 		case <-ctx.Done():
-			rec.flush(ctx, slots)
-			return nil
 		}
-		items := rec.take()
-		if len(items) == 0 {
-			continue
+		for slt := rec.nextSlot(); slt != nil && ctx.Err() == nil; slt = rec.nextSlot() {
+			if rec.commit(ctx, slt, room) {
+				_ = rec.opts.Clock.Sleep(ctx, interval)
+			}
 		}
-		select {
-		case slots <- struct{}{}:
-		case <-ctx.Done():
-			rec.requeue(items)
-			rec.flush(ctx, slots)
+		if ctx.Err() != nil {
+			rec.flush(ctx, room)
 			return nil
 		}
-		rec.grp.Go("append", func(ctx context.Context) error {
-			rec.append(ctx, items)
-			<-slots
-			return nil
-		})
-		_ = clk.Sleep(ctx, interval)
 	}
 }
 
-// take returns the items of the next batch.
-func (rec *Recorder) take() []item {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	size, count := 0, 0
-	for count < len(rec.queue) && count < rec.opts.BatchItems && size < maxBatchBytes {
-		size += itemBytes
-		if ans := rec.queue[count].Answer; ans != nil {
-			size += len(ans.Body) + len(ans.ContentType)
-		}
-		count++
+// commit starts to append the slot's next batch. It returns false if there is none.
+func (rec *Recorder) commit(ctx context.Context, slt *slot, room chan struct{}) bool {
+	items := slt.take()
+	if len(items) == 0 {
+		return false
 	}
-	items := rec.queue[:count:count]
-	rec.queue = rec.queue[count:]
-	if len(rec.queue) > 0 {
-		rec.notify()
+	select {
+	case room <- struct{}{}:
+	case <-ctx.Done():
+		slt.requeue(items)
+		return false
 	}
-	return items
+	rec.grp.Go("append", func(ctx context.Context) error {
+		rec.append(ctx, slt, items)
+		<-room
+		return nil
+	})
+	return true
 }
 
-func (rec *Recorder) append(ctx context.Context, items []item) {
-	err := rec.write(ctx, items)
+func (rec *Recorder) append(ctx context.Context, slt *slot, items []item) {
+	err := rec.write(ctx, slt, items)
 	if err == nil {
 		rec.opts.Metrics.Event("once-append")
 		return
 	}
 	rec.opts.Metrics.Event("once-append-failed")
-	rec.opts.Log.V(1).Info("once: append failed", "stream", rec.stream, "error", err.Error())
+	rec.opts.Log.V(1).Info("once: append failed", "stream", slt.stream, "error", err.Error())
 	_ = rec.opts.Clock.Sleep(ctx, failureDelay)
-	rec.requeue(items)
+	slt.requeue(items)
 }
 
-func (rec *Recorder) write(ctx context.Context, items []item) error {
+func (rec *Recorder) write(ctx context.Context, slt *slot, items []item) error {
 	raw, err := batch{Writer: rec.writer, Items: items}.encode()
 	if err != nil {
 		return err
 	}
-	if _, err := rec.opts.Append(ctx, rec.stream, raw); err != nil {
+	if _, err := rec.opts.Append(ctx, slt.stream, raw); err != nil {
 		return fmt.Errorf("once: append batch: %w", err)
 	}
 	return nil
 }
 
-// requeue takes back the items of a batch that failed. The batch may have been written all the same, so items have the
-// same effect when they are read twice. A start whose call has been given up is not written again.
-func (rec *Recorder) requeue(items []item) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	kept := make([]item, 0, len(items)+len(rec.queue))
-	for _, itm := range items {
-		cal := rec.calls[itm.Key]
-		if itm.Kind != itemStart || (cal != nil && cal.seq == itm.Seq) {
-			kept = append(kept, itm)
-		}
-	}
-	rec.queue = append(kept, rec.queue...)
-	rec.notify()
-}
-
 // flush appends the ends of calls that are not recorded when the group stops. The appends in flight end first, since
 // they return what they could not write to the queue.
-func (rec *Recorder) flush(ctx context.Context, slots chan struct{}) {
+func (rec *Recorder) flush(ctx context.Context, room chan struct{}) {
 	for range maxInFlight {
-		slots <- struct{}{}
-	}
-	rec.mu.Lock()
-	rec.ended = true
-	items := slices.DeleteFunc(rec.queue, func(itm item) bool { return itm.Kind == itemStart })
-	rec.queue = nil
-	rec.mu.Unlock()
-	if len(items) == 0 {
-		return
+		room <- struct{}{}
 	}
 	lim, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
 	defer cancel()
-	if err := rec.write(lim, items); err != nil && !trace.IsLimitExceeded(err) {
-		rec.opts.Log.Info("once: ends of calls not recorded", "count", len(items), "error", err.Error())
+	for _, slt := range rec.slots {
+		items := slt.end()
+		if len(items) == 0 {
+			continue
+		}
+		if err := rec.write(lim, slt, items); err != nil {
+			rec.opts.Log.Info("once: ends of calls not recorded", "stream", slt.stream, "count", len(items),
+				"error", err.Error())
+		}
 	}
 }
--- a/once/conduct.go
+++ b/once/conduct.go
@@ -8,35 +8,35 @@
 )
 
 // conduct records a call, runs it if it owns its key, and records its end.
-func (rec *Recorder) conduct(ctx context.Context, cal *call, rqs Request, run Run) {
-	clk := rec.opts.Clock
+func (slt *slot) conduct(ctx context.Context, cal *call, rqs Request, run Run) {
+	clk := slt.rec.opts.Clock
 	// A deadline beyond half the window would let a paused owner run a key that others have forgotten.
-	latest := clk.Now().Add(rec.opts.Window / 2)
+	latest := clk.Now().Add(slt.rec.opts.Window / 2)
 	if rqs.Deadline.After(latest) {
 		rqs.Deadline = latest
 	}
 	ctx, cancel := clk.WithTimeout(ctx, rqs.Deadline.Sub(clk.Now()))
 	defer cancel()
-	owns, decided := rec.await(ctx, cal)
+	owns, decided := slt.await(ctx, cal)
 	switch {
-	case !decided && rec.passed(rqs.Deadline):
-		rec.close(cal, Result{Outcome: proto.OutcomeNotRun, Reason: ReasonTimeout})
+	case !decided && slt.rec.passed(rqs.Deadline):
+		slt.close(cal, Result{Outcome: proto.OutcomeNotRun, Reason: ReasonTimeout})
 	case !decided:
-		rec.close(cal, logUnavailable())
+		slt.close(cal, logUnavailable())
 	case !owns:
-		rec.mu.Lock()
-		ent := rec.table.entries[cal.key]
+		slt.mu.Lock()
+		ent := slt.table.entries[cal.key]
 		res := Result{Outcome: proto.OutcomeNotRun, Reason: ReasonAbandoning, RetryAfter: retryAfterAbandon}
 		if ent != nil {
 			known := *ent
-			rec.mu.Unlock()
-			res = rec.settle(ctx, rqs, known)
+			slt.mu.Unlock()
+			res = slt.settle(ctx, rqs, known)
 		} else { // The owner has withdrawn since.
-			rec.mu.Unlock()
+			slt.mu.Unlock()
 		}
-		rec.close(cal, res)
+		slt.close(cal, res)
 	default:
-		rec.execute(ctx, cal, rqs, run)
+		slt.execute(ctx, cal, rqs, run)
 	}
 }
 
@@ -49,40 +49,40 @@
 
 // await returns when the call's start has been read, or gives up the right to run the call. Only a call that is still
 // waiting when its start is read can own the key.
-func (rec *Recorder) await(ctx context.Context, cal *call) (owns, decided bool) {
-	lim, cancel := rec.opts.Clock.WithTimeout(ctx, rec.opts.RecordLimit)
+func (slt *slot) await(ctx context.Context, cal *call) (owns, decided bool) {
+	lim, cancel := slt.rec.opts.Clock.WithTimeout(ctx, slt.rec.opts.RecordLimit)
 	defer cancel()
 	select {
 	case owns := <-cal.decided:
 		return owns, true
 	case <-lim.Done():
 	}
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
+	slt.mu.Lock()
+	defer slt.mu.Unlock()
 	select {
 	case owns := <-cal.decided:
 		return owns, true
 	default:
 	}
-	delete(rec.calls, cal.key)
-	rec.dropQueued(cal.seq)
+	delete(slt.calls, cal.key)
+	slt.dropQueued(cal.seq)
 	return false, false
 }
 
 // close ends a call for all who wait for it.
-func (rec *Recorder) close(cal *call, res Result) {
-	rec.mu.Lock()
-	if rec.calls[cal.key] == cal {
-		delete(rec.calls, cal.key)
+func (slt *slot) close(cal *call, res Result) {
+	slt.mu.Lock()
+	if slt.calls[cal.key] == cal {
+		delete(slt.calls, cal.key)
 	}
-	rec.mu.Unlock()
+	slt.mu.Unlock()
 	cal.result = res
 	close(cal.done)
 }
 
-func (rec *Recorder) execute(ctx context.Context, cal *call, rqs Request, run Run) {
+func (slt *slot) execute(ctx context.Context, cal *call, rqs Request, run Run) {
 	gate := func() error {
-		if rec.passed(rqs.Deadline) || ctx.Err() != nil {
+		if slt.rec.passed(rqs.Deadline) || ctx.Err() != nil {
 			return ErrTooLate
 		}
 		return nil
@@ -93,37 +93,37 @@
 	if err == nil {
 		ans, contacted, err = run(ctx, gate)
 	}
-	rec.mu.Lock()
-	res := rec.conclude(cal, ans, contacted, err)
-	rec.mu.Unlock()
-	if res.Outcome != proto.OutcomeDone && rec.passed(rqs.Deadline) {
+	slt.mu.Lock()
+	res := slt.conclude(cal, ans, contacted, err)
+	slt.mu.Unlock()
+	if res.Outcome != proto.OutcomeDone && slt.rec.passed(rqs.Deadline) {
 		res.Reason = ReasonTimeout
 	}
-	rec.close(cal, res)
+	slt.close(cal, res)
 }
 
 // conclude notes the end of a call and queues its record. The caller holds the lock.
-func (rec *Recorder) conclude(cal *call, ans Answer, contacted bool, err error) Result {
-	ent := rec.table.entries[cal.key]
+func (slt *slot) conclude(cal *call, ans Answer, contacted bool, err error) Result {
+	ent := slt.table.entries[cal.key]
 	switch {
 	case !contacted:
 		if ent != nil {
 			ent.state = stateSurrendered
 		}
-		rec.opts.Metrics.Event("once-abandoned")
-		rec.enqueue(item{Kind: itemAbandon, Seq: cal.seq, Key: cal.key})
+		slt.rec.opts.Metrics.Event("once-abandoned")
+		slt.enqueue(item{Kind: itemAbandon, Seq: cal.seq, Key: cal.key})
 		return Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNotReached, Detail: errorText(err)}
 	case err != nil:
 		return Result{Outcome: proto.OutcomeUnknown, Reason: ReasonServiceFailed, Detail: errorText(err)}
 	}
 	if ent != nil {
-		rec.table.end(cal.key, ent, &ans)
+		slt.table.end(cal.key, ent, &ans)
 	}
 	recorded := ans
 	if len(recorded.Body) > MaxRecordedBody {
 		recorded.Body, recorded.Lost = nil, true
 	}
-	rec.enqueue(item{Kind: itemFinish, Seq: cal.seq, Key: cal.key, Print: cal.print, Answer: &recorded})
+	slt.enqueue(item{Kind: itemFinish, Seq: cal.seq, Key: cal.key, Print: cal.print, Answer: &recorded})
 	return Result{Outcome: proto.OutcomeDone, Answer: &ans, Ran: true}
 }
 
--- a/once/item.go
+++ b/once/item.go
@@ -13,7 +13,7 @@
 // MaxRecordedBody is the longest answer body, in bytes, that is kept in the log.
 const MaxRecordedBody = 2 << 10
 
-// StreamPrefix precedes the name of the service in the name of its stream.
+// StreamPrefix precedes the name of the service, a hyphen and the number of the slot in the name of a stream.
 const StreamPrefix = "once-"
 
 // Key is a hash of client account and idempotency key.
@@ -29,6 +29,11 @@
 	return Key(sum.Sum(nil)[:16])
 }
 
+// Slot returns the number of the slot, from 0, that holds the key when there are count slots.
+func (key Key) Slot(count int) int {
+	return int(binary.BigEndian.Uint64(key[:8]) % uint64(count))
+}
+
 // Print is a hash of the request. The same key with another Print is a fault of the caller.
 type Print [8]byte
 
--- a/once/recorder.go
+++ b/once/recorder.go
@@ -1,4 +1,5 @@
-// Package once runs non-idempotent calls at most once. It records them in a stream of the platform's log, in batches.
+// Package once runs non-idempotent calls at most once. It records them in streams of the platform's log, in batches. The
+// hash of a key names its slot, and each slot has a stream. A process follows only the slots for which it gets calls.
 //
 // The first start item of a key in log order owns the key. Only the incarnation of the process that wrote it may run
 // the call, before the call's deadline.
@@ -8,6 +9,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -45,6 +47,7 @@
 // Options configure a Recorder.
 type Options struct {
 	Service      string
+	Slots        int     // streams over which the keys are spread; the same for all agents of the service
 	AppendRate   float64 // appends a second
 	BatchItems   int     // most items of a batch; 0 for the default
 	RecordLimit  time.Duration
@@ -94,19 +97,16 @@
 // Recorder runs the calls of one service.
 type Recorder struct {
 	opts   Options
-	stream string
 	writer writer
 	grp    *group.Group
+	slots  []*slot
+	seq    atomic.Uint64
+	// wentBack is set for good when any stream of the log has lost records.
+	wentBack atomic.Bool
 
-	mu    sync.Mutex
-	table *table
-	calls map[Key]*call
-	queue []item
-	seq   uint64
-	ready bool // the stream has been read up to the start of this process
-	down  bool // the last read failed
-	ended bool // the group is stopping
-	wake  chan struct{}
+	mu      sync.Mutex
+	pending []*slot // slots with queued items, in the order in which they are appended
+	wake    chan struct{}
 }
 
 // New starts a Recorder in grp.
@@ -114,83 +114,108 @@
 	if opts.BatchItems <= 0 {
 		opts.BatchItems = maxBatchItems
 	}
-	rec := &Recorder{
-		opts:   opts,
-		stream: StreamPrefix + opts.Service,
-		writer: newWriter(),
-		grp:    grp,
-		table:  newTable(opts.Window, opts.AnswerMemory),
-		calls:  make(map[Key]*call),
-		wake:   make(chan struct{}, 1),
+	rec := &Recorder{opts: opts, writer: newWriter(), grp: grp, wake: make(chan struct{}, 1)}
+	pool := &answerPool{limit: int64(opts.AnswerMemory)}
+	for num := range max(opts.Slots, 1) {
+		rec.slots = append(rec.slots, newSlot(rec, num, pool))
 	}
-	opts.Metrics.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: "tarragonwheel", Name: "once_keys", Help: "Idempotency keys remembered.",
-	}, func() float64 { return float64(rec.Remembered()) }))
+	rec.gauge("once_keys", "Idempotency keys remembered.", rec.Remembered)
+	rec.gauge("once_slots", "Slots whose stream is followed.", rec.Followed)
 	sub := opts.Clock.Every(expireInterval, rec.expire)
 	grp.OnStop(sub.Stop)
 	grp.Go("commit", rec.commitLoop)
-	grp.Go("follow", rec.followLoop)
 	return rec
 }
 
+func (rec *Recorder) gauge(name, help string, value func() int) {
+	rec.opts.Metrics.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "tarragonwheel", Name: name, Help: help,
+	}, func() float64 { return float64(value()) }))
+}
+
 // Remembered returns the number of keys in memory.
 func (rec *Recorder) Remembered() int {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	return len(rec.table.entries)
+	return rec.count(func(slt *slot) int { return len(slt.table.entries) })
+}
+
+// Followed returns the number of slots whose stream is followed.
+func (rec *Recorder) Followed() int {
+	return rec.count(func(slt *slot) int {
+		if slt.following {
+			return 1
+		}
+		return 0
+	})
 }
 
-// Ready tells whether the stream has been read up to the start of this process.
+func (rec *Recorder) count(of func(slt *slot) int) int {
+	sum := 0
+	for _, slt := range rec.slots {
+		slt.mu.Lock()
+		sum += of(slt)
+		slt.mu.Unlock()
+	}
+	return sum
+}
+
+// Ready tells whether each slot that is followed has been read up to the start of following.
 func (rec *Recorder) Ready() bool {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	return rec.ready
+	return rec.count(func(slt *slot) int {
+		if slt.following && !slt.ready {
+			return 1
+		}
+		return 0
+	}) == 0
 }
 
 func (rec *Recorder) expire() {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	rec.table.expire(rec.opts.Clock.Now())
+	now := rec.opts.Clock.Now()
+	for _, slt := range rec.slots {
+		slt.mu.Lock()
+		slt.table.expire(now)
+		slt.mu.Unlock()
+	}
 }
 
 // Do runs a call, joins it if it is running here, or returns what is known of it. The call goes on until its deadline
 // when ctx ends, so that its answer is recorded.
 func (rec *Recorder) Do(ctx context.Context, rqs Request, run Run) Result {
-	rec.mu.Lock()
-	if cal := rec.calls[rqs.Key]; cal != nil {
-		rec.mu.Unlock()
+	slt := rec.slots[rqs.Key.Slot(len(rec.slots))]
+	slt.catchUp(ctx)
+	slt.mu.Lock()
+	if cal := slt.calls[rqs.Key]; cal != nil {
+		slt.mu.Unlock()
 		if cal.print != rqs.Print {
 			return keyReused()
 		}
 		return join(ctx, cal, false)
 	}
-	if ent := rec.table.entries[rqs.Key]; ent != nil {
+	if ent := slt.table.entries[rqs.Key]; ent != nil {
 		known := *ent
-		rec.mu.Unlock()
-		return rec.settle(ctx, rqs, known)
+		slt.mu.Unlock()
+		return slt.settle(ctx, rqs, known)
 	}
-	if !rec.ready || rec.down || rec.ended {
-		rec.mu.Unlock()
+	if !slt.ready || slt.down || slt.ended || rec.wentBack.Load() {
+		slt.mu.Unlock()
 		return logUnavailable()
 	}
-	cal := rec.open(rqs)
+	cal := slt.open(rqs)
 	// Under the lock, since a group that has ended takes no further goroutines.
 	rec.grp.Go("call", func(ctx context.Context) error {
-		rec.conduct(ctx, cal, rqs, run)
+		slt.conduct(ctx, cal, rqs, run)
 		return nil
 	})
-	rec.mu.Unlock()
+	slt.mu.Unlock()
 	return join(ctx, cal, true)
 }
 
 // open registers a call and queues its start. The caller holds the lock.
-func (rec *Recorder) open(rqs Request) *call {
-	rec.seq++
+func (slt *slot) open(rqs Request) *call {
 	cal := &call{
-		key: rqs.Key, print: rqs.Print, seq: rec.seq, decided: make(chan bool, 1), done: make(chan struct{}),
+		key: rqs.Key, print: rqs.Print, seq: slt.rec.seq.Add(1), decided: make(chan bool, 1), done: make(chan struct{}),
 	}
-	rec.calls[cal.key] = cal
-	rec.enqueue(item{Kind: itemStart, Seq: cal.seq, Key: cal.key, Print: cal.print})
+	slt.calls[cal.key] = cal
+	slt.enqueue(item{Kind: itemStart, Seq: cal.seq, Key: cal.key, Print: cal.print})
 	return cal
 }
 
@@ -212,14 +237,14 @@
 }
 
 // settle answers from what is known of a key that is not being run here.
-func (rec *Recorder) settle(ctx context.Context, rqs Request, ent entry) Result {
+func (slt *slot) settle(ctx context.Context, rqs Request, ent entry) Result {
 	if ent.print != rqs.Print {
 		return keyReused()
 	}
 	switch ent.state {
 	case stateFinished:
-		rec.opts.Metrics.Event("once-replayed")
-		return rec.replay(ctx, rqs.Key, ent)
+		slt.rec.opts.Metrics.Event("once-replayed")
+		return slt.replay(ctx, rqs.Key, ent)
 	case stateSurrendered:
 		return Result{Outcome: proto.OutcomeNotRun, Reason: ReasonAbandoning, RetryAfter: retryAfterAbandon}
 	default:
@@ -228,10 +253,10 @@
 }
 
 // replay returns the answer from memory, or from the log if it has been dropped from memory.
-func (rec *Recorder) replay(ctx context.Context, key Key, ent entry) Result {
+func (slt *slot) replay(ctx context.Context, key Key, ent entry) Result {
 	ans := ent.answer
 	if ans == nil && ent.offset > 0 {
-		ans = rec.fetch(ctx, key, ent.offset)
+		ans = slt.fetch(ctx, key, ent.offset)
 	}
 	if ans == nil || ans.Lost {
 		return Result{Outcome: proto.OutcomeDone, Reason: ReasonAnswerLost}
--- a/once/table.go
+++ b/once/table.go
@@ -1,6 +1,9 @@
 package once
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 type state uint8
 
@@ -42,13 +45,18 @@
 	entries map[Key]*entry
 	dues    []due // in order of time
 
-	answerLimit int
-	answerBytes int
-	answers     []Key // in order of arrival
+	pool    *answerPool
+	answers []Key // in order of arrival
+}
+
+// answerPool bounds the memory for answers of all tables together.
+type answerPool struct {
+	limit int64
+	bytes atomic.Int64
 }
 
-func newTable(window time.Duration, answerLimit int) *table {
-	return &table{window: window, answerLimit: answerLimit, entries: make(map[Key]*entry)}
+func newTable(window time.Duration, pool *answerPool) *table {
+	return &table{window: window, pool: pool, entries: make(map[Key]*entry)}
 }
 
 // start folds a start item. It returns the key's entry, and whether the item created it.
@@ -95,13 +103,13 @@
 	if ans == nil {
 		return
 	}
-	tab.answerBytes += len(ans.Body)
+	tab.pool.bytes.Add(int64(len(ans.Body)))
 	tab.answers = append(tab.answers, key)
-	for tab.answerBytes > tab.answerLimit && len(tab.answers) > 0 {
+	for tab.pool.bytes.Load() > tab.pool.limit && len(tab.answers) > 0 {
 		old := tab.entries[tab.answers[0]]
 		tab.answers = tab.answers[1:]
 		if old != nil && old.answer != nil {
-			tab.answerBytes -= len(old.answer.Body)
+			tab.pool.bytes.Add(-int64(len(old.answer.Body)))
 			old.answer = nil
 		}
 	}
@@ -123,7 +131,7 @@
 			continue
 		}
 		if ent.answer != nil {
-			tab.answerBytes -= len(ent.answer.Body)
+			tab.pool.bytes.Add(-int64(len(ent.answer.Body)))
 		}
 		delete(tab.entries, key)
 	}
