--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -22,6 +22,7 @@
 	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
 	Svc    *simSvcCommand    `arg:"subcommand:service" help:"plain service"`
 	Fault  *simFaultCommand  `arg:"subcommand:fault" help:"TCP proxy that injects faults"`
+	VMs    *simVMsCommand    `arg:"subcommand:vms" help:"list of VMs"`
 }
 
 type simLogCommand struct {
