entry: place non-idempotent calls by slot

Cause: rendezvous hashing of the key gave each agent calls of all slots, so that each agent had to follow all streams.

Change: the hash of the slot chooses the agent.

All services of a deployment with the same agent names get the same order of agents per slot.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,16 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/once"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/route"
 )
 
 // attempt sends a call to one agent and follows it to its end. It returns the agent's name, if there was one.
 func (ent *Entry) attempt(ctx context.Context, run *running, tried []string) (proto.Result, string) {
-	plc := ent.table.Pick(query(run.cal, tried))
+	plc := ent.table.Pick(ent.query(run.cal, tried))
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
@@ -23,7 +25,7 @@
 	return res, plc.Agent()
 }
 
-func query(cal edge.Call, tried []string) route.Query {
+func (ent *Entry) query(cal edge.Call, tried []string) route.Query {
 	qry := route.Query{
 		Target:     route.Target{Kind: cal.Kind, Serves: cal.Serves},
 		Cost:       cal.Cost,
@@ -31,7 +33,8 @@
 		Avoid:      tried,
 	}
 	if !cal.Idempotent {
-		qry.Sticky = cal.Account + "\x00" + cal.Key
+		// All calls of a slot go to one agent, so that each agent has to follow few slots.
+		qry.Sticky = strconv.Itoa(once.NewKey(cal.Account, cal.Key).Slot(ent.slots))
 	}
 	return qry
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 	metrics *metric.Set
 	opts    link.Options
 	address string
+	slots   int // of at-most-once records
 
 	table  *route.Table
 	config *configuration
@@ -56,6 +57,7 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.slots = config.OnceSlots.Of(set)
 	ent.config = newConfiguration(grp, set, clk, log, ent.metrics)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
--- a/once/commit.go
+++ b/once/commit.go
@@ -43,7 +43,7 @@
 func (rec *Recorder) commitLoop(ctx context.Context) error {
 	interval := time.Duration(float64(time.Second) / rec.opts.AppendRate)
 	room := make(chan struct{}, maxInFlight)
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-rec.wake:
 		case <-ctx.Done():
@@ -53,11 +53,9 @@
 				_ = rec.opts.Clock.Sleep(ctx, interval)
 			}
 		}
-		if ctx.Err() != nil {
-			rec.flush(ctx, room)
-			return nil
-		}
 	}
+	rec.flush(ctx, room)
+	return nil
 }
 
 // commit starts to append the slot's next batch. It returns false if there is none.
--- a/once/recorder.go
+++ b/once/recorder.go
@@ -1,5 +1,6 @@
-// Package once runs non-idempotent calls at most once. It records them in streams of the platform's log, in batches. The
-// hash of a key names its slot, and each slot has a stream. A process follows only the slots for which it gets calls.
+// Package once runs non-idempotent calls at most once. It records them in streams of the platform's log, in batches.
+// The hash of a key names its slot, and each slot has a stream. A process follows only the slots for which it gets
+// calls.
 //
 // The first start item of a key in log order owns the key. Only the incarnation of the process that wrote it may run
 // the call, before the call's deadline.
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -108,7 +108,7 @@
 func TestStickyCalls(t *testing.T) {
 	is := is.New(t)
 	tab, _ := table("a", "b", "c", "d")
-	qry := route.Query{Target: target, Sticky: "account\x00key"}
+	qry := route.Query{Target: target, Sticky: "12"}
 	first := tab.Pick(qry)
 	is.Equal(tab.Pick(qry).Agent(), first.Agent())
 	tab.Disconnect(peer(first.Agent()))
