--- a/once/follow.go
+++ b/once/follow.go
@@ -143,7 +143,8 @@
 		case itemFinish:
 			if !slt.table.finish(own, itm, offset, now) {
 				slt.rec.opts.Metrics.Event("once-conflict")
-				slt.rec.opts.Log.Info("once: a call was finished by a process that does not own its key", "offset", offset)
+				slt.rec.opts.Log.Info("once: a call was finished by a process that does not own its key",
+					"stream", slt.stream, "offset", offset)
 			}
 		case itemAbandon:
 			slt.table.abandon(own, itm.Key)
