plain: keep repeated response headers apart

Cause: values of a repeated header were joined with a comma. Cookies contain commas, so a caller read two Set-Cookie headers as one cookie.

Change: proto.Head has a further optional field with the headers that occur more than once; the entry writes each value as a header of its own. An older entry ignores the field and drops these headers.

Ruled out: a change of the type of Head.Header, which older processes could not decode during a rolling restart.

--- a/agent/plain.go
+++ b/agent/plain.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/gravitational/trace"
 
@@ -46,8 +47,7 @@
 		return agt.plainFailure(ctx, msg, contacted, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	head := proto.Head{Status: resp.StatusCode, Header: plain.Header(resp)}
-	if err := str.Send(proto.KindHead, head); err != nil {
+	if err := str.Send(proto.KindHead, plainHead(resp)); err != nil {
 		return agt.plainFailure(ctx, msg, true, err)
 	}
 	if err := relay(str, resp); err != nil {
@@ -56,6 +56,11 @@
 	return proto.Result{Outcome: proto.OutcomeDone}
 }
 
+func plainHead(resp *http.Response) proto.Head {
+	single, repeated := plain.Header(resp)
+	return proto.Head{Status: resp.StatusCode, Header: single, Repeated: repeated}
+}
+
 // begun returns the body once its first byte, or its end if there is none, has arrived. Only then has the entry seen
 // Accept; before, it tells its caller not-run when the connection breaks.
 func begun(body io.Reader, length int64) (io.Reader, error) {
--- a/agent/plain_once.go
+++ b/agent/plain_once.go
@@ -88,7 +88,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	ans := once.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
-	gone := str.Send(proto.KindHead, proto.Head{Status: resp.StatusCode, Header: plain.Header(resp)}) != nil
+	gone := str.Send(proto.KindHead, plainHead(resp)) != nil
 	buf := make([]byte, copyBytes)
 	for {
 		num, err := resp.Body.Read(buf)
--- a/edge/server.go
+++ b/edge/server.go
@@ -108,6 +108,11 @@
 			rel.rw.Header().Set(name, val)
 		}
 	}
+	for name, vals := range hed.Repeated {
+		if !slices.Contains(privateHeaders, http.CanonicalHeaderKey(name)) {
+			rel.rw.Header()[http.CanonicalHeaderKey(name)] = vals
+		}
+	}
 	rel.started = true
 	rel.rw.WriteHeader(hed.Status)
 	return nil
--- a/plain/client.go
+++ b/plain/client.go
@@ -117,13 +117,18 @@
 	return resp, true, nil
 }
 
-// Header returns the headers of a response that concern the caller. Values of a repeated header are joined.
-func Header(resp *http.Response) map[string]string {
-	out := make(map[string]string, len(resp.Header))
+// Header returns the headers of a response that concern the caller, and apart those that occur more than once. Their
+// values are not joined: a comma may be part of a value, as in Set-Cookie.
+func Header(resp *http.Response) (single map[string]string, repeated map[string][]string) {
+	single, repeated = make(map[string]string, len(resp.Header)), make(map[string][]string)
 	for name, vals := range resp.Header {
-		if !hopHeaders[strings.ToLower(name)] {
-			out[name] = strings.Join(vals, ", ")
+		switch {
+		case hopHeaders[strings.ToLower(name)]:
+		case len(vals) == 1:
+			single[name] = vals[0]
+		default:
+			repeated[name] = vals
 		}
 	}
-	return out
+	return single, repeated
 }
--- a/plain/client_test.go
+++ b/plain/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -65,6 +66,18 @@
 	is.NoErr(err)
 	defer func() { _ = resp.Body.Close() }()
 	is.Equal(resp.StatusCode, 201)
-	is.Equal(plain.Header(resp)["X-Execution"], "1")
+	single, _ := plain.Header(resp)
+	is.Equal(single["X-Execution"], "1")
 	is.Equal(svc.Executions()[0].Path, "/holds?x=1")
 }
+
+// Guards against cookies that are joined with a comma, which callers read as one cookie.
+func TestRepeatedHeadersAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	cookies := []string{"a=1; Expires=Wed, 09 Jun 2027 10:18:14 GMT", "b=2"}
+	single, repeated := plain.Header(&http.Response{Header: http.Header{
+		"Set-Cookie": cookies, "X-Execution": {"1"}, "Connection": {"close"},
+	}})
+	is.Equal(repeated, map[string][]string{"Set-Cookie": cookies})
+	is.Equal(single, map[string]string{"X-Execution": "1"})
+}
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -102,6 +102,8 @@
 	Status int               `cbor:"1,keyasint"`
 	Header map[string]string `cbor:"2,keyasint,omitempty"`
 	Replay bool              `cbor:"3,keyasint,omitempty"` // the answer of an earlier sending of the same key
+	// Repeated are the headers that occur more than once, with their values in order.
+	Repeated map[string][]string `cbor:"4,keyasint,omitempty"`
 }
 
 // Credit allows the other side to send that many further body bytes on the stream.
