Decide blame for engine crashes in the configuration fold

Cause: a request that crashes each engine that runs it was retried on the next one until the fleet was gone. Nothing remembered what ran there.

The fold takes crashes, clears and acquittals as records, and state.Suspects adds what a process has heard that is not in the log yet.

Ruled out: making the others of a convicting crash suspects in turn. The conviction explains that crash and the first one; suspecting their batches further would run them one by one and past their deadlines. The price is a third engine if two such requests run at the same time.

--- /dev/null
+++ b/blame/blame.go
@@ -0,0 +1,234 @@
+// Package blame decides which request is to blame for crashes of engines. It is a pure state machine: equal records in
+// equal order give equal books on every process, whatever the local time.
+//
+// All requests that ran on an engine when it crashed are suspects. Agents run at most one suspect at a time, so a
+// suspect that is the only one on an engine that crashes is convicted, and with it both crashes are explained. A
+// suspect that finishes is cleared.
+package blame
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// Bounds of a book. They are part of the rules: all processes must use the same.
+const (
+	MaxRunning  = 256  // requests of one crash, a few times the batch of an engine
+	maxSuspects = 1024 // full batches of several crashes; a full book takes 98 KB of the snapshot, whose limit is 1 MiB
+	maxConvicts = 256
+	maxCrashes  = 128 // crashes kept for recognising a repeated record
+	maxAcquits  = 100
+)
+
+// Verdict is what is held of a request.
+type Verdict string
+
+// Verdicts.
+const (
+	Free      Verdict = "free"
+	Suspected Verdict = "suspect"
+	Convicted Verdict = "convicted"
+)
+
+// Case is why a request is suspected or convicted, and until when.
+type Case struct {
+	Fingerprint proto.Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
+	Crash       string            `cbor:"2,keyasint" json:"crash"`
+	Upstream    string            `cbor:"3,keyasint" json:"upstream"` // beside which the last crash was seen
+	At          int64             `cbor:"4,keyasint" json:"at"`       // milliseconds since the epoch
+	Until       int64             `cbor:"5,keyasint" json:"until"`    // milliseconds since the epoch
+	Others      int               `cbor:"6,keyasint" json:"others"`   // other requests on the engine
+	Rank        int               `cbor:"7,keyasint" json:"rank"`     // place in the crash, 0 for the last one started
+}
+
+// Acquit lifts the suspicion or conviction of a request by decision of an operator.
+type Acquit struct {
+	Fingerprint proto.Fingerprint `cbor:"1,keyasint" json:"fingerprint"`
+	Operator    string            `cbor:"2,keyasint" json:"operator"`
+	At          int64             `cbor:"3,keyasint" json:"at"` // milliseconds since the epoch
+	Request     string            `cbor:"4,keyasint" json:"request"`
+}
+
+// Book holds suspects and convictions. The zero value is empty. It is not safe for concurrent use.
+type Book struct {
+	Suspects map[proto.Fingerprint]Case `cbor:"1,keyasint,omitempty" json:"suspects"`
+	Convicts map[proto.Fingerprint]Case `cbor:"2,keyasint,omitempty" json:"convicts"`
+	Crashes  []string                   `cbor:"3,keyasint,omitempty" json:"crashes"`
+	Acquits  []Acquit                   `cbor:"4,keyasint,omitempty" json:"acquits"`
+}
+
+// Clone returns an independent copy.
+func (bok *Book) Clone() Book {
+	return Book{
+		Suspects: copyCases(bok.Suspects), Convicts: copyCases(bok.Convicts),
+		Crashes: slices.Clone(bok.Crashes), Acquits: slices.Clone(bok.Acquits),
+	}
+}
+
+func copyCases(from map[proto.Fingerprint]Case) map[proto.Fingerprint]Case {
+	into := make(map[proto.Fingerprint]Case, len(from))
+	for fpr, cas := range from {
+		into[fpr] = cas
+	}
+	return into
+}
+
+// Empty tells whether nobody is suspected, convicted or acquitted and no crash is remembered.
+func (bok *Book) Empty() bool {
+	return len(bok.Suspects)+len(bok.Convicts)+len(bok.Crashes)+len(bok.Acquits) == 0
+}
+
+// Verdict returns what is held of a request at a time, and why.
+func (bok *Book) Verdict(fpr proto.Fingerprint, now time.Time) (Verdict, Case) {
+	if cas, ok := bok.Convicts[fpr]; ok && now.UnixMilli() < cas.Until {
+		return Convicted, cas
+	}
+	if cas, ok := bok.Suspects[fpr]; ok && now.UnixMilli() < cas.Until {
+		return Suspected, cas
+	}
+	return Free, Case{}
+}
+
+// Knows tells whether a crash has been taken in. It is true for an ID that is not valid, which never will be.
+func (bok *Book) Knows(crash string) bool { return crash == "" || slices.Contains(bok.Crashes, crash) }
+
+// Crash takes in a crash. A repeated record has no effect. Cases that have expired by the time of the crash are
+// dropped first, so that the outcome depends on the records alone.
+//
+// A convicted request among those that ran explains the crash, and nobody is suspected for it. Otherwise the only
+// suspect among them is convicted. That explains this crash and the one for which it was suspected, so nobody is
+// suspected for either. With several suspects, or none, all that ran are suspects.
+func (bok *Book) Crash(crs proto.Crash) {
+	if bok.Knows(crs.ID) {
+		return
+	}
+	bok.Crashes = lastOf(append(bok.Crashes, crs.ID), maxCrashes)
+	bok.expire(crs.At)
+	running := distinct(crs.Running)
+	var suspects []Case
+	for _, fpr := range running {
+		if _, ok := bok.Convicts[fpr]; ok {
+			return
+		}
+		if cas, ok := bok.Suspects[fpr]; ok {
+			suspects = append(suspects, cas)
+		}
+	}
+	if len(suspects) == 1 {
+		bok.convict(suspects[0], crs, len(running)-1)
+		return
+	}
+	for idx, fpr := range running {
+		bok.Suspects = put(bok.Suspects, Case{
+			Fingerprint: fpr, Crash: crs.ID, Upstream: crs.Upstream, At: crs.At,
+			Until: crs.At + crs.SuspectFor.Milliseconds(), Others: len(running) - 1, Rank: idx,
+		}, maxSuspects)
+	}
+}
+
+func (bok *Book) convict(cas Case, crs proto.Crash, others int) {
+	for fpr, other := range bok.Suspects {
+		if other.Crash == cas.Crash {
+			delete(bok.Suspects, fpr)
+		}
+	}
+	bok.Convicts = put(bok.Convicts, Case{
+		Fingerprint: cas.Fingerprint, Crash: crs.ID, Upstream: crs.Upstream, At: crs.At,
+		Until: crs.At + crs.ConvictFor.Milliseconds(), Others: others,
+	}, maxConvicts)
+}
+
+// Clear takes in that a suspect has finished. It has no effect on a conviction, or on suspicion of a later crash.
+func (bok *Book) Clear(clr proto.Clear) {
+	if bok.Suspects[clr.Fingerprint].Crash == clr.Crash {
+		delete(bok.Suspects, clr.Fingerprint)
+	}
+}
+
+// Acquit lifts suspicion and conviction of a request, and keeps who did so.
+func (bok *Book) Acquit(acq Acquit) {
+	if _, known := bok.Acquitted(acq.Request); known || acq.Request == "" || acq.Operator == "" {
+		return
+	}
+	delete(bok.Suspects, acq.Fingerprint)
+	delete(bok.Convicts, acq.Fingerprint)
+	bok.Acquits = lastOf(append(bok.Acquits, acq), maxAcquits)
+}
+
+// Acquitted returns the acquittal with the given request ID.
+func (bok *Book) Acquitted(request string) (Acquit, bool) {
+	for _, acq := range bok.Acquits {
+		if acq.Request == request {
+			return acq, true
+		}
+	}
+	return Acquit{}, false
+}
+
+// List returns the cases of suspects and convicts that have not expired, newest first.
+func (bok *Book) List(now time.Time) (suspects, convicts []Case) {
+	return sorted(bok.Suspects, now), sorted(bok.Convicts, now)
+}
+
+func sorted(cases map[proto.Fingerprint]Case, now time.Time) []Case {
+	list := make([]Case, 0, len(cases))
+	for _, cas := range cases {
+		if now.UnixMilli() < cas.Until {
+			list = append(list, cas)
+		}
+	}
+	slices.SortFunc(list, func(one, two Case) int {
+		return cmp.Or(cmp.Compare(two.At, one.At), cmp.Compare(one.Fingerprint, two.Fingerprint))
+	})
+	return list
+}
+
+func (bok *Book) expire(now int64) {
+	for _, cases := range []map[proto.Fingerprint]Case{bok.Suspects, bok.Convicts} {
+		for fpr, cas := range cases {
+			if cas.Until <= now {
+				delete(cases, fpr)
+			}
+		}
+	}
+}
+
+// put adds a case. Beyond most, the one that expires first is dropped.
+func put(cases map[proto.Fingerprint]Case, cas Case, most int) map[proto.Fingerprint]Case {
+	if cases == nil {
+		cases = make(map[proto.Fingerprint]Case)
+	}
+	cases[cas.Fingerprint] = cas
+	if len(cases) <= most {
+		return cases
+	}
+	first := cas
+	for _, other := range cases {
+		if cmp.Or(cmp.Compare(other.Until, first.Until), cmp.Compare(other.Fingerprint, first.Fingerprint)) < 0 {
+			first = other
+		}
+	}
+	delete(cases, first.Fingerprint)
+	return cases
+}
+
+// distinct returns the fingerprints without zeros and repetitions, in order, at most MaxRunning of them.
+func distinct(list []proto.Fingerprint) []proto.Fingerprint {
+	var out []proto.Fingerprint
+	for _, fpr := range list {
+		if fpr != 0 && !slices.Contains(out, fpr) && len(out) < MaxRunning {
+			out = append(out, fpr)
+		}
+	}
+	return out
+}
+
+func lastOf[T any](list []T, most int) []T {
+	if len(list) <= most {
+		return list
+	}
+	return slices.Clone(list[len(list)-most:])
+}
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -88,8 +88,9 @@
 	BodyBytes   int64             `cbor:"12,keyasint"`
 	ResumeFrom  int               `cbor:"13,keyasint,omitempty"` // tokens already delivered to the caller
 	PrefixHash  []uint64          `cbor:"14,keyasint,omitempty"` // chained hashes of the prompt's leading blocks
-	Fingerprint uint64            `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
+	Fingerprint Fingerprint       `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
+	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
@@ -146,6 +147,7 @@
 	StateVersion  int64         `cbor:"9,keyasint"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
+	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
 }
 
 // PeerVersion is the configuration version that a process has in force.
@@ -156,8 +158,9 @@
 
 // Beat is an entry's heartbeat.
 type Beat struct {
-	StateVersion int64 `cbor:"1,keyasint"`
-	Draining     bool  `cbor:"2,keyasint,omitempty"`
+	StateVersion int64   `cbor:"1,keyasint"`
+	Draining     bool    `cbor:"2,keyasint,omitempty"`
+	Crashes      []Crash `cbor:"3,keyasint,omitempty"` // crashes that are not in the log yet
 }
 
 // State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/state"
+	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 // fleet returns a store with the target scale: 750 accounts, 4 models and 12,000 upstreams, all configured.
@@ -105,3 +107,40 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
 	runtime.KeepAlive(one)
 }
+
+// BenchmarkBlame is the size of a full book of suspects and convicts in a snapshot, and the cost of a verdict.
+func BenchmarkBlame(b *testing.B) {
+	sto := state.NewStore()
+	next := int64(1)
+	num := proto.Fingerprint(1 << 60)
+	add := func(id string, running ...proto.Fingerprint) {
+		crs := proto.Crash{
+			ID: id, Upstream: "engine-1234", At: time.Now().UnixMilli(), Running: running,
+			SuspectFor: time.Hour, ConvictFor: time.Hour,
+		}
+		raw, err := state.Entry{ID: id, Crash: &crs}.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		sto.Read([]state.Record{{Offset: next, Data: raw}}, 1, next+1)
+		next++
+	}
+	for idx := range 300 {
+		num++
+		add(fmt.Sprintf("%016d", 2*idx), num)
+		add(fmt.Sprintf("%016d", 2*idx+1), num)
+	}
+	for idx := range 300 {
+		add(fmt.Sprintf("%016d", 1000+idx), num+1, num+2, num+3, num+4)
+		num += 4
+	}
+	raw, _, err := sto.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	sus := state.NewSuspects(sto, timer.New())
+	for b.Loop() {
+		sus.Verdict(num)
+	}
+	b.ReportMetric(float64(len(raw)), "book-bytes")
+}
--- a/state/fold.go
+++ b/state/fold.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonwheel/tarragonwheel/blame"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 )
 
@@ -82,6 +83,7 @@
 	history []Past
 	duties  map[string]Holding
 	mark    Mark
+	blame   blame.Book
 
 	accounts int // number of accounts that exist
 }
@@ -94,6 +96,7 @@
 	History []Past             `cbor:"5,keyasint"`
 	Duties  map[string]Holding `cbor:"6,keyasint"`
 	Mark    Mark               `cbor:"7,keyasint"`
+	Blame   *blame.Book        `cbor:"8,keyasint,omitempty"` // absent while it is empty
 }
 
 // NewFold returns the state before the first record.
@@ -106,9 +109,11 @@
 
 // Encode returns the state in deterministic CBOR: equal states have equal bytes.
 func (fol *Fold) Encode() ([]byte, error) {
-	return proto.Marshal(encoded{
-		fol.version, fol.objects, fol.removed, fol.floor, fol.history, fol.duties, fol.mark,
-	})
+	enc := encoded{fol.version, fol.objects, fol.removed, fol.floor, fol.history, fol.duties, fol.mark, nil}
+	if !fol.blame.Empty() {
+		enc.Blame = &fol.blame
+	}
+	return proto.Marshal(enc)
 }
 
 // Decode returns the state that Encode has written.
@@ -120,6 +125,9 @@
 	fol := NewFold()
 	fol.version, fol.floor, fol.mark = enc.Version, enc.Floor, enc.Mark
 	fol.removed, fol.history = enc.Removed, enc.History
+	if enc.Blame != nil {
+		fol.blame = *enc.Blame
+	}
 	names := make(map[string]string) // operators and plans repeat over many objects
 	share := func(text string) string {
 		if old, ok := names[text]; ok {
@@ -168,6 +176,8 @@
 		}
 	case ent.Snapshot != nil:
 		fol.noteSnapshot(offset, *ent.Snapshot)
+	default:
+		fol.takeBlame(ent)
 	}
 }
 
--- a/state/record.go
+++ b/state/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonwheel/tarragonwheel/blame"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 )
 
@@ -133,12 +134,15 @@
 	State []byte `cbor:"4,keyasint"` // as returned by Fold.Encode
 }
 
-// Entry is the content of one record of the config stream. Exactly one of its pointers is set.
+// Entry is the content of one record of the config stream. Exactly one of its fields besides the ID is set.
 type Entry struct {
-	ID       string    `cbor:"1,keyasint"` // unique for each append
-	Confirm  *Confirm  `cbor:"2,keyasint,omitempty"`
-	Claim    *Claim    `cbor:"3,keyasint,omitempty"`
-	Snapshot *Snapshot `cbor:"4,keyasint,omitempty"`
+	ID       string        `cbor:"1,keyasint"` // unique for each append
+	Confirm  *Confirm      `cbor:"2,keyasint,omitempty"`
+	Claim    *Claim        `cbor:"3,keyasint,omitempty"`
+	Snapshot *Snapshot     `cbor:"4,keyasint,omitempty"`
+	Crash    *proto.Crash  `cbor:"5,keyasint,omitempty"`
+	Clears   []proto.Clear `cbor:"6,keyasint,omitempty"`
+	Acquit   *blame.Acquit `cbor:"7,keyasint,omitempty"`
 }
 
 // Record is a record as read from the log.
@@ -157,7 +161,10 @@
 		return Entry{}, fmt.Errorf("state: parse record: %w", err)
 	}
 	set := 0
-	for _, has := range []bool{ent.Confirm != nil, ent.Claim != nil, ent.Snapshot != nil} {
+	for _, has := range []bool{
+		ent.Confirm != nil, ent.Claim != nil, ent.Snapshot != nil, ent.Crash != nil, len(ent.Clears) > 0,
+		ent.Acquit != nil,
+	} {
 		if has {
 			set++
 		}
--- /dev/null
+++ b/state/suspect_test.go
@@ -0,0 +1,113 @@
+package state_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/blame"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/state"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+func crash(id string, running ...proto.Fingerprint) proto.Crash {
+	return proto.Crash{
+		ID: id, Upstream: "engine-1", At: time.Now().UnixMilli(), Running: running,
+		SuspectFor: time.Hour, ConvictFor: time.Hour,
+	}
+}
+
+// fold appends entries to a store as the log would.
+func fold(t *testing.T, sto *state.Store, list ...state.Entry) {
+	t.Helper()
+	for _, ent := range list {
+		ent.ID = "record"
+		raw, err := ent.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := sto.Version() + 1
+		sto.Read([]state.Record{{Offset: next, Data: raw}}, 1, next+1)
+	}
+}
+
+// Guards against suspects, convictions or the operator of an acquittal that are lost with a snapshot.
+func TestBlameInSnapshot(t *testing.T) {
+	is := is.New(t)
+	one, two := crash("1", 7, 8), crash("2", 7)
+	three := crash("3", 21, 22, 23)
+	sto := state.NewStore()
+	fold(t, sto, state.Entry{Crash: &one}, state.Entry{Crash: &two}, state.Entry{Crash: &three},
+		state.Entry{Clears: []proto.Clear{{Fingerprint: 21, Crash: "3"}}},
+		state.Entry{Acquit: &blame.Acquit{Fingerprint: 22, Operator: "olive", Request: "r"}})
+	raw, version, err := sto.Encode()
+	is.NoErr(err)
+	other := state.NewStore()
+	is.NoErr(other.Merge(proto.State{Upto: version, Snapshot: raw}))
+	want := map[proto.Fingerprint]blame.Verdict{
+		7: blame.Convicted, 8: blame.Free, 21: blame.Free, 22: blame.Free, 23: blame.Suspected,
+	}
+	for fpr, verdict := range want {
+		got, _ := state.NewSuspects(other, timer.New()).Verdict(fpr)
+		is.Equal(got, verdict)
+	}
+	acq, ok := other.Acquitted("r")
+	is.True(ok)
+	is.Equal(acq.Operator, "olive")
+}
+
+// Guards against a crash that counts only once the log has it, one that counts twice because the log has it as well,
+// and one that is appended or passed on for ever.
+func TestCrashBeforeTheLogHasIt(t *testing.T) {
+	is := is.New(t)
+	sto := state.NewStore()
+	sus := state.NewSuspects(sto, timer.New())
+	one := crash("1", 7, 8)
+	is.True(sus.Crash(one, 0))
+	is.True(!sus.Crash(one, 0)) // heard again
+	verdict, cas := sus.Verdict(7)
+	is.Equal(verdict, blame.Suspected)
+	_, other := sus.Verdict(8)
+	sus.Clear(other)
+	is.Equal(len(sus.Shared()), 1)
+	crashes, clears, next := sus.Due(time.Hour)
+	is.Equal(len(crashes), 1)
+	is.Equal(len(clears), 1)
+	is.True(!next.IsZero())
+	crashes, clears, _ = sus.Due(time.Hour)
+	is.Equal(len(crashes)+len(clears), 0) // already sent, not due again
+
+	fold(t, sto, state.Entry{Crash: &one})
+	verdict, again := sus.Verdict(7)
+	is.Equal(verdict, blame.Suspected)
+	is.Equal(again, cas)
+	verdict, _ = sus.Verdict(8)
+	is.Equal(verdict, blame.Free) // The clear is not in the log yet.
+	is.Equal(len(sus.Shared()), 0)
+	is.True(!sus.Crash(one, 0))
+	fold(t, sto, state.Entry{Clears: []proto.Clear{{Fingerprint: 8, Crash: "1"}}})
+	_, _, next = sus.Due(time.Hour)
+	is.True(next.IsZero())
+
+	fold(t, sto, state.Entry{Acquit: &blame.Acquit{Fingerprint: 7, Operator: "olive", Request: "r"}})
+	verdict, _ = sus.Verdict(7)
+	is.Equal(verdict, blame.Free)
+}
+
+// Guards against a planned stop of an engine that is taken for a crash.
+func TestStopPlanned(t *testing.T) {
+	is := is.New(t)
+	sto := state.NewStore()
+	key := state.NewKey(state.KindStop, "rack")
+	now := time.Unix(1000, 0)
+	fold(t, sto, state.Entry{Confirm: &state.Confirm{
+		Plan: "p", Operator: "olive", Basis: []state.Basis{{Key: key}}, Operations: []state.Operation{
+			{Key: key, Value: state.Value{Stop: &state.Stop{Upstreams: []string{"engine-1"}, At: 1000}}},
+		},
+	}})
+	is.True(sto.StopPlanned("engine-1", now))
+	is.True(!sto.StopPlanned("engine-1", now.Add(-time.Second)))
+	is.True(!sto.StopPlanned("engine-2", now))
+}
