Stop an entry in order

Cause: SIGTERM closed an entry at once and cut every response in flight, and the balancer learned of it from refused connections. Seen with the scenarios entry-drains, entry-notice and entry-grace before the change: connection refused on /readyz after SIGTERM, and a stream that ended without a reason.

Ruled out: refusing from the signal on. Until the balancer has seen the readiness fall, callers would be refused for nothing, so the entry serves during entry.drain-notice and refuses afterwards. Closing idle connections at the signal was ruled out too, because a request may be on its way on them; responses ask to close instead.

Change: entry.drain-notice, refusal with draining, process.grace for calls in flight, heartbeats with the draining mark, which agents relay in their reports, and a second signal that ends any process at once. Attempts that fail with draining are retried without charge to the retry budget.

--- a/admin/api.go
+++ b/admin/api.go
@@ -67,6 +67,8 @@
 	Version int64         `json:"version"`
 	Lag     time.Duration `json:"lag"`   // time since a newer version is known; 0 if level
 	Heard   time.Duration `json:"heard"` // time since the process was last heard of
+
+	Draining bool `json:"draining,omitempty"` // it is stopping
 }
 
 // Status is the state of the configuration.
--- a/agent/config.go
+++ b/agent/config.go
@@ -63,6 +63,9 @@
 	case proto.KindBeat:
 		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
 			cfg.exchange.Heard(per, msg.StateVersion)
+			if cfg.exchange.Draining(per.Name, msg.Draining) && msg.Draining {
+				cfg.log.Info("agent: entry drains", "entry", per.Name)
+			}
 		}
 	case proto.KindState:
 		msg, err := proto.Parse[proto.State](frm)
--- a/cmd/tarragonwheel/main.go
+++ b/cmd/tarragonwheel/main.go
@@ -49,6 +49,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
--- a/cmd/tarragonwheel/present.go
+++ b/cmd/tarragonwheel/present.go
@@ -85,6 +85,9 @@
 		if prc.Version < sta.Version {
 			late = fmt.Sprintf("  LAGGING for %s", prc.Lag.Round(time.Millisecond))
 		}
+		if prc.Draining {
+			late += "  stopping"
+		}
 		line(out, "  %-8s %-24s version %d, heard of %s ago%s",
 			prc.Role, prc.Name, prc.Version, prc.Heard.Round(time.Millisecond), late)
 	}
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	grp := group.New(ctx, "entry")
+	grp := group.New(context.WithoutCancel(ctx), "entry") // The signal starts the drain; the group stops after it.
 	ent, err := entry.New(grp, set, sec, timer.New(), log)
 	if err != nil {
 		_ = grp.Stop()
@@ -65,7 +65,7 @@
 		return fmt.Errorf("start operator API: %w", err)
 	}
 	log.Info("entry: listening", "address", ent.Address(), "admin", adm.Address())
-	return grp.Wait()
+	return untilDrained(ctx, grp, ent.Drain)
 }
 
 func operatorSource(set *config.Settings, ent *entry.Entry) admin.Source {
@@ -95,9 +95,14 @@
 		return err
 	}
 	log.Info("agent: listening", "address", agt.Address())
+	return untilDrained(ctx, grp, agt.Drain)
+}
+
+// untilDrained waits for the signal that ends ctx, then drains and stops the group.
+func untilDrained(ctx context.Context, grp *group.Group, drain func(ctx context.Context)) error {
 	select {
 	case <-ctx.Done():
-		agt.Drain(grp.Context())
+		drain(grp.Context())
 		return grp.Stop()
 	case <-grp.Context().Done():
 		return grp.Wait()
--- a/cmd/tarragonwheel/scenario_http_test.go
+++ b/cmd/tarragonwheel/scenario_http_test.go
@@ -286,6 +286,23 @@
 	return nil
 }
 
+// checkReady asks a process on its metrics address whether it is ready: PROCESS [status=N].
+func checkReady(scn *scenario, args []string) error {
+	if len(args) == 0 || scn.processes[args[0]] == nil {
+		return errors.New("usage: readyz PROCESS [status=N]")
+	}
+	addr := metricsAddress.FindStringSubmatch(scn.processes[args[0]].text())
+	if addr == nil {
+		return fmt.Errorf("%s serves no metrics", args[0])
+	}
+	cal, err := begin(http.MethodGet, "http://"+addr[1]+"/readyz", "", "")
+	if err != nil {
+		return err
+	}
+	_, opts := options(args[1:])
+	return cal.check(scn, opts)
+}
+
 // addProxyRoute puts a route in front of a process: PROXY NAME TARGET. Its name then stands for the target.
 func addProxyRoute(scn *scenario, args []string) error {
 	if len(args) != 3 {
--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -32,14 +32,17 @@
 }
 
 type simEngineCommand struct {
-	Listen string `arg:"required,--listen" help:"address to listen on"`
-	Model  string `arg:"required,--model" help:"name of the model"`
-	Marker string `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
+	Listen string        `arg:"required,--listen" help:"address to listen on"`
+	Model  string        `arg:"required,--model" help:"name of the model"`
+	Step   time.Duration `default:"8ms" help:"least time of a step, in which each request gets a token"`
+	Marker string        `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
 }
 
 func (cmd *simEngineCommand) run(ctx context.Context, std streams) error {
 	grp := group.New(ctx, "simeng")
-	eng := simeng.New(grp, simeng.DefaultModel(cmd.Model), timer.New())
+	mdl := simeng.DefaultModel(cmd.Model)
+	mdl.StepBase = cmd.Step
+	eng := simeng.New(grp, mdl, timer.New())
 	if cmd.Marker != "" {
 		eng.CrashOn(cmd.Marker, func() { os.Exit(exitFailed) })
 	}
--- a/config/keys_entry.go
+++ b/config/keys_entry.go
@@ -29,6 +29,11 @@
 		section: "entry", name: "repeatable",
 		help: "calls to plain services that may run more than once, besides GET, HEAD and OPTIONS",
 	})
+	EntryDrainNotice = durationKey(definition{
+		section: "entry", name: "drain-notice", fallback: "5s",
+		help: "time for which a stopping entry still serves while it reports that it is not ready, so that the " +
+			"balancer notices",
+	}, 0, 10*time.Minute)
 	EntryPolicy = choiceKey(definition{
 		section: "entry", name: "policy", fallback: "predicted",
 		help: "how an agent is chosen; all but predicted are baselines for measurements",
--- a/entry/config.go
+++ b/entry/config.go
@@ -39,6 +39,7 @@
 	clock    *timer.Service
 	log      logr.Logger
 	metrics  *metric.Set
+	stopping func() bool
 
 	mu     sync.Mutex
 	failed error // of the last read of the log
@@ -47,10 +48,10 @@
 // newConfiguration follows the log in grp and competes for the duty of republishing the snapshot. Without a log,
 // the empty state is current until a peer has more.
 func newConfiguration(
-	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set,
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set, stopping func() bool,
 ) *configuration {
 	addr := config.PlatformLog.Of(set)
-	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met}
+	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met, stopping: stopping}
 	cfg.exchange = state.NewExchange(cfg.store, clk, cfg.beat)
 	grp.Go("announce configuration", func(ctx context.Context) error {
 		cfg.announce(ctx)
@@ -80,7 +81,7 @@
 }
 
 func (cfg *configuration) beat() (proto.Kind, any) {
-	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version()}
+	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version(), Draining: cfg.stopping()}
 }
 
 func (cfg *configuration) announce(ctx context.Context) {
@@ -108,6 +109,9 @@
 		cfg.exchange.Heard(per, rep.StateVersion)
 		for _, ent := range rep.Entries {
 			cfg.exchange.HeardOf(ent.Name, proto.RoleEntry, ent.Version)
+			if cfg.exchange.Draining(ent.Name, ent.Draining) && ent.Draining {
+				cfg.log.Info("entry: another entry drains", "entry", ent.Name)
+			}
 		}
 	case proto.KindState:
 		msg, err := proto.Parse[proto.State](frm)
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/proto"
@@ -56,6 +58,12 @@
 	}
 }
 
+func (ent *Entry) connections() []*link.Conn {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	return slices.Collect(maps.Values(ent.conns))
+}
+
 func (ent *Entry) conn(name string) *link.Conn {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -17,6 +17,7 @@
 	ReasonAgentLost  = "agent-lost"
 	ReasonBroken     = "stream-incomplete"
 	ReasonCallerGone = "caller-gone"
+	ReasonDraining   = "draining"
 )
 
 // leastAttempt is the shortest time in which an attempt can be worth its cost.
@@ -24,6 +25,18 @@
 
 // dispatch runs a call: one attempt after another, as long as it may and can be repeated.
 func (ent *Entry) dispatch(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
+	ctx, leave := ent.stop.enter(ctx)
+	if leave == nil {
+		return proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, RetryAfter: stopRetry,
+			Detail: "this entry is stopping",
+		}
+	}
+	defer leave()
+	return ent.dispatchEntered(ctx, cal, rep)
+}
+
+func (ent *Entry) dispatchEntered(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
 	if res, no := ent.config.forbidden(cal.Kind, cal.Account, cal.Serves); no {
 		return res
 	}
@@ -38,7 +51,7 @@
 		if agent != "" {
 			tried = append(tried, agent)
 		}
-		delay, denied := ent.budget.Again(number, cal.Deadline.Sub(ent.clock.Now()), leastAttempt)
+		delay, denied := ent.again(number, res, cal.Deadline.Sub(ent.clock.Now()))
 		if denied != "" {
 			ent.metrics.Event(denied)
 			return run.final(ctx, res)
@@ -50,6 +63,19 @@
 	}
 }
 
+// mostMoves is the number of attempts of a call after which moves count as retries, so that a fleet that drains
+// everywhere does not keep a call going round.
+const mostMoves = 8
+
+// again asks for a further attempt. Attempts that a planned stop moves elsewhere are not charged to the retry budget:
+// they are bounded by the stops, and a stop must not break a stream because of earlier failures.
+func (ent *Entry) again(number int, res proto.Result, remaining time.Duration) (time.Duration, string) {
+	if res.Reason == ReasonDraining && number <= mostMoves {
+		return ent.budget.Move(number, remaining, leastAttempt)
+	}
+	return ent.budget.Again(number, remaining, leastAttempt)
+}
+
 // running is a call on its way through one or more attempts.
 type running struct {
 	ent      *Entry
@@ -87,7 +113,7 @@
 var permanent = map[string]bool{edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true}
 
 // transient are the reasons of failures that another agent need not share.
-var transient = map[string]bool{ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true}
+var transient = map[string]bool{ReasonAgentLost: true, ReasonBroken: true, ReasonDraining: true, "engine-failed": true}
 
 // final is the result that the caller is told.
 func (run *running) final(ctx context.Context, res proto.Result) proto.Result {
@@ -98,6 +124,11 @@
 		res.Reason = ReasonTimeout
 		res.Detail = "the time limit ran out"
 	}
+	if errors.Is(context.Cause(ctx), errGrace) {
+		res.Reason = ReasonDraining
+		res.Detail = "this entry was stopped and its grace period is over"
+		res.RetryAfter = stopRetry
+	}
 	if run.unsure && res.Outcome == proto.OutcomeNotRun {
 		res.Outcome = proto.OutcomeUnknown // An earlier attempt may have run, at least in part.
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	table  *route.Table
 	config *configuration
 	budget *retry.Budget
+	stop   *stop
+	server *http.Server
 
 	members atomic.Pointer[member.Keeper] // nil without a VM list
 
@@ -56,7 +58,8 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
-	ent.config = newConfiguration(grp, set, clk, log, ent.metrics)
+	ent.stop = newStop(set)
+	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.stop.begun)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
 		DataCentre:  config.ProcessDataCentre.Of(set),
@@ -106,9 +109,10 @@
 // Address returns the address on which the entry listens for callers.
 func (ent *Entry) Address() string { return ent.address }
 
-// Ready tells whether the balancer may send callers here: configuration is known and an agent can be given work.
+// Ready tells whether the balancer may send callers here: configuration is known, an agent can be given work, and the
+// entry is not stopping.
 func (ent *Entry) Ready() bool {
-	return ent.config.store.Ready() && ent.table.Ready()
+	return !ent.stop.begun() && ent.config.store.Ready() && ent.table.Ready()
 }
 
 // Metrics returns the entry's metrics.
@@ -120,7 +124,8 @@
 		return fmt.Errorf("entry: listen: %w", trace.ConnectionProblem(err, "%v", err))
 	}
 	ent.address = lis.Addr().String()
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerLimit}
+	srv := &http.Server{Handler: ent.stop.closeKept(hdl), ReadHeaderTimeout: headerLimit}
+	ent.server = srv
 	grp.Go("listen", func(context.Context) error {
 		if err := srv.Serve(lis); err != http.ErrServerClosed {
 			return fmt.Errorf("serve: %w", err)
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -152,6 +152,8 @@
 type PeerVersion struct {
 	Name    string `cbor:"1,keyasint"`
 	Version int64  `cbor:"2,keyasint"`
+
+	Draining bool `cbor:"3,keyasint,omitempty"` // it is stopping
 }
 
 // Beat is an entry's heartbeat.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -51,6 +51,21 @@
 // there is none. A retry that cannot start and take least before the remaining time is over is denied and costs
 // nothing.
 func (bud *Budget) Again(number int, remaining, least time.Duration) (delay time.Duration, denied string) {
+	delay, denied = bud.Move(number, remaining, least)
+	if denied != "" {
+		return 0, denied
+	}
+	bud.mu.Lock()
+	defer bud.mu.Unlock()
+	if bud.tokens < 1 {
+		return 0, DeniedBudget
+	}
+	bud.tokens--
+	return delay, ""
+}
+
+// Move is Again for an attempt that a planned stop moves elsewhere. It is not charged.
+func (bud *Budget) Move(number int, remaining, least time.Duration) (delay time.Duration, denied string) {
 	most := longestDelay
 	if number < 6 { // 20 ms doubled five times is longer than longestDelay.
 		most = min(most, firstDelay<<(number-1))
@@ -59,11 +74,5 @@
 	if remaining <= delay+least {
 		return 0, DeniedTime
 	}
-	bud.mu.Lock()
-	defer bud.mu.Unlock()
-	if bud.tokens < 1 {
-		return 0, DeniedBudget
-	}
-	bud.tokens--
 	return delay, ""
 }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -23,6 +23,8 @@
 		}
 	}
 	is.True(retries >= 100 && retries <= 110) // A tenth of first attempts and the burst.
+	_, denied := bud.Move(1, time.Minute, 0)
+	is.Equal(denied, "") // A planned stop is not held up by an empty budget.
 }
 
 // Guards against a retry that cannot be finished, and against its cost to the budget.
--- a/state/exchange.go
+++ b/state/exchange.go
@@ -33,6 +33,8 @@
 	Role    proto.Role
 	Version int64
 	Heard   time.Time // when the version was heard
+
+	Draining bool // it is stopping
 }
 
 type arrival struct {
@@ -69,7 +71,7 @@
 	own := exc.store.Version()
 	exc.mu.Lock()
 	exc.peers[per.Name] = per
-	exc.note(Process{per.Name, per.Role, version, exc.clock.Now()})
+	exc.note(Process{Name: per.Name, Role: per.Role, Version: version, Heard: exc.clock.Now()})
 	ask := version > own && exc.mayAsk(per, own, version)
 	exc.mu.Unlock()
 	switch {
@@ -117,11 +119,25 @@
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
 	if version >= exc.known[name].Version {
-		exc.note(Process{name, rol, version, exc.clock.Now()})
+		exc.note(Process{Name: name, Role: rol, Version: version, Heard: exc.clock.Now()})
+	}
+}
+
+// Draining takes whether a process that was heard of is stopping. It tells whether that is news.
+func (exc *Exchange) Draining(name string, draining bool) bool {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	prc, ok := exc.known[name]
+	news := ok && prc.Draining != draining
+	if news {
+		prc.Draining = draining
+		exc.known[name] = prc
 	}
+	return news
 }
 
 func (exc *Exchange) note(prc Process) {
+	prc.Draining = exc.known[prc.Name].Draining
 	exc.known[prc.Name] = prc
 }
 
@@ -178,7 +194,8 @@
 			delete(exc.peers, name)
 		default:
 			if per.Role == rol {
-				list = append(list, proto.PeerVersion{Name: name, Version: exc.known[name].Version})
+				prc := exc.known[name]
+				list = append(list, proto.PeerVersion{Name: name, Version: prc.Version, Draining: prc.Draining})
 			}
 		}
 	}
