Hand back streams that outlast an agent's grace period

Cause: when process.grace had passed, the agent ended with attempts on its engine, which went on until the next agent cancelled them, and the resumed stream was charged to the entry's retry budget. /readyz of an agent was always 200.

Change: after the grace period the agent cancels its attempts on the engine and fails them with draining, waits for the engine to confirm (at most 5 s), and ends. The entry resumes the streams elsewhere; the prompt is computed again, since KV memory is not moved. Calls to plain services are left alone. /readyz follows health and drain.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,8 @@
 	ledger  *ledger.Ledger
 	queue   *admit.Queue
 	grace   time.Duration
+	cut     context.Context // ends when the grace period of a planned stop has passed
+	cutNow  context.CancelFunc
 	changed chan struct{}  // wakes the report loop
 	reclaim chan struct{}  // wakes the reclaim loop
 	pollNow chan struct{}  // wakes the poll loop
@@ -88,6 +90,7 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	agt.cut, agt.cutNow = context.WithCancel(context.Background())
 	agt.queue = admit.New(admit.Options{
 		Clock: clk, Model: agt.model, Ledger: agt.ledger,
 		ShortBias:  config.AgentShortBias.Of(set),
@@ -120,6 +123,13 @@
 // Address returns the address on which the agent listens.
 func (agt *Agent) Address() string { return agt.address }
 
+// Ready tells whether the agent takes work: its upstream answers, and it is not stopping.
+func (agt *Agent) Ready() bool {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	return agt.healthy && !agt.draining
+}
+
 // Metrics returns the agent's metrics.
 func (agt *Agent) Metrics() *metric.Set { return agt.metrics }
 
--- a/agent/report.go
+++ b/agent/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/link"
@@ -14,6 +15,8 @@
 	drainPoll   = 20 * time.Millisecond
 	// drainFlush lets the last results leave the connections' send queues before the process ends.
 	drainFlush = 200 * time.Millisecond
+	// handBackLimit bounds the wait until the engine has confirmed the cancels of what was handed back.
+	handBackLimit = 5 * time.Second
 )
 
 // report describes the load and state now.
@@ -76,7 +79,8 @@
 	return list
 }
 
-// Drain refuses new and queued work, reports so, and returns when no attempt is in flight or process.grace has passed.
+// Drain refuses new and queued work, reports so, and returns when no attempt is in flight. After process.grace it hands
+// the attempts on an engine back: the entry resumes their streams on another engine, which computes the prompt again.
 func (agt *Agent) Drain(ctx context.Context) {
 	agt.mu.Lock()
 	agt.draining = true
@@ -85,16 +89,44 @@
 	agt.log.Info("agent: draining", "grace", agt.grace.String())
 	lim, cancel := agt.clock.WithTimeout(ctx, agt.grace)
 	defer cancel()
-	for agt.inFlight() > 0 {
-		if agt.clock.Sleep(lim, drainPoll) != nil {
-			agt.log.Info("agent: grace period has passed", "in-flight", agt.inFlight())
-			break
-		}
+	if !agt.awaitWork(lim) {
+		agt.log.Info("agent: grace period has passed", "in-flight", agt.inFlight())
+		agt.cutNow()
+		end, done := agt.clock.WithTimeout(ctx, handBackLimit)
+		defer done()
+		agt.awaitWork(end)
 	}
 	_ = agt.clock.Sleep(ctx, drainFlush)
 	agt.log.Info("agent: drained")
 }
 
+// awaitWork tells whether nothing was left in flight before ctx ended.
+func (agt *Agent) awaitWork(ctx context.Context) bool {
+	for agt.inFlight() > 0 {
+		if agt.clock.Sleep(ctx, drainPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// errGrace is the cause with which attempts end that go on after the grace period.
+var errGrace = errors.New("agent: grace period has passed")
+
+// untilCut ends an attempt on an engine with the grace period. Calls to plain services go on, since another agent
+// cannot take over what has been started.
+func (agt *Agent) untilCut(ctx context.Context, msg proto.Open) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if msg.Kind != proto.UpstreamEngine {
+		return ctx, func() { cancel(nil) }
+	}
+	stop := context.AfterFunc(agt.cut, func() { cancel(errGrace) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // stopping tells whether Drain has been called.
 func (agt *Agent) stopping() bool {
 	agt.mu.Lock()
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -30,6 +30,8 @@
 func (agt *Agent) serve(str *link.Stream, msg proto.Open) {
 	ctx, cancel := agt.clock.WithTimeout(str.Context(), msg.Remaining)
 	defer cancel()
+	ctx, release := agt.untilCut(ctx, msg)
+	defer release()
 	res := agt.run(ctx, str, msg)
 	agt.metrics.Request(string(res.Outcome))
 	if res.Reason != "" {
@@ -202,6 +204,8 @@
 
 func (agt *Agent) failure(ctx context.Context, err error) proto.Result {
 	switch {
+	case errors.Is(context.Cause(ctx), errGrace):
+		return proto.Result{Outcome: proto.OutcomeFailed, Reason: ReasonDraining, Detail: "the agent was stopped"}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return proto.Result{Outcome: proto.OutcomeFailed, Reason: ReasonTimeout}
 	case ctx.Err() != nil:
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -91,7 +91,7 @@
 		_ = grp.Stop()
 		return fmt.Errorf("start agent: %w", err)
 	}
-	if err := serveMetrics(grp, set, agt.Metrics(), func() bool { return true }, log); err != nil {
+	if err := serveMetrics(grp, set, agt.Metrics(), agt.Ready, log); err != nil {
 		return err
 	}
 	log.Info("agent: listening", "address", agt.Address())
