--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 	metrics *metric.Set
 	opts    link.Options
 	address string
+	slots   int // of at-most-once records
 
 	table  *route.Table
 	config *configuration
@@ -58,6 +59,7 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent.slots = config.OnceSlots.Of(set)
 	ent.stop = newStop(set)
 	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.stop.begun)
 	ent.table = route.NewTable(route.Options{
@@ -74,7 +76,7 @@
 		Metrics: ent.metrics,
 		Log:     log,
 		OnFrame: ent.onFrame,
-		Beat:    ent.config.beat,
+		Pulse:   link.NewPulse(grp, clk, ent.config.beat),
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -88,8 +88,9 @@
 	BodyBytes   int64             `cbor:"12,keyasint"`
 	ResumeFrom  int               `cbor:"13,keyasint,omitempty"` // tokens already delivered to the caller
 	PrefixHash  []uint64          `cbor:"14,keyasint,omitempty"` // chained hashes of the prompt's leading blocks
-	Fingerprint uint64            `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
+	Fingerprint Fingerprint       `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
+	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
@@ -102,6 +103,8 @@
 	Status int               `cbor:"1,keyasint"`
 	Header map[string]string `cbor:"2,keyasint,omitempty"`
 	Replay bool              `cbor:"3,keyasint,omitempty"` // the answer of an earlier sending of the same key
+	// Repeated are the headers that occur more than once, with their values in order.
+	Repeated map[string][]string `cbor:"4,keyasint,omitempty"`
 }
 
 // Credit allows the other side to send that many further body bytes on the stream.
@@ -135,17 +138,18 @@
 
 // Report is an agent's load and state, sent every heartbeat interval and on change.
 type Report struct {
-	Queued        int           `cbor:"1,keyasint"` // requests waiting
-	Running       int           `cbor:"2,keyasint"`
-	QueuedPrefill time.Duration `cbor:"3,keyasint"` // predicted prefill work ahead of a new request
-	FreeTokens    int           `cbor:"4,keyasint"` // KV memory not reserved
-	TotalTokens   int           `cbor:"5,keyasint"`
-	PrefillRate   float64       `cbor:"6,keyasint"` // observed tokens per second
+	Queued        int           `cbor:"1,keyasint,omitempty"` // requests waiting
+	Running       int           `cbor:"2,keyasint,omitempty"`
+	QueuedPrefill time.Duration `cbor:"3,keyasint,omitempty"` // predicted prefill work ahead of a new request
+	FreeTokens    int           `cbor:"4,keyasint,omitempty"` // KV memory not reserved
+	TotalTokens   int           `cbor:"5,keyasint,omitempty"`
+	PrefillRate   float64       `cbor:"6,keyasint,omitempty"` // observed tokens per second
 	Draining      bool          `cbor:"7,keyasint,omitempty"`
-	Healthy       bool          `cbor:"8,keyasint"` // the upstream answers
-	StateVersion  int64         `cbor:"9,keyasint"`
+	Healthy       bool          `cbor:"8,keyasint,omitempty"` // the upstream answers
+	StateVersion  int64         `cbor:"9,keyasint,omitempty"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
+	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
 }
 
 // PeerVersion is the configuration version that a process has in force.
@@ -158,8 +162,9 @@
 
 // Beat is an entry's heartbeat.
 type Beat struct {
-	StateVersion int64 `cbor:"1,keyasint"`
-	Draining     bool  `cbor:"2,keyasint,omitempty"`
+	StateVersion int64   `cbor:"1,keyasint"`
+	Draining     bool    `cbor:"2,keyasint,omitempty"`
+	Crashes      []Crash `cbor:"3,keyasint,omitempty"` // crashes that are not in the log yet
 }
 
 // State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
