agent: record the ends of calls before a planned stop

Cause: Drain waited for attempts only. A recorded call whose caller had gone is no attempt any more, so the stop broke it off, and an end that was still queued was appended once, within 2 s, after Drain. Its key then read unknown.

Change: Drain also waits until no recorded call runs and no item is queued or being appended, up to process.grace.

Ruled out: a longer flush after the group has stopped; a running call has lost its context by then.

In an outage of the log a stop now takes up to process.grace if an end is not recorded.

--- a/agent/plain_test.go
+++ b/agent/plain_test.go
@@ -54,3 +54,23 @@
 		})
 	}
 }
+
+// Guards against a planned stop that breaks off a recorded call whose caller has gone, or that ends before the end of
+// the call is in the log: its key would read unknown for ever.
+func TestDrainRecordsEnds(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(t, false)
+	nod := rig.node("one")
+	rig.sendUntil(t, nod, "ready", proto.OutcomeDone)
+	eventually(t, "end of the first call", func() bool { return rig.log.Appends() >= 2 })
+	rig.svc.SetDelay(500 * time.Millisecond)
+	go rig.send(nod.conn(), "k", "k", stepLimit)
+	eventually(t, "start", func() bool { return rig.log.Appends() >= 3 })
+	nod.conn().Close()
+	nod.agent.Drain(context.Background())
+	nod.stop() // Nothing reaches the log after this.
+	two := rig.node("two")
+	is.Equal(rig.send(two.conn(), "k", "k", stepLimit).outcome, proto.OutcomeDone)
+	byKey, _ := rig.svc.Counts()
+	is.Equal(byKey["k"], 1)
+}
--- a/agent/report.go
+++ b/agent/report.go
@@ -102,9 +102,14 @@
 	return agt.draining
 }
 
-// inFlight counts attempts without a result and those whose memory the engine has not returned.
+// inFlight counts attempts without a result, those whose memory the engine has not returned, and what is missing in the
+// records of non-idempotent calls. A recorded call goes on when its caller has gone, and then is no attempt any more.
 func (agt *Agent) inFlight() int {
+	unrecorded := 0
+	if agt.once != nil {
+		unrecorded = agt.once.Unfinished()
+	}
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
-	return len(agt.attempts) + len(agt.lost)
+	return len(agt.attempts) + len(agt.lost) + unrecorded
 }
--- a/once/commit.go
+++ b/once/commit.go
@@ -81,6 +81,7 @@
 func (rec *Recorder) append(ctx context.Context, slt *slot, items []item) {
 	err := rec.write(ctx, slt, items)
 	if err == nil {
+		slt.written(items)
 		rec.opts.Metrics.Event("once-append")
 		return
 	}
--- a/once/recorder.go
+++ b/once/recorder.go
@@ -149,6 +149,12 @@
 	})
 }
 
+// Unfinished returns the number of calls that run and of items that are not in the log. A process that stops when it is
+// 0 leaves no call behind whose end is not recorded.
+func (rec *Recorder) Unfinished() int {
+	return rec.count(func(slt *slot) int { return len(slt.calls) + len(slt.queue) + slt.writing })
+}
+
 func (rec *Recorder) count(of func(slt *slot) int) int {
 	sum := 0
 	for _, slt := range rec.slots {
--- a/once/slot.go
+++ b/once/slot.go
@@ -17,6 +17,7 @@
 	table     *table
 	calls     map[Key]*call
 	queue     []item
+	writing   int           // items of batches that are being appended
 	listed    bool          // in the recorder's list of slots with queued items
 	used      time.Time     // of the last call
 	following bool          // a follower reads the stream
@@ -69,11 +70,19 @@
 	}
 	items := slt.queue[:count:count]
 	slt.queue = slt.queue[count:]
+	slt.writing += count
 	slt.listed = false
 	slt.list()
 	return items
 }
 
+// written notes that a batch is in the log.
+func (slt *slot) written(items []item) {
+	slt.mu.Lock()
+	defer slt.mu.Unlock()
+	slt.writing -= len(items)
+}
+
 // requeue takes back the items of a batch that failed. The batch may have been written all the same, so items have the
 // same effect when they are read twice. A start whose call has been given up is not written again.
 func (slt *slot) requeue(items []item) {
@@ -87,6 +96,7 @@
 		}
 	}
 	slt.queue = append(kept, slt.queue...)
+	slt.writing -= len(items)
 	slt.list()
 }
 
