--- a/admin/server.go
+++ b/admin/server.go
@@ -1,20 +1,17 @@
 package admin
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/intent"
 	"github.com/tarragonwheel/tarragonwheel/logsvc"
 	"github.com/tarragonwheel/tarragonwheel/metric"
@@ -23,8 +20,7 @@
 )
 
 const (
-	maxRequest  = 4 << 20
-	headerLimit = 5 * time.Second
+	maxRequest = 4 << 20
 )
 
 // Server serves the operator API.
@@ -51,22 +47,11 @@
 	if addr == "" {
 		return srv, nil
 	}
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	hsv, err := httpd.Serve(grp, "operators", addr, srv.handler())
 	if err != nil {
-		return nil, fmt.Errorf("admin: listen: %w", trace.ConnectionProblem(err, "%v", err))
+		return nil, fmt.Errorf("admin: %w", err)
 	}
-	srv.address = lis.Addr().String()
-	hsv := &http.Server{Handler: srv.handler(), ReadHeaderTimeout: headerLimit}
-	grp.Go("operator API", func(context.Context) error {
-		if err := hsv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
-	grp.Go("close operator API", func(ctx context.Context) error {
-		<-ctx.Done()
-		return hsv.Close()
-	})
+	srv.address = hsv.Address()
 	return srv, nil
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,22 +4,19 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/admit"
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/cost"
 	"github.com/tarragonwheel/tarragonwheel/engine"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/ledger"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
@@ -29,7 +26,6 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-const headerLimit = 5 * time.Second
 
 // Agent serves entries on behalf of one upstream.
 type Agent struct {
@@ -84,7 +80,7 @@
 		local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleAgent,
-			Incarnation: newIncarnation(),
+			Incarnation: proto.NewIncarnation(),
 			DataCentre:  config.ProcessDataCentre.Of(set),
 			Kind:        proto.UpstreamKind(config.AgentKind.Of(set)),
 			Serves:      config.AgentServes.Of(set),
@@ -114,12 +110,6 @@
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
 
-func newIncarnation() string {
-	buf := make([]byte, 8)
-	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
-	return hex.EncodeToString(buf)
-}
-
 // Address returns the address on which the agent listens.
 func (agt *Agent) Address() string { return agt.address }
 
@@ -134,11 +124,6 @@
 func (agt *Agent) Metrics() *metric.Set { return agt.metrics }
 
 func (agt *Agent) listen(grp *group.Group, addr string, sec *config.Secrets) error {
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
-	if err != nil {
-		return fmt.Errorf("agent: listen: %w", trace.ConnectionProblem(err, "%v", err))
-	}
-	agt.address = lis.Addr().String()
 	opts := link.Options{
 		Secret:  sec.Deployment(),
 		Local:   agt.local,
@@ -151,17 +136,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, link.Handler(grp.Context(), opts, agt.connected))
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
-	grp.Go("listen", func(context.Context) error {
-		if err := srv.Serve(lis); err != http.ErrServerClosed {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
-	grp.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return srv.Close()
-	})
+	srv, err := httpd.Serve(grp, "entries", addr, mux)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	agt.address = srv.Address()
 	return nil
 }
 
--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/logs"
 	"github.com/tarragonwheel/tarragonwheel/simeng"
 	"github.com/tarragonwheel/tarragonwheel/simlog"
@@ -51,22 +50,11 @@
 
 // serve runs an HTTP server until grp stops.
 func serve(grp *group.Group, addr string, hdl http.Handler, errOut io.Writer) error {
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	srv, err := httpd.Serve(grp, "sim", addr, hdl)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	logs.New(errOut, false).Info("sim: listening", "address", lis.Addr().String())
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: 5 * time.Second}
-	grp.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return srv.Close()
-	})
-	grp.Go("listen", func(context.Context) error {
-		if err := srv.Serve(lis); err != http.ErrServerClosed {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
+	logs.New(errOut, false).Info("sim: listening", "address", srv.Address())
 	return grp.Wait()
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +18,7 @@
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/entry"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/load"
 	"github.com/tarragonwheel/tarragonwheel/simeng"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -122,23 +121,12 @@
 }
 
 func serveEngine(grp *group.Group, clk *timer.Service) (string, error) {
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", "127.0.0.1:0")
+	eng := simeng.New(grp, simeng.DefaultModel(model), clk)
+	srv, err := httpd.Serve(grp, "engine", "127.0.0.1:0", eng.Handler())
 	if err != nil {
-		return "", fmt.Errorf("listen for engine: %w", err)
+		return "", err
 	}
-	eng := simeng.New(grp, simeng.DefaultModel(model), clk)
-	srv := &http.Server{Handler: eng.Handler(), ReadHeaderTimeout: readyLimit}
-	grp.Go("engine", func(context.Context) error {
-		if err := srv.Serve(lis); err != http.ErrServerClosed {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
-	grp.Go("close engine", func(ctx context.Context) error {
-		<-ctx.Done()
-		return srv.Close()
-	})
-	return lis.Addr().String(), nil
+	return srv.Address(), nil
 }
 
 func startAgent(
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,21 +4,18 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/member"
 	"github.com/tarragonwheel/tarragonwheel/metric"
@@ -29,7 +26,6 @@
 )
 
 const (
-	headerLimit = 5 * time.Second
 	redialDelay = 500 * time.Millisecond
 )
 
@@ -39,14 +35,13 @@
 	log     logr.Logger
 	metrics *metric.Set
 	opts    link.Options
-	address string
 	slots   int // of at-most-once records
 
 	table  *route.Table
 	config *configuration
 	budget *retry.Budget
 	stop   *stop
-	server *http.Server
+	server *httpd.Server
 
 	members atomic.Pointer[member.Keeper] // nil without a VM list
 
@@ -80,7 +75,7 @@
 		Local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleEntry,
-			Incarnation: newIncarnation(),
+			Incarnation: proto.NewIncarnation(),
 			DataCentre:  config.ProcessDataCentre.Of(set),
 		},
 	}
@@ -102,14 +97,8 @@
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
 
-func newIncarnation() string {
-	buf := make([]byte, 8)
-	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
-	return hex.EncodeToString(buf)
-}
-
 // Address returns the address on which the entry listens for callers.
-func (ent *Entry) Address() string { return ent.address }
+func (ent *Entry) Address() string { return ent.server.Address() }
 
 // Ready tells whether the balancer may send callers here: configuration is known, an agent can be given work, and the
 // entry is not stopping.
@@ -121,22 +110,10 @@
 func (ent *Entry) Metrics() *metric.Set { return ent.metrics }
 
 func (ent *Entry) listen(grp *group.Group, addr string, hdl http.Handler) error {
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	srv, err := httpd.Serve(grp, "callers", addr, ent.stop.closeKept(hdl))
 	if err != nil {
-		return fmt.Errorf("entry: listen: %w", trace.ConnectionProblem(err, "%v", err))
+		return fmt.Errorf("entry: %w", err)
 	}
-	ent.address = lis.Addr().String()
-	srv := &http.Server{Handler: ent.stop.closeKept(hdl), ReadHeaderTimeout: headerLimit}
 	ent.server = srv
-	grp.Go("listen", func(context.Context) error {
-		if err := srv.Serve(lis); err != http.ErrServerClosed {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
-	grp.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return srv.Close()
-	})
 	return nil
 }
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -19,6 +19,13 @@
 // String returns the identifier in hexadecimal.
 func (aid AttemptID) String() string { return hex.EncodeToString(aid[:]) }
 
+// NewIncarnation returns a random identifier for one run of a process.
+func NewIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
 // Role is the role of a process.
 type Role string
 
