Bound the opening of a stream by its context, and flush before a stop

Cause: link.Conn.Open waited up to 5 s for room in the send queue, past the deadline of its call; a draining agent slept 200 ms in the hope that its last results had left.

Ruled out: a longer sleep, which would still prove nothing on a slow link.

Change: Open takes a context, also while another stream is being opened; Flush returns when what was queued before it has been written; the agent's Drain flushes each connection.

Conclusion: no call waits for a stalled peer past its time, and results leave before the process ends.

--- a/agent/once_rig_test.go
+++ b/agent/once_rig_test.go
@@ -144,7 +144,7 @@
 // send sends a call as an entry does. A lost connection leaves the outcome unknown.
 func (rig *rig) send(con *link.Conn, key, body string, remaining time.Duration) sent {
 	out := sent{id: fmt.Sprint(rig.sends.Add(1)), outcome: proto.OutcomeUnknown, reason: "agent-lost"}
-	str, err := con.Open(proto.Open{
+	str, err := con.Open(context.Background(), proto.Open{
 		Attempt: proto.NewAttemptID(), Kind: proto.UpstreamPlain, Account: "acc", Serves: "holds",
 		Remaining: remaining, Key: key, Method: "POST", Path: "/holds", BodyBytes: int64(len(body)),
 		Header: map[string]string{simsvc.HeaderKey: key, simsvc.HeaderSend: out.id},
--- a/agent/plain_test.go
+++ b/agent/plain_test.go
@@ -34,7 +34,7 @@
 			is := is.New(t)
 			rig := newRig(t, false)
 			nod := rig.node("one")
-			str, err := nod.conn().Open(proto.Open{
+			str, err := nod.conn().Open(context.Background(), proto.Open{
 				Attempt: proto.NewAttemptID(), Kind: proto.UpstreamPlain, Account: "acc", Serves: "holds",
 				Remaining: time.Minute, Idempotent: idempotent, Method: "GET", Path: "/unseen",
 			})
--- a/agent/report.go
+++ b/agent/report.go
@@ -13,8 +13,8 @@
 	// reportPause bounds the reports of an agent that becomes full and free again with each request.
 	reportPause = 100 * time.Millisecond
 	drainPoll   = 20 * time.Millisecond
-	// drainFlush lets the last results leave the connections' send queues before the process ends.
-	drainFlush = 200 * time.Millisecond
+	// drainFlush bounds the time in which the last results leave the connections' send queues.
+	drainFlush = 2 * time.Second
 	// handBackLimit bounds the wait until the engine has confirmed the cancels of what was handed back.
 	handBackLimit = 5 * time.Second
 )
@@ -96,7 +96,7 @@
 		defer done()
 		agt.awaitWork(end)
 	}
-	_ = agt.clock.Sleep(ctx, drainFlush)
+	agt.flush(ctx)
 	agt.log.Info("agent: drained")
 }
 
@@ -127,6 +127,17 @@
 	}
 }
 
+// flush returns when the last results have been written to the connections.
+func (agt *Agent) flush(ctx context.Context) {
+	lim, cancel := agt.clock.WithTimeout(ctx, drainFlush)
+	defer cancel()
+	for _, con := range agt.connections() {
+		if err := con.Flush(lim); err != nil {
+			agt.log.Info("agent: results may not have been sent", "entry", con.Peer().Name, "error", err.Error())
+		}
+	}
+}
+
 // stopping tells whether Drain has been called.
 func (agt *Agent) stopping() bool {
 	agt.mu.Lock()
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -129,7 +129,7 @@
 func ask(con *link.Conn, req request) (proto.Result, error) {
 	body := fmt.Appendf(nil, `{"model":"m","stream":true,"max_tokens":%d,"prompt":"%s"}`,
 		req.output, bytes.Repeat([]byte("word"), req.prompt))
-	str, err := con.Open(proto.Open{
+	str, err := con.Open(context.Background(), proto.Open{
 		Attempt: proto.NewAttemptID(), Serves: "m", Remaining: req.remaining, Path: "/v1/completions", Stream: true,
 		Cost: proto.Cost{PromptTokens: req.prompt, OutputTokens: req.output}, BodyBytes: int64(len(body)),
 	})
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,7 +46,7 @@
 		return lost
 	}
 	cal := run.cal
-	str, err := con.Open(proto.Open{
+	str, err := con.Open(ctx, proto.Open{
 		Attempt:    proto.NewAttemptID(),
 		Kind:       cal.Kind,
 		Account:    cal.Account,
--- a/link/bench_test.go
+++ b/link/bench_test.go
@@ -39,7 +39,7 @@
 			}
 		}
 	})
-	str, err := con.Open(proto.Open{})
+	str, err := con.Open(context.Background(), proto.Open{})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -62,7 +62,7 @@
 		before := heap()
 		streams := make([]*link.Stream, 0, count)
 		for range count {
-			str, err := con.Open(proto.Open{})
+			str, err := con.Open(context.Background(), proto.Open{})
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/link/conn.go
+++ b/link/conn.go
@@ -67,10 +67,10 @@
 	sock    *websocket.Conn
 	grp     *group.Group
 	urgent  chan []byte
-	ordered chan []byte
+	ordered chan outgoing
 	lastIn  atomic.Int64 // nanoseconds since the epoch, on the local clock
 	dialed  bool
-	openMu  sync.Mutex // held while a stream is opened, so that stream IDs arrive in order
+	opening chan struct{} // holds a value while a stream is opened, so that stream IDs arrive in order
 	nextID  uint64
 	mu      sync.Mutex
 	streams map[uint64]*Stream
@@ -86,7 +86,8 @@
 		dialed:  dialed,
 		grp:     group.New(parent, "link "+peer.Name),
 		urgent:  make(chan []byte, urgentQueue),
-		ordered: make(chan []byte, sendQueue),
+		ordered: make(chan outgoing, sendQueue),
+		opening: make(chan struct{}, 1),
 		streams: make(map[uint64]*Stream),
 	}
 	sock.SetReadLimit(maxFrameBytes)
@@ -114,7 +115,7 @@
 // Err returns why the connection ended, or nil while it is open.
 func (con *Conn) Err() error { return context.Cause(con.grp.Context()) }
 
-// Close ends the connection and all its streams.
+// Close ends the connection and all its streams, and waits for the handlers of its streams.
 func (con *Conn) Close() {
 	_ = con.grp.Stop()
 }
@@ -128,13 +129,26 @@
 	return con.sendUrgent(raw)
 }
 
-// Open starts a stream to the peer. Only the dialing side opens streams.
-func (con *Conn) Open(msg proto.Open) (*Stream, error) {
+// outgoing is a frame to be sent. If written is set, it is closed once the frame has been written.
+type outgoing struct {
+	raw     []byte
+	written chan struct{}
+}
+
+// Open starts a stream to the peer. Only the dialing side opens streams. An error means that the peer has not received
+// the message and never will.
+func (con *Conn) Open(ctx context.Context, msg proto.Open) (*Stream, error) {
 	if !con.dialed {
 		return nil, trace.BadParameter("link: only the dialing side opens streams")
 	}
-	con.openMu.Lock()
-	defer con.openMu.Unlock()
+	select {
+	case con.opening <- struct{}{}:
+		defer func() { <-con.opening }()
+	case <-con.Done():
+		return nil, fmt.Errorf("link: open stream: %w", ErrClosed)
+	case <-ctx.Done():
+		return nil, fmt.Errorf("link: open stream: %w", context.Cause(ctx))
+	}
 	con.nextID++
 	str := newStream(con, con.nextID)
 	con.mu.Lock()
@@ -144,13 +158,33 @@
 	}
 	con.streams[str.id] = str
 	con.mu.Unlock()
-	if err := str.Send(proto.KindOpen, msg); err != nil {
+	raw, err := proto.Encode(proto.KindOpen, str.id, msg)
+	if err == nil {
+		err = con.sendOrdered(ctx, raw)
+	}
+	if err != nil {
 		str.Close()
 		return nil, fmt.Errorf("link: open stream: %w", err)
 	}
 	return str, nil
 }
 
+// Flush returns when all that was sent on the connection's streams so far has been written to the network.
+func (con *Conn) Flush(ctx context.Context) error {
+	mark := outgoing{written: make(chan struct{})}
+	if err := con.enqueue(ctx, mark); err != nil {
+		return fmt.Errorf("link: flush: %w", err)
+	}
+	select {
+	case <-mark.written:
+		return nil
+	case <-con.Done():
+		return fmt.Errorf("link: flush: %w", ErrClosed)
+	case <-ctx.Done():
+		return fmt.Errorf("link: flush: %w", context.Cause(ctx))
+	}
+}
+
 func (con *Conn) sendUrgent(raw []byte) error {
 	select {
 	case con.urgent <- raw:
@@ -165,8 +199,12 @@
 }
 
 func (con *Conn) sendOrdered(ctx context.Context, raw []byte) error {
+	return con.enqueue(ctx, outgoing{raw: raw})
+}
+
+func (con *Conn) enqueue(ctx context.Context, out outgoing) error {
 	select {
-	case con.ordered <- raw:
+	case con.ordered <- out:
 		return nil
 	case <-con.Done():
 		return fmt.Errorf("link: send: %w", ErrClosed)
@@ -177,33 +215,45 @@
 
 func (con *Conn) writeLoop(ctx context.Context) error {
 	for {
-		raw, err := con.nextOut(ctx)
+		out, err := con.nextOut(ctx)
 		if err != nil {
 			return err
 		}
-		lim, cancel := context.WithTimeout(ctx, writeLimit)
-		err = con.sock.Write(lim, websocket.MessageBinary, raw)
-		cancel()
+		if out.raw != nil {
+			err = con.write(ctx, out.raw)
+		}
 		if err != nil {
-			return fmt.Errorf("write frame: %w", trace.ConnectionProblem(err, "peer %s: %v", con.peer.Name, err))
+			return err
+		}
+		if out.written != nil {
+			close(out.written)
 		}
 	}
 }
 
+func (con *Conn) write(ctx context.Context, raw []byte) error {
+	lim, cancel := context.WithTimeout(ctx, writeLimit)
+	defer cancel()
+	if err := con.sock.Write(lim, websocket.MessageBinary, raw); err != nil {
+		return fmt.Errorf("write frame: %w", trace.ConnectionProblem(err, "peer %s: %v", con.peer.Name, err))
+	}
+	return nil
+}
+
 // nextOut prefers urgent frames, so that heartbeats and credit do not wait behind bodies.
-func (con *Conn) nextOut(ctx context.Context) ([]byte, error) {
+func (con *Conn) nextOut(ctx context.Context) (outgoing, error) {
 	select {
 	case raw := <-con.urgent:
-		return raw, nil
+		return outgoing{raw: raw}, nil
 	default:
 	}
 	select {
 	case raw := <-con.urgent:
-		return raw, nil
-	case raw := <-con.ordered:
-		return raw, nil
+		return outgoing{raw: raw}, nil
+	case out := <-con.ordered:
+		return out, nil
 	case <-ctx.Done():
-		return nil, fmt.Errorf("write frame: %w", context.Cause(ctx))
+		return outgoing{}, fmt.Errorf("write frame: %w", context.Cause(ctx))
 	}
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -77,7 +77,7 @@
 	errs := make(chan error, count)
 	for idx := range count {
 		go func() {
-			str, err := con.Open(proto.Open{})
+			str, err := con.Open(context.Background(), proto.Open{})
 			if err != nil {
 				errs <- err
 				return
@@ -108,10 +108,10 @@
 		_ = str.CloseWrite()
 		<-str.Context().Done()
 	}))
-	slow, err := con.Open(proto.Open{})
+	slow, err := con.Open(context.Background(), proto.Open{})
 	is.NoErr(err)
 	defer slow.Close()
-	fast, err := con.Open(proto.Open{})
+	fast, err := con.Open(context.Background(), proto.Open{})
 	is.NoErr(err)
 	defer fast.Close()
 	got, err := io.ReadAll(fast.Body(context.Background()))
@@ -127,7 +127,7 @@
 		<-str.Context().Done()
 		close(ended)
 	}))
-	str, err := con.Open(proto.Open{})
+	str, err := con.Open(context.Background(), proto.Open{})
 	is.NoErr(err)
 	is.NoErr(str.Send(proto.KindCancel, proto.Cancel{Reason: "caller-gone"}))
 	select {
@@ -141,10 +141,42 @@
 func TestLostConnectionEndsStreams(t *testing.T) {
 	is := is.New(t)
 	con := dial(t, serve(t, echo))
-	str, err := con.Open(proto.Open{})
+	str, err := con.Open(context.Background(), proto.Open{})
 	is.NoErr(err)
 	con.Close()
 	_, err = str.Next(context.Background())
 	is.True(err != nil)
 	is.Equal(con.OpenStreams(), 0)
 }
+
+// Guards against a caller that waits past its deadline for a connection whose peer takes nothing.
+func TestOpenEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	con := dial(t, serve(t, echo))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	count := con.OpenStreams()
+	for range 1000 {
+		if _, err := con.Open(ctx, proto.Open{}); err != nil {
+			is.Equal(con.OpenStreams(), count) // The stream that was not opened is forgotten.
+			return
+		}
+		count++
+	}
+	t.Fatal("streams were opened although the context had ended")
+}
+
+// Guards against a result that is lost because its process ends while it waits in the send queue.
+func TestFlushWaitsForTheNetwork(t *testing.T) {
+	is := is.New(t)
+	con := dial(t, serve(t, func(str *link.Stream, _ proto.Open) {
+		_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeDone})
+		is.NoErr(str.Conn().Flush(context.Background()))
+		go str.Conn().Close() // Close waits for this handler.
+	}))
+	str, err := con.Open(context.Background(), proto.Open{})
+	is.NoErr(err)
+	frm, err := str.Next(context.Background())
+	is.NoErr(err)
+	is.Equal(frm.Kind, proto.KindResult)
+}
