--- a/state/fold.go
+++ b/state/fold.go
@@ -107,17 +107,25 @@
 // Version returns the offset of the last record folded.
 func (fol *Fold) Version() int64 { return fol.version }
 
-// Encode returns the state in deterministic CBOR: equal states have equal bytes.
+// Encode returns the state in compressed, deterministic CBOR: equal states have equal bytes.
 func (fol *Fold) Encode() ([]byte, error) {
 	enc := encoded{fol.version, fol.objects, fol.removed, fol.floor, fol.history, fol.duties, fol.mark, nil}
 	if !fol.blame.Empty() {
 		enc.Blame = &fol.blame
 	}
-	return proto.Marshal(enc)
+	raw, err := proto.Marshal(enc)
+	if err != nil {
+		return nil, err
+	}
+	return pack(raw)
 }
 
 // Decode returns the state that Encode has written.
-func Decode(raw []byte) (*Fold, error) {
+func Decode(packed []byte) (*Fold, error) {
+	raw, err := unpack(packed)
+	if err != nil {
+		return nil, err
+	}
 	var enc encoded
 	if err := proto.Unmarshal(raw, &enc); err != nil {
 		return nil, fmt.Errorf("state: decode: %w", err)
