Roll out model versions step by step through the log

Cause: a declared model version had no effect. It must be loaded upstream by upstream, within the weight store's rate, without falling below the replicas that are wanted, pausing on failure, and going on when the acting process dies.

Ruled out: commands from the acting entry to all agents, since it is connected to few of them at the target's size; the claim's offset as fencing token, since it does not order two steps of one holder.

Change: step and step-end records in the fold; duty.RollOuts decides steps under a claim; the agent beside an upstream drains it, asks the weight store (package weight, stand-in simwgt) and commands its engine with the step's offset as fencing token; status shows progress and why a roll-out waits.

--- a/admin/api.go
+++ b/admin/api.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/intent"
 	"github.com/tarragonwheel/tarragonwheel/state"
 )
@@ -78,6 +79,7 @@
 	Gap       *state.Gap      `json:"gap,omitempty"`
 	Processes []ProcessStatus `json:"processes"`
 	Objects   []state.Named   `json:"objects"`
+	RollOuts  []duty.Progress `json:"roll-outs,omitempty"`
 }
 
 // History lists confirms, oldest first.
@@ -102,4 +104,5 @@
 	Store     *state.Store
 	Exchange  *state.Exchange
 	Upstreams func() []intent.Upstream
+	RollOuts  func() []duty.Progress
 }
--- a/admin/server.go
+++ b/admin/server.go
@@ -155,6 +155,9 @@
 func (srv *Server) status(*http.Request, string, []byte) (any, error) {
 	objects, version := srv.src.Store.List()
 	sta := Status{Version: version, Ready: srv.src.Store.Ready(), Objects: objects}
+	if srv.src.RollOuts != nil {
+		sta.RollOuts = srv.src.RollOuts()
+	}
 	if gap, lost := srv.src.Store.Gap(); lost {
 		sta.Gap = &gap
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,8 @@
 	attempts map[string]struct{}      // all that are being served
 	lost     map[string]*admit.Ticket // ended without the engine's completion, possibly still on the engine
 	draining bool
+	rolling  bool   // the engine is loading a version
+	version  string // that the engine has loaded, as it says
 	healthy  bool
 	listed   bool // the engine's requests have been listed since the start
 	failures int  // failed polls in a row
@@ -105,6 +107,7 @@
 		grp.Go("poll", agt.pollLoop)
 		grp.Go("sweep", agt.sweepLoop)
 		grp.Go("reclaim", agt.reclaimLoop)
+		agt.startRoller(grp, set)
 	}
 	grp.Go("report", agt.reportLoop)
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
--- a/agent/health.go
+++ b/agent/health.go
@@ -51,6 +51,9 @@
 		agt.queue.Retry()
 	}
 	agt.mu.Lock()
+	if err == nil {
+		agt.version = lod.Version
+	}
 	known := agt.listed
 	agt.mu.Unlock()
 	if err == nil && !known {
@@ -80,7 +83,7 @@
 // setRefusal opens or closes the queue. The agent is locked.
 func (agt *Agent) setRefusal() {
 	switch {
-	case agt.draining:
+	case agt.draining, agt.rolling:
 		agt.queue.Refuse(ReasonDraining)
 	case !agt.healthy:
 		agt.queue.Refuse(ReasonUnavailable)
--- a/agent/report.go
+++ b/agent/report.go
@@ -32,7 +32,8 @@
 		FreeTokens:    usg.Free(),
 		TotalTokens:   usg.Tokens,
 		PrefillRate:   agt.model.Rate(),
-		Draining:      agt.draining,
+		Draining:      agt.draining || agt.rolling,
+		Version:       agt.version,
 		Healthy:       agt.healthy,
 		WaitShort:     stt.WaitShort,
 	}
--- a/cmd/tarragonwheel/present.go
+++ b/cmd/tarragonwheel/present.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/admin"
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/intent"
 	"github.com/tarragonwheel/tarragonwheel/state"
 )
@@ -91,11 +92,29 @@
 		line(out, "  %-8s %-24s version %d, heard of %s ago%s",
 			prc.Role, prc.Name, prc.Version, prc.Heard.Round(time.Millisecond), late)
 	}
+	for _, prg := range sta.RollOuts {
+		line(out, "  roll-out of %s %s: %d of %d upstreams done%s",
+			prg.Model, prg.Version, prg.Done, prg.Members, rollOutText(prg))
+	}
 	for _, nam := range sta.Objects {
 		line(out, "  %s: %s", nam.Key, valueText(nam.Object.Value))
 	}
 }
 
+func rollOutText(prg duty.Progress) string {
+	text := ""
+	if len(prg.Loading) > 0 {
+		text += ", loading: " + strings.Join(prg.Loading, ", ")
+	}
+	if len(prg.Failed) > 0 {
+		text += ", failed: " + strings.Join(prg.Failed, ", ")
+	}
+	if prg.Wait != "" {
+		text += ", waits: " + prg.Wait
+	}
+	return text
+}
+
 func writeHistory(out *strings.Builder, his admin.History) {
 	for _, past := range his.Confirms {
 		result := "in force"
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -77,6 +77,7 @@
 			})
 			return list
 		},
+		RollOuts: ent.RollOuts,
 	}
 }
 
--- a/cmd/tarragonwheel/scenario_process_test.go
+++ b/cmd/tarragonwheel/scenario_process_test.go
@@ -95,7 +95,7 @@
 			line = append(line, flag, words[1+idx])
 		}
 		for key, val := range opts {
-			line = append(line, "--"+key, val)
+			line = append(line, "--"+key+"="+val)
 		}
 		return scn.start(words[0], line...)
 	}
@@ -136,7 +136,9 @@
 }
 
 func (scn *scenario) startRole(role, name, centre string, opts map[string]string) error {
-	for word, key := range map[string]string{"vms": "platform.vm-list", "log": "platform.log"} {
+	for word, key := range map[string]string{
+		"vms": "platform.vm-list", "log": "platform.log", "weights": "platform.weight-store",
+	} {
 		if other := take(opts, word, ""); other != "" {
 			addr, err := scn.address(other)
 			if err != nil {
@@ -148,6 +150,9 @@
 	opts["process.name"], opts["process.data-centre"], opts["process.secrets"] = name, centre, "secrets.ini"
 	opts["process.listen"] = anyPort()
 	opts["process.metrics"] = anyPort()
+	if role == "entry" {
+		opts["admin.listen"] = anyPort()
+	}
 	file, err := scn.writeSettings(name, opts)
 	if err != nil {
 		return err
--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -48,6 +48,7 @@
 func init() { // Breaks the cycle between the table and the commands that refer to it.
 	commands = map[string]verb{
 		"engine": startSim("engine", "--model"), "log": startSim("log"), "vms": startSim("vms"),
+		"weights": startSim("weights"), "operator": runOperator,
 		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -13,15 +14,17 @@
 	"github.com/tarragonwheel/tarragonwheel/simeng"
 	"github.com/tarragonwheel/tarragonwheel/simlog"
 	"github.com/tarragonwheel/tarragonwheel/simsvc"
+	"github.com/tarragonwheel/tarragonwheel/simwgt"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 type simCommand struct {
-	Engine *simEngineCommand `arg:"subcommand:engine" help:"model engine"`
-	Log    *simLogCommand    `arg:"subcommand:log" help:"log service"`
-	Svc    *simSvcCommand    `arg:"subcommand:service" help:"plain service"`
-	Fault  *simFaultCommand  `arg:"subcommand:fault" help:"TCP proxy that injects faults"`
-	VMs    *simVMsCommand    `arg:"subcommand:vms" help:"list of VMs"`
+	Engine  *simEngineCommand  `arg:"subcommand:engine" help:"model engine"`
+	Log     *simLogCommand     `arg:"subcommand:log" help:"log service"`
+	Svc     *simSvcCommand     `arg:"subcommand:service" help:"plain service"`
+	Fault   *simFaultCommand   `arg:"subcommand:fault" help:"TCP proxy that injects faults"`
+	VMs     *simVMsCommand     `arg:"subcommand:vms" help:"list of VMs"`
+	Weights *simWeightsCommand `arg:"subcommand:weights" help:"weight store"`
 }
 
 type simLogCommand struct {
@@ -31,10 +34,14 @@
 }
 
 type simEngineCommand struct {
-	Listen string        `arg:"required,--listen" help:"address to listen on"`
-	Model  string        `arg:"required,--model" help:"name of the model"`
-	Step   time.Duration `default:"8ms" help:"least time of a step, in which each request gets a token"`
-	Marker string        `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
+	Listen   string        `arg:"required,--listen" help:"address to listen on"`
+	Model    string        `arg:"required,--model" help:"name of the model"`
+	Step     time.Duration `default:"8ms" help:"least time of a step, in which each request gets a token"`
+	Version  string        `help:"version loaded at the start"`
+	Checks   bool          `arg:"--checks-fencing" help:"refuse commands with an old fencing token"`
+	LoadTime time.Duration `arg:"--load-time" default:"0s" help:"time to load a version"`
+	Fails    string        `arg:"--fails-version" help:"version that cannot be loaded"`
+	Marker   string        `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
 }
 
 func (cmd *simEngineCommand) run(ctx context.Context, std streams) error {
@@ -42,6 +49,9 @@
 	mdl := simeng.DefaultModel(cmd.Model)
 	mdl.StepBase = cmd.Step
 	eng := simeng.New(grp, mdl, timer.New())
+	eng.SetCommands(simeng.Commands{
+		Version: cmd.Version, ChecksFence: cmd.Checks, LoadTime: cmd.LoadTime, FailsVersion: cmd.Fails,
+	})
 	if cmd.Marker != "" {
 		eng.CrashOn(cmd.Marker, func() { os.Exit(exitFailed) })
 	}
@@ -75,3 +85,14 @@
 	svc.SetDelay(cmd.Delay)
 	return serve(grp, cmd.Listen, svc.Handler(), std.err)
 }
+
+type simWeightsCommand struct {
+	Listen   string  `arg:"required,--listen" help:"address to listen on"`
+	Rate     float64 `default:"10" help:"permits a second"`
+	Versions string  `arg:"--versions" help:"known versions, separated by commas"`
+}
+
+func (cmd *simWeightsCommand) run(ctx context.Context, std streams) error {
+	grp := group.New(ctx, "simwgt")
+	return serve(grp, cmd.Listen, simwgt.New(cmd.Rate, strings.Split(cmd.Versions, ",")).Handler(), std.err)
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -102,6 +102,7 @@
 	Waiting     int     `json:"waiting"`
 	PrefillRate float64 `json:"prefill_rate"` // tokens a second
 	MaxRunning  int     `json:"max_running"`
+	Version     string  `json:"version"` // of the loaded model
 }
 
 // Load returns the engine's load report.
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -22,6 +22,7 @@
 	}
 	ent.attach(con) // The first report may arrive before the dialling goroutine goes on.
 	ent.table.Report(con.Peer(), rep)
+	ent.noteVersion(con.Peer().Name, rep)
 }
 
 // stayConnected keeps a connection to the agent at addr until ctx ends.
@@ -54,6 +55,7 @@
 	defer ent.mu.Unlock()
 	if ent.conns[con.Peer().Name] == con {
 		delete(ent.conns, con.Peer().Name)
+		delete(ent.versions, con.Peer().Name)
 		ent.table.Disconnect(con.Peer())
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/httpd"
@@ -37,23 +38,28 @@
 	opts    link.Options
 	slots   int // of at-most-once records
 
-	table  *route.Table
-	config *configuration
-	budget *retry.Budget
-	stop   *stop
-	server *httpd.Server
+	table    *route.Table
+	config   *configuration
+	budget   *retry.Budget
+	rollouts *duty.RollOuts
+	stop     *stop
+	server   *httpd.Server
 
 	members atomic.Pointer[member.Keeper] // nil without a VM list
 
-	mu    sync.Mutex
-	conns map[string]*link.Conn // by the agent's name
+	mu       sync.Mutex
+	conns    map[string]*link.Conn // by the agent's name
+	versions map[string]string     // loaded by the engine, by the agent's name
 }
 
 // New starts an Entry in grp. It returns once the entry listens.
 func New(
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
-	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent := &Entry{
+		clock: clk, log: log, metrics: metric.New(),
+		conns: make(map[string]*link.Conn), versions: make(map[string]string),
+	}
 	ent.slots = config.OnceSlots.Of(set)
 	ent.stop = newStop(set)
 	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.stop.begun)
@@ -86,6 +92,7 @@
 		})
 	}
 	ent.startMembers(grp, set)
+	ent.startRollOuts(grp, set)
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
 		Models: ent.models,
--- a/intent/plan.go
+++ b/intent/plan.go
@@ -187,6 +187,11 @@
 	for _, chg := range pla.Changes {
 		old, val := chg.Before.Model, chg.After.Model
 		changing[chg.Key.Name] = old != nil && val != nil && old.Version != val.Version || changing[chg.Key.Name]
+		left := pla.Replicas[chg.Key.Name]
+		if val != nil && (old == nil || old.Version != val.Version) && left > 0 && left <= val.Replicas {
+			pla.warn("model %s has %d replicas in use and %d are wanted: no upstream can be taken to version %s",
+				chg.Key.Name, left, val.Replicas, val.Version)
+		}
 	}
 	for _, chg := range pla.Changes {
 		if val := chg.After.Upstream; val != nil && val.Drained && changing[serves[chg.Key.Name]] {
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -80,6 +80,17 @@
 	return kpr.known
 }
 
+// Agents returns the live agents of the list, of all entries.
+func (kpr *Keeper) Agents() []vmlist.VM {
+	kpr.mu.Lock()
+	defer kpr.mu.Unlock()
+	list := make([]vmlist.VM, 0, len(kpr.ranks.agents))
+	for _, rkd := range kpr.ranks.agents {
+		list = append(list, rkd.vm)
+	}
+	return list
+}
+
 // Retired tells whether a connection is open only until its streams have ended. It must get no new work, even while
 // its agent still reports.
 func (kpr *Keeper) Retired(con *link.Conn) bool {
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -157,6 +157,7 @@
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
+	Version       string        `cbor:"20,keyasint,omitempty"` // of the model that the upstream has loaded
 }
 
 // PeerVersion is the configuration version that a process has in force.
--- /dev/null
+++ b/simeng/command.go
@@ -0,0 +1,76 @@
+package simeng
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/engine"
+)
+
+// Commands say how the stand-in treats commands.
+type Commands struct {
+	Version      string        // loaded at the start
+	ChecksFence  bool          // commands with a lower fencing token than the highest seen are refused
+	LoadTime     time.Duration // of a version
+	FailsVersion string        // loading this version fails
+}
+
+type commands struct {
+	opts    Commands
+	mu      sync.Mutex
+	version string
+	fence   int64
+	loads   int
+}
+
+// SetCommands replaces how commands are treated, and the loaded version.
+func (eng *Engine) SetCommands(opts Commands) {
+	eng.commands.mu.Lock()
+	defer eng.commands.mu.Unlock()
+	eng.commands.opts = opts
+	eng.commands.version = opts.Version
+}
+
+// Version returns the loaded version, the highest fencing token seen and the number of versions loaded so far.
+func (eng *Engine) Version() (version string, fence int64, loads int) {
+	eng.commands.mu.Lock()
+	defer eng.commands.mu.Unlock()
+	return eng.commands.version, eng.commands.fence, eng.commands.loads
+}
+
+func (eng *Engine) handleCommand(rw http.ResponseWriter, req *http.Request) {
+	var cmd engine.Command
+	if err := json.NewDecoder(req.Body).Decode(&cmd); err != nil || cmd.Kind != engine.CommandLoad {
+		writeError(rw, trace.BadParameter("simeng: malformed command"))
+		return
+	}
+	if err := eng.begin(cmd); err != nil {
+		writeError(rw, err)
+		return
+	}
+	// The command goes on when its sender has gone.
+	_ = eng.clock.Sleep(context.WithoutCancel(req.Context()), eng.commands.opts.LoadTime)
+	eng.commands.mu.Lock()
+	defer eng.commands.mu.Unlock()
+	if cmd.Version == eng.commands.opts.FailsVersion {
+		http.Error(rw, "loading failed", http.StatusUnprocessableEntity)
+		return
+	}
+	eng.commands.version = cmd.Version
+	eng.commands.loads++
+}
+
+func (eng *Engine) begin(cmd engine.Command) error {
+	eng.commands.mu.Lock()
+	defer eng.commands.mu.Unlock()
+	if eng.commands.opts.ChecksFence && cmd.Fence < eng.commands.fence {
+		return trace.CompareFailed("simeng: fencing token %d is lower than %d", cmd.Fence, eng.commands.fence)
+	}
+	eng.commands.fence = max(eng.commands.fence, cmd.Fence)
+	return nil
+}
--- a/simeng/engine.go
+++ b/simeng/engine.go
@@ -70,6 +70,8 @@
 	arrival int64
 	wake    chan struct{}
 	faults  faults
+
+	commands commands
 }
 
 // New returns an Engine that runs until grp stops.
--- a/simeng/fault.go
+++ b/simeng/fault.go
@@ -104,10 +104,12 @@
 // load returns the engine's load, as it was before the configured delay.
 func (eng *Engine) load() engine.Load {
 	used, running, waiting := eng.usage()
+	version, _, _ := eng.Version()
 	now := eng.clock.Now()
 	lod := engine.Load{
 		Model: eng.model.Name, TotalTokens: eng.model.TotalTokens, UsedTokens: used, Running: running,
 		Waiting: waiting, PrefillRate: eng.model.PrefillRate, MaxRunning: eng.model.MaxRunning,
+		Version: version,
 	}
 	eng.mu.Lock()
 	defer eng.mu.Unlock()
--- a/simeng/http.go
+++ b/simeng/http.go
@@ -78,6 +78,7 @@
 			writeError(rw, err)
 		}
 	})
+	mux.HandleFunc("POST /v1/commands", eng.handleCommand)
 	mux.HandleFunc("GET /v1/load", func(rw http.ResponseWriter, _ *http.Request) {
 		writeJSON(rw, http.StatusOK, eng.load())
 	})
--- /dev/null
+++ b/simwgt/store.go
@@ -0,0 +1,51 @@
+// Package simwgt is a small stand-in for the platform's weight store, for tests and the demo.
+package simwgt
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+// Store is the stand-in. It knows some versions and permits loads at a limited rate.
+type Store struct {
+	limiter  *rate.Limiter
+	versions []string
+
+	mu      sync.Mutex
+	permits int
+}
+
+// New returns a Store that knows the given versions of every model and gives permits at most at the given rate a
+// second, one at a time.
+func New(permitRate float64, versions []string) *Store {
+	return &Store{limiter: rate.NewLimiter(rate.Limit(permitRate), 1), versions: versions}
+}
+
+// Permits returns the number of permits given so far.
+func (sto *Store) Permits() int {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.permits
+}
+
+// Handler serves the store's protocol.
+func (sto *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/models/{model}/versions/{version}/permits",
+		func(rw http.ResponseWriter, req *http.Request) {
+			switch {
+			case !slices.Contains(sto.versions, req.PathValue("version")):
+				http.Error(rw, "unknown version", http.StatusNotFound)
+			case !sto.limiter.Allow():
+				http.Error(rw, "busy", http.StatusTooManyRequests)
+			default:
+				sto.mu.Lock()
+				sto.permits++
+				sto.mu.Unlock()
+			}
+		})
+	return mux
+}
--- a/state/fold.go
+++ b/state/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/gravitational/trace"
@@ -85,6 +86,8 @@
 	mark    Mark
 	blame   blame.Book
 
+	placements map[string]Placement // by upstream
+
 	accounts int // number of accounts that exist
 }
 
@@ -97,11 +100,15 @@
 	Duties  map[string]Holding `cbor:"6,keyasint"`
 	Mark    Mark               `cbor:"7,keyasint"`
 	Blame   *blame.Book        `cbor:"8,keyasint,omitempty"` // absent while it is empty
+
+	Placements map[string]Placement `cbor:"9,keyasint,omitempty"`
 }
 
 // NewFold returns the state before the first record.
 func NewFold() *Fold {
-	return &Fold{objects: make(map[Key]Object), duties: make(map[string]Holding)}
+	return &Fold{
+		objects: make(map[Key]Object), duties: make(map[string]Holding), placements: make(map[string]Placement),
+	}
 }
 
 // Version returns the offset of the last record folded.
@@ -109,7 +116,10 @@
 
 // Encode returns the state in compressed, deterministic CBOR: equal states have equal bytes.
 func (fol *Fold) Encode() ([]byte, error) {
-	enc := encoded{fol.version, fol.objects, fol.removed, fol.floor, fol.history, fol.duties, fol.mark, nil}
+	enc := encoded{
+		Version: fol.version, Objects: fol.objects, Removed: fol.removed, Floor: fol.floor, History: fol.history,
+		Duties: fol.duties, Mark: fol.mark, Placements: fol.placements,
+	}
 	if !fol.blame.Empty() {
 		enc.Blame = &fol.blame
 	}
@@ -151,8 +161,10 @@
 			fol.accounts++
 		}
 	}
-	for name, hol := range enc.Duties {
-		fol.duties[name] = hol
+	maps.Copy(fol.duties, enc.Duties)
+	for name, pla := range enc.Placements {
+		pla.Model, pla.Version = share(pla.Model), share(pla.Version)
+		fol.placements[name] = pla
 	}
 	return fol, nil
 }
@@ -184,6 +196,10 @@
 		}
 	case ent.Snapshot != nil:
 		fol.noteSnapshot(offset, *ent.Snapshot)
+	case ent.Step != nil:
+		fol.step(offset, *ent.Step)
+	case ent.StepEnd != nil:
+		fol.stepEnd(*ent.StepEnd)
 	default:
 		fol.takeBlame(ent)
 	}
--- a/state/record.go
+++ b/state/record.go
@@ -143,6 +143,8 @@
 	Crash    *proto.Crash  `cbor:"5,keyasint,omitempty"`
 	Clears   []proto.Clear `cbor:"6,keyasint,omitempty"`
 	Acquit   *blame.Acquit `cbor:"7,keyasint,omitempty"`
+	Step     *Step         `cbor:"8,keyasint,omitempty"`
+	StepEnd  *StepEnd      `cbor:"9,keyasint,omitempty"`
 }
 
 // Record is a record as read from the log.
@@ -163,7 +165,7 @@
 	set := 0
 	for _, has := range []bool{
 		ent.Confirm != nil, ent.Claim != nil, ent.Snapshot != nil, ent.Crash != nil, len(ent.Clears) > 0,
-		ent.Acquit != nil,
+		ent.Acquit != nil, ent.Step != nil, ent.StepEnd != nil,
 	} {
 		if has {
 			set++
