entry: do not wait for a retry that comes after the deadline

Cause: a call refused with a retry-after longer than its remaining time slept until its deadline, and its caller read 504 deadline-exceeded instead of 503 log-unavailable. Found by the scenario once-log-down.

Change: the retry budget is asked with the retry-after as a part of the shortest attempt, so it denies the retry at once.

Scenario once-log-down with a time limit of 4 s: before, 504; after, 503.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -38,7 +38,8 @@
 		if agent != "" {
 			tried = append(tried, agent)
 		}
-		delay, denied := ent.budget.Again(number, cal.Deadline.Sub(ent.clock.Now()), leastAttempt)
+		least := leastAttempt + res.RetryAfter // A caller does not wait for a retry for which there is no time left.
+		delay, denied := ent.budget.Again(number, cal.Deadline.Sub(ent.clock.Now()), least)
 		if denied != "" {
 			ent.metrics.Event(denied)
 			return run.final(ctx, res)
