entry: do not blame an agent for a call that another agent left open

Cause: an agent that answered unknown (no-end-recorded) counted as failed, and the entry stopped using it. Repeats of a call whose agent was lost then drove the remaining agents out of use (503 no-upstream). Found by the scenario once-agent-frozen.

Change: this reason says nothing about the agent that gives it.

Scenario once-agent-frozen: before, 503 no-upstream at the second repeat; after, passes.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
+	"github.com/tarragonwheel/tarragonwheel/once"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/route"
 )
@@ -112,6 +113,8 @@
 		return route.Worked
 	case ctx.Err() != nil || run.broken != nil:
 		return route.Neutral
+	case res.Reason == once.ReasonNoEnd: // Shows that another agent was lost, not this one.
+		return route.Neutral
 	case res.Outcome == proto.OutcomeNotRun && res.Reason != ReasonAgentLost:
 		return route.Refused
 	default:
