Test at-most-once execution with real processes

Scenarios: entry killed, agent killed, agent frozen and woken, owner paused before it may run the call, log down, lost answer to an append; each time the caller sends the call again through another entry, and the list of executions of the stand-in is compared with all answers.

Change: the service stand-in can hold an answer back until it is released, so that no scenario depends on time. New commands service, book, executions, truthful.

--- a/cmd/tarragonwheel/scenario_http_test.go
+++ b/cmd/tarragonwheel/scenario_http_test.go
@@ -30,7 +30,7 @@
 	err    error // of a response that ended before it was complete
 }
 
-func begin(method, addr, key, body string) (*call, error) {
+func begin(method, addr, key, body string, headers ...string) (*call, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	req, err := http.NewRequestWithContext(ctx, method, addr, strings.NewReader(body))
 	if err != nil {
@@ -40,6 +40,9 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer scenario-key-of-"+key)
 	}
+	for idx := 0; idx+1 < len(headers); idx += 2 {
+		req.Header.Set(headers[idx], headers[idx+1])
+	}
 	cal := &call{cancel: cancel, first: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(cal.done)
--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -51,7 +51,8 @@
 		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
-		"post": httpCall("POST"), "active": checkActive, "metric": checkMetric, "vm": listVM,
+		"post": httpCall("POST"), "service": startSim("service"), "book": book, "executions": checkExecutions,
+		"truthful": checkTruth, "active": checkActive, "metric": checkMetric, "vm": listVM,
 	}
 }
 
@@ -63,6 +64,7 @@
 	processes map[string]*process
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
+	bookings  []*booking
 }
 
 const scenarioSecrets = `[deployment]
--- a/simsvc/service.go
+++ b/simsvc/service.go
@@ -36,6 +36,7 @@
 	FaultCrashAfter  Fault = "crash-after"  // the call has its effect, then the connection breaks
 	FaultLoseAnswer  Fault = "lose-answer"  // the call has its effect and the answer breaks off half way
 	FaultHang        Fault = "hang"         // the call has its effect and no answer comes
+	FaultHold        Fault = "hold"         // the call has its effect and the answer comes after Release
 )
 
 // Execution is one call that took effect.
@@ -56,10 +57,11 @@
 	delay  time.Duration
 	faults []Fault // of the next calls, in order
 	done   []Execution
+	open   chan struct{} // closed by Release
 }
 
 // New returns a Service that has executed nothing.
-func New(clk *timer.Service) *Service { return &Service{clock: clk} }
+func New(clk *timer.Service) *Service { return &Service{clock: clk, open: make(chan struct{})} }
 
 // SetDelay sets the time that each later call takes before its effect.
 func (svc *Service) SetDelay(delay time.Duration) {
@@ -75,6 +77,20 @@
 	svc.faults = append(svc.faults, faults...)
 }
 
+// Release lets the answers go that are held back by FaultHold.
+func (svc *Service) Release() {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	close(svc.open)
+	svc.open = make(chan struct{})
+}
+
+func (svc *Service) released() <-chan struct{} {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.open
+}
+
 // Executions returns the calls that took effect so far.
 func (svc *Service) Executions() []Execution {
 	svc.mu.Lock()
@@ -93,7 +109,7 @@
 }
 
 // Handler serves every path as a call, and under /sim/ the list of executions and the faults:
-// GET /sim/executions, POST /sim/delay?value=DURATION, POST /sim/fault?value=FAULT.
+// GET /sim/executions, POST /sim/delay?value=DURATION, POST /sim/fault?value=FAULT, POST /sim/release.
 func (svc *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", svc.call)
@@ -109,9 +125,10 @@
 		}
 		svc.SetDelay(val)
 	})
+	mux.HandleFunc("POST /sim/release", func(http.ResponseWriter, *http.Request) { svc.Release() })
 	mux.HandleFunc("POST /sim/fault", func(rw http.ResponseWriter, req *http.Request) {
 		switch flt := Fault(req.FormValue("value")); flt {
-		case FaultCrashBefore, FaultCrashAfter, FaultLoseAnswer, FaultHang:
+		case FaultCrashBefore, FaultCrashAfter, FaultLoseAnswer, FaultHang, FaultHold:
 			svc.Inject(flt)
 		default:
 			http.Error(rw, "unknown fault", http.StatusBadRequest)
@@ -145,8 +162,15 @@
 	if flt == FaultCrashBefore {
 		panic(http.ErrAbortHandler)
 	}
+	released := svc.released() // Before the effect, so that a Release after it is not missed.
 	exe := svc.execute(req, body)
 	switch flt {
+	case FaultHold:
+		select {
+		case <-released:
+		case <-req.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
 	case FaultCrashAfter:
 		panic(http.ErrAbortHandler)
 	case FaultHang:
