--- a/cmd/tarragonwheel/sims.go
+++ b/cmd/tarragonwheel/sims.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/logs"
 	"github.com/tarragonwheel/tarragonwheel/simeng"
 	"github.com/tarragonwheel/tarragonwheel/simlog"
@@ -32,14 +31,17 @@
 }
 
 type simEngineCommand struct {
-	Listen string `arg:"required,--listen" help:"address to listen on"`
-	Model  string `arg:"required,--model" help:"name of the model"`
-	Marker string `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
+	Listen string        `arg:"required,--listen" help:"address to listen on"`
+	Model  string        `arg:"required,--model" help:"name of the model"`
+	Step   time.Duration `default:"8ms" help:"least time of a step, in which each request gets a token"`
+	Marker string        `arg:"--crash-marker" help:"exit on a request that contains this text; empty for never"`
 }
 
 func (cmd *simEngineCommand) run(ctx context.Context, std streams) error {
 	grp := group.New(ctx, "simeng")
-	eng := simeng.New(grp, simeng.DefaultModel(cmd.Model), timer.New())
+	mdl := simeng.DefaultModel(cmd.Model)
+	mdl.StepBase = cmd.Step
+	eng := simeng.New(grp, mdl, timer.New())
 	if cmd.Marker != "" {
 		eng.CrashOn(cmd.Marker, func() { os.Exit(exitFailed) })
 	}
@@ -48,22 +50,11 @@
 
 // serve runs an HTTP server until grp stops.
 func serve(grp *group.Group, addr string, hdl http.Handler, errOut io.Writer) error {
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
+	srv, err := httpd.Serve(grp, "sim", addr, hdl)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	logs.New(errOut, false).Info("sim: listening", "address", lis.Addr().String())
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: 5 * time.Second}
-	grp.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return srv.Close()
-	})
-	grp.Go("listen", func(context.Context) error {
-		if err := srv.Serve(lis); err != http.ErrServerClosed {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
+	logs.New(errOut, false).Info("sim: listening", "address", srv.Address())
 	return grp.Wait()
 }
 
