--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -52,7 +52,8 @@
 		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
-		"post": httpCall("POST"), "put": httpCall("PUT"), "active": checkActive, "metric": checkMetric,
+		"post": httpCall("POST"), "put": httpCall("PUT"), "service": startSim("service"), "book": book,
+		"executions": checkExecutions, "truthful": checkTruth, "active": checkActive, "metric": checkMetric,
 		"readyz": checkReady, "vm": listVM,
 	}
 }
@@ -65,6 +66,7 @@
 	processes map[string]*process
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
+	bookings  []*booking
 }
 
 const scenarioSecrets = `[deployment]
