Restart every entry and agent under load in a scenario

Cause: nothing showed that a rolling restart of the fleet loses no request.

Ruled out: package load for the callers. It offers requests at times and reports figures; the scenario needs callers that go on to another entry as a balancer does, and whose answers are compared with those of the engine.

Change: the commands load, answered and unload, and the scenario rolling-restart with 3 entries and 4 agents, whose grace period of 20 ms makes them hand streams back. The verdict is by counts.

--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -52,7 +52,7 @@
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
 		"post": httpCall("POST"), "put": httpCall("PUT"), "active": checkActive, "metric": checkMetric,
-		"readyz": checkReady, "vm": listVM,
+		"readyz": checkReady, "vm": listVM, "load": startLoad, "answered": awaitLoad, "unload": endLoad,
 	}
 }
 
@@ -64,6 +64,8 @@
 	processes map[string]*process
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
+	loads     map[string]*traffic
+	log       func(args ...any)
 }
 
 const scenarioSecrets = `[deployment]
@@ -78,13 +80,16 @@
 func setUp(env *testscript.Env) error {
 	scn := &scenario{
 		dir: env.WorkDir, processes: make(map[string]*process), addresses: make(map[string]string),
-		calls: make(map[string]*call),
+		calls: make(map[string]*call), loads: make(map[string]*traffic), log: env.T().Log,
 	}
 	env.Values[scenarioKey{}] = scn
 	env.Defer(func() {
 		for _, cal := range scn.calls {
 			cal.cancel()
 		}
+		for _, trf := range scn.loads {
+			trf.stop.Store(true)
+		}
 		for name, prc := range scn.processes {
 			_ = prc.cmd.Process.Kill()
 			<-prc.done
