--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -55,6 +55,7 @@
 		"post": httpCall("POST"), "put": httpCall("PUT"), "service": startSim("service"), "book": book,
 		"executions": checkExecutions, "truthful": checkTruth, "active": checkActive, "metric": checkMetric,
 		"readyz": checkReady, "vm": listVM,
+		"load": startLoad, "answered": awaitLoad, "unload": endLoad,
 	}
 }
 
@@ -67,6 +68,8 @@
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
 	bookings  []*booking
+	loads     map[string]*traffic
+	log       func(args ...any)
 }
 
 const scenarioSecrets = `[deployment]
@@ -81,13 +84,16 @@
 func setUp(env *testscript.Env) error {
 	scn := &scenario{
 		dir: env.WorkDir, processes: make(map[string]*process), addresses: make(map[string]string),
-		calls: make(map[string]*call),
+		calls: make(map[string]*call), loads: make(map[string]*traffic), log: env.T().Log,
 	}
 	env.Values[scenarioKey{}] = scn
 	env.Defer(func() {
 		for _, cal := range scn.calls {
 			cal.cancel()
 		}
+		for _, trf := range scn.loads {
+			trf.stop.Store(true)
+		}
 		for name, prc := range scn.processes {
 			_ = prc.cmd.Process.Kill()
 			<-prc.done
