Learn the prefill rate over whole prefills only

Cause: under load an agent learnt rates of 122,000 and 383,000 tokens a second from an engine of 40,000 (printed beside requests that waited over 300 ms, trial run of BenchmarkFleet/80). A span of observation ended after 2 s while a long prefill was under way, and all tokens of that prefill then counted to the next, short span. Entries took the agent for ten times faster than others and sent it most short requests, which waited for seconds; the deadline check was wrong by the same factor. Ruled out: memory (120,000 of 480,000 tokens in use) and the engine's order.

A span now ends only if no prefill that the engine held before the ended one is left.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -200,6 +200,20 @@
 	is.True(rate > 4900 && rate < 5600) // 25,000 tokens in 5 s
 }
 
+// Guards against a rate far above the engine's, learnt when a long prefill that began in one span ends in the next.
+func TestRateOfInterruptedPrefill(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	long := bnc.must(t, 40_000)
+	bnc.time.Advance(3900 * time.Millisecond)
+	short := bnc.must(t, 1000)
+	bnc.time.Advance(100 * time.Millisecond)
+	short.FirstToken()
+	bnc.time.Advance(100 * time.Millisecond)
+	long.FirstToken()
+	is.Equal(bnc.model.Rate(), 10_000.0)
+}
+
 // Guards against requests without visible first token that block the window until their whole answer has come.
 func TestUnseenPrefillEndsWhenPredicted(t *testing.T) {
 	is := is.New(t)
--- a/admit/predict.go
+++ b/admit/predict.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // sampleSpan is the time after which a rate is taken from an engine that is never idle.
 const sampleSpan = 2 * time.Second
@@ -73,13 +76,19 @@
 	return work
 }
 
-// observe corrects the prefill rate after a prefill has ended.
+// begunBefore tells whether the engine may have begun a prefill that it held before the one that has ended.
+func (que *Queue) begunBefore(ended *Ticket) bool {
+	return slices.ContainsFunc(que.prefilling, func(tick *Ticket) bool { return tick.passed.Before(ended.passed) })
+}
+
+// observe corrects the prefill rate after a prefill has ended. A span does not end while the engine may hold part of a
+// prefill, whose tokens would all count to the next span: that made rates ten times too high.
 func (que *Queue) observe(tick *Ticket, now time.Time, visible bool) {
 	que.progress = now
 	que.span.tokens += tick.uncached
 	que.span.spoiled = que.span.spoiled || !visible
 	took := now.Sub(que.span.start)
-	if len(que.prefilling) > 0 && took < sampleSpan {
+	if len(que.prefilling) > 0 && (took < sampleSpan || que.begunBefore(tick)) {
 		return
 	}
 	if !que.span.spoiled {
