Predict the wait of short and long requests apart

Cause: the prediction took all queued prefill for a short request, although it overtakes long ones at the agent; it did not know of the engine's step with a chunk of a long prompt (4,096 tokens, 100 ms); it took work reported up to a second ago as still waiting; and three random candidates of eight often included none without a long prompt.

Agents report the prefill of long prompts apart, at once when it begins or ends, and their short-limit. Entries subtract the time since the report, count their own short calls until the first token, add a chunk's time for agents that prefill a long prompt, prefer among idle ones the agent that decodes least, and compare agents of both kinds.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -247,3 +247,17 @@
 	// <nil> 500
 	// 0
 }
+
+// Guards against entries that take an engine for free of long prompts while one takes longer than predicted.
+func TestLongWorkLasts(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	long, short := bnc.must(t, 20_000), bnc.must(t, 1000)
+	is.Equal(bnc.State().LongWork, 2*time.Second)
+	is.Equal(bnc.State().Work, 2100*time.Millisecond)
+	short.FirstToken()
+	bnc.time.Advance(3 * time.Second)
+	is.True(bnc.State().LongWork > 0 && bnc.State().LongWork <= bnc.State().Work)
+	long.FirstToken()
+	is.Equal(bnc.State().LongWork, time.Duration(0))
+}
--- a/admit/predict.go
+++ b/admit/predict.go
@@ -8,6 +8,9 @@
 // sampleSpan is the time after which a rate is taken from an engine that is never idle.
 const sampleSpan = 2 * time.Second
 
+// leastLongWork is what a long prefill counts that should have ended by now.
+const leastLongWork = 10 * time.Millisecond
+
 // span is a time in which the engine prefills without pause. A rate is taken over the whole span and not per request,
 // because the engine interrupts one prefill for another of a lower due time.
 type span struct {
@@ -21,6 +24,7 @@
 	Waiting   int
 	Work      time.Duration // predicted prefill work of all requests that wait or are being prefilled
 	WaitShort time.Duration // predicted wait of a short request that arrives now
+	LongWork  time.Duration // part of Work of requests that are not short; positive while there is one
 }
 
 // State returns the current state.
@@ -33,13 +37,45 @@
 	for _, tick := range que.waiting {
 		all += tick.prefill
 	}
+	long := que.longWork(now)
 	return State{
 		Waiting:   len(que.waiting),
-		Work:      all,
+		Work:      max(all, long),
+		LongWork:  long,
 		WaitShort: que.ahead(now.Add(time.Duration(que.opts.ShortBias*float64(short))), now),
 	}
 }
 
+// longWork predicts the prefill work left of requests that are not short. A prefill that takes longer than predicted
+// still counts as leastLongWork, because the engine's steps are long for as long as it lasts.
+func (que *Queue) longWork(now time.Time) time.Duration {
+	work := time.Duration(0)
+	for idx, tick := range que.prefilling {
+		if tick.reserve.Short {
+			continue
+		}
+		left := tick.prefill
+		if idx == 0 {
+			left -= now.Sub(que.begun(tick))
+		}
+		work += max(left, leastLongWork)
+	}
+	for _, tick := range que.waiting {
+		if !tick.reserve.Short {
+			work += max(tick.prefill, leastLongWork)
+		}
+	}
+	return work
+}
+
+// begun returns the time from which the engine is taken to work on the first request that it holds.
+func (que *Queue) begun(tick *Ticket) time.Time {
+	if tick.passed.After(que.progress) {
+		return tick.passed
+	}
+	return que.progress
+}
+
 // timeLimit lies beyond any due time.
 const timeLimit = 100 * 365 * 24 * time.Hour
 
@@ -65,11 +101,7 @@
 		}
 		left := tick.prefill
 		if idx == 0 {
-			begun := que.progress
-			if tick.passed.After(begun) {
-				begun = tick.passed
-			}
-			left = max(0, left-now.Sub(begun))
+			left = max(0, left-now.Sub(que.begun(tick)))
 		}
 		work += left
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,14 +42,16 @@
 	ledger  *ledger.Ledger
 	queue   *admit.Queue
 	grace   time.Duration
-	changed chan struct{}  // wakes the report loop
-	reclaim chan struct{}  // wakes the reclaim loop
-	pollNow chan struct{}  // wakes the poll loop
-	plain   *plain.Client  // set if the upstream is a plain service
-	once    *once.Recorder // set if, in addition, there is a log
-	maxOnce int64          // longest body of a non-idempotent call, in bytes
-	address string
-	config  *configuration
+	// shortLimit is the longest prompt that counts as short, in tokens.
+	shortLimit int
+	changed    chan struct{}  // wakes the report loop
+	reclaim    chan struct{}  // wakes the reclaim loop
+	pollNow    chan struct{}  // wakes the poll loop
+	plain      *plain.Client  // set if the upstream is a plain service
+	once       *once.Recorder // set if, in addition, there is a log
+	maxOnce    int64          // longest body of a non-idempotent call, in bytes
+	address    string
+	config     *configuration
 
 	mu       sync.Mutex
 	conns    map[*link.Conn]struct{}
@@ -66,13 +68,16 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Agent, error) {
 	agt := &Agent{
-		clock:    clk,
-		log:      log,
-		metrics:  metric.New(),
-		engine:   engine.New(config.AgentUpstream.Of(set)),
-		model:    cost.NewModel(),
-		ledger:   ledger.New(config.AgentShortHeadroom.Of(set)),
-		grace:    config.ProcessGrace.Of(set),
+		clock:   clk,
+		log:     log,
+		metrics: metric.New(),
+		engine:  engine.New(config.AgentUpstream.Of(set)),
+		model:   cost.NewModel(),
+		ledger:  ledger.New(config.AgentShortHeadroom.Of(set)),
+		grace:   config.ProcessGrace.Of(set),
+
+		shortLimit: config.AgentShortLimit.Of(set),
+
 		changed:  make(chan struct{}, 1),
 		reclaim:  make(chan struct{}, 1),
 		pollNow:  make(chan struct{}, 1),
@@ -91,7 +96,7 @@
 	agt.queue = admit.New(admit.Options{
 		Clock: clk, Model: agt.model, Ledger: agt.ledger,
 		ShortBias:  config.AgentShortBias.Of(set),
-		ShortLimit: config.AgentShortLimit.Of(set),
+		ShortLimit: agt.shortLimit,
 		Window:     config.AgentEngineWindow.Of(set),
 		Limit:      config.AgentQueueLimit.Of(set),
 		Changed:    func() { wake(agt.changed) },
--- a/agent/report.go
+++ b/agent/report.go
@@ -32,20 +32,25 @@
 		Draining:      agt.draining,
 		Healthy:       agt.healthy,
 		WaitShort:     stt.WaitShort,
+		LongPrefill:   stt.LongWork,
+		ShortLimit:    agt.shortLimit,
 	}
 	return agt.config.fill(rep)
 }
 
 // standing is the part of a report whose change entries learn at once.
 type standing struct {
-	full, draining, healthy bool
+	full, draining, healthy, long bool
 }
 
 func standingOf(rep proto.Report) standing {
-	return standing{full: rep.Queued > 0, draining: rep.Draining, healthy: rep.Healthy}
+	return standing{
+		full: rep.Queued > 0, draining: rep.Draining, healthy: rep.Healthy, long: rep.LongPrefill > 0,
+	}
 }
 
-// reportLoop sends a report between heartbeats when the agent became full, free again, draining or unhealthy.
+// reportLoop sends a report between heartbeats when the agent became full, free again, draining or
+// unhealthy, or began or ended its work on long prompts.
 func (agt *Agent) reportLoop(ctx context.Context) error {
 	var sent standing
 	for {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -83,6 +83,7 @@
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
+	answered bool          // the first part of the answer has come
 	body     chan struct{} // closed when the body's sender has returned
 }
 
@@ -130,6 +131,7 @@
 			fol.head = &hed
 			fol.plc.Started()
 		case proto.KindData:
+			fol.firstToken()
 			if err := fol.data(frm); err != nil {
 				return proto.Result{}, err
 			}
@@ -139,6 +141,15 @@
 	}
 }
 
+// firstToken tells the table once that the prefill has ended.
+func (fol *follower) firstToken() {
+	if fol.answered {
+		return
+	}
+	fol.answered = true
+	fol.plc.FirstToken()
+}
+
 func (fol *follower) sendBody() {
 	if fol.accepted {
 		return
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -111,6 +111,9 @@
 		b.Fatal(err)
 	}
 	b.Logf("\n%s", out.String())
+	for idx, rep := range load.Summarize(policy, alone, nil, *fleetDuration) {
+		b.Logf("alone: %s p50 %.0f ms, p95 %.0f ms", reps[idx].Class, rep.P50, rep.P95)
+	}
 	for _, rep := range reps {
 		if rep.Class == "2k" {
 			b.ReportMetric(rep.Slowdown, policy+"-slowdown")
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -146,6 +146,8 @@
 	StateVersion  int64         `cbor:"9,keyasint"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
+	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
+	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 }
 
 // PeerVersion is the configuration version that a process has in force.
--- /dev/null
+++ b/route/backlog.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// chunkTokens is the part of a long prompt that engines commonly prefill in a step.
+const chunkTokens = 4096
+
+// waitPerRunning is small beside any prefill: between agents without prefill work it prefers the one that decodes least.
+const waitPerRunning = time.Millisecond
+
+// backlog is the prefill work that an agent is taken to have. Short requests overtake long ones there, so the work is
+// kept apart: a short request waits for the short part alone.
+type backlog struct {
+	short time.Duration // work that a short request waits for
+	long  time.Duration // the rest
+}
+
+// drain takes off what the engine does in a time, the short part first.
+func (bkl *backlog) drain(took time.Duration) {
+	first := min(bkl.short, took)
+	bkl.short -= first
+	bkl.long = max(0, bkl.long-(took-first))
+}
+
+// backlog returns the work reported and sent since, less what the engine has done since. The lock is held.
+func (vie *view) backlog(now time.Time) backlog {
+	rep := &vie.report
+	bkl := backlog{short: max(rep.WaitShort, rep.QueuedPrefill-rep.LongPrefill)}
+	bkl.long = max(0, rep.QueuedPrefill-bkl.short)
+	at := vie.reportAt
+	short := time.Duration(0)
+	for _, plc := range vie.sent {
+		if !plc.long {
+			short += plc.work
+			continue
+		}
+		if plc.sentAt.After(at) {
+			bkl.drain(plc.sentAt.Sub(at))
+			at = plc.sentAt
+		}
+		bkl.long += plc.work
+	}
+	bkl.drain(max(0, now.Sub(at)))
+	bkl.short += short // Until their first tokens, since a short prefill often takes longer than predicted.
+	return bkl
+}
+
+// busyLong tells whether the agent has a long prompt to prefill. A report follows at once when that changes. The lock is
+// held.
+func (vie *view) busyLong() bool {
+	if vie.report.LongPrefill > 0 {
+		return true
+	}
+	return slices.ContainsFunc(vie.sent, func(plc *Placement) bool { return plc.long })
+}
+
+// stepWait is a short request's wait for the engine's steps that decode other requests.
+func (vie *view) stepWait() time.Duration {
+	return time.Duration(max(vie.outstanding, vie.report.Running)) * waitPerRunning
+}
+
+// chunkWait is the time that a short request may wait for the engine's step with a chunk of a long prompt.
+func (vie *view) chunkWait() time.Duration { return cost.Prefill(chunkTokens, vie.rate()) }
+
+// short tells whether the agent treats a request as short. Agents that state no limit have no short requests.
+func (vie *view) short(cst proto.Cost) bool {
+	return vie.report.ShortLimit > 0 && cst.PromptTokens <= vie.report.ShortLimit
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,10 +31,16 @@
 	}
 }
 
-// candidates returns random agents, one of which is replaced by the agent that probably has most of the prompt cached:
-// with many agents, a few random ones rarely include it.
+// candidates returns random agents, and the agent that probably has most of the prompt cached: with many agents, a few
+// random ones rarely include it. A short request gets candidates of both kinds: without and with a long prompt to
+// prefill, since a few random ones often include none without.
 func (tab *Table) candidates(usable []*view, qry Query) []*view {
-	list := sample(usable, candidateCount)
+	calm, busy := split(usable, func(vie *view) bool {
+		vie.lock.Lock()
+		defer vie.lock.Unlock()
+		return !vie.short(qry.Cost) || !vie.busyLong()
+	})
+	list := slices.Concat(sample(calm, candidateCount), sample(busy, max(1, candidateCount-len(calm))))
 	if len(list) == len(usable) || len(qry.PrefixHash) == 0 {
 		return list
 	}
@@ -47,11 +54,23 @@
 		}
 	}
 	if best != nil {
-		list[len(list)-1] = best
+		list = append(list, best)
 	}
 	return list
 }
 
+// split divides a list by a condition and keeps the order.
+func split(list []*view, cond func(vie *view) bool) (yes, no []*view) {
+	for _, vie := range list {
+		if cond(vie) {
+			yes = append(yes, vie)
+		} else {
+			no = append(no, vie)
+		}
+	}
+	return yes, no
+}
+
 func lowest[T int | time.Duration](list []*view, value func(vie *view) T) *view {
 	best := list[0]
 	least := value(best)
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -114,3 +114,50 @@
 	tab.Disconnect(peer(first.Agent()))
 	is.True(tab.Pick(qry).Agent() != first.Agent())
 }
+
+// Guards against short requests that count the long work which they overtake, and against work that counts as waiting
+// long after it was reported.
+func TestShortCountsShortWork(t *testing.T) {
+	is := is.New(t)
+	tab, man := table("one", "two")
+	rep := proto.Report{Healthy: true, PrefillRate: 40_000, ShortLimit: 10_000, QueuedPrefill: 3 * time.Second}
+	tab.Report(peer("one"), rep)
+	rep.LongPrefill = 5 * time.Second
+	rep.QueuedPrefill = 5 * time.Second
+	tab.Report(peer("two"), rep)
+	is.Equal(pick(tab, 1000).Agent(), "two")
+	is.Equal(pick(tab, 20_000).Agent(), "one")
+	man.Advance(2 * time.Second) // 1.5 s are left at the first, 3.025 s at the second.
+	is.Equal(pick(tab, 40_000).Agent(), "one")
+	is.Equal(pick(tab, 40_000).Agent(), "one")
+	is.Equal(pick(tab, 40_000).Agent(), "two")
+}
+
+// Guards against short requests that meet the steps of a long prompt although an agent without one is free.
+func TestShortAvoidsLong(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	tab, man := table(names...)
+	rep := proto.Report{Healthy: true, PrefillRate: 40_000, ShortLimit: 10_000}
+	tab.Report(peer("e"), rep)
+	rep.QueuedPrefill = 500 * time.Millisecond
+	rep.LongPrefill = rep.QueuedPrefill
+	for _, name := range names {
+		if name != "e" {
+			tab.Report(peer(name), rep)
+		}
+	}
+	man.Advance(time.Second) // The work should have ended, but no report has said so.
+	for range 20 {
+		plc := pick(tab, 1000)
+		is.Equal(plc.Agent(), "e")
+		plc.End(route.Worked)
+	}
+	count := 0
+	for range 12 {
+		if pick(tab, 1000).Agent() == "e" {
+			count++
+		}
+	}
+	is.Equal(count, 5) // 25 ms each: a fifth waits about as long as for the step of a long prompt.
+}
--- a/route/view.go
+++ b/route/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,15 +82,19 @@
 func (vie *view) predict(now time.Time, qry Query, opts Options) time.Duration {
 	vie.lock.Lock()
 	defer vie.lock.Unlock()
-	queue := vie.report.QueuedPrefill
+	bkl := vie.backlog(now)
+	wait := bkl.short
+	switch {
+	case !vie.short(qry.Cost):
+		wait += bkl.long
+	case vie.busyLong():
+		wait += vie.chunkWait()
+	}
 	if age := now.Sub(vie.reportAt); age > freshFor {
 		weight := float64(silentAfter-age) / float64(silentAfter-freshFor)
-		queue = time.Duration(weight*float64(queue) + (1-weight)*float64(max(queue, staleQueue)))
-	}
-	for _, plc := range vie.sent {
-		queue += plc.work
+		wait = time.Duration(weight*float64(wait) + (1-weight)*float64(max(wait, staleQueue)))
 	}
-	sum := queue + vie.ownWork(qry) + vie.currentPenalty(now)
+	sum := wait + vie.stepWait() + vie.ownWork(qry) + vie.currentPenalty(now)
 	if vie.peer.DataCentre != opts.DataCentre {
 		sum += opts.RemoteDelay
 	}
@@ -98,11 +103,14 @@
 
 // ownWork returns the prefill time of the query's prompt, less the prefix that this agent has probably cached.
 func (vie *view) ownWork(qry Query) time.Duration {
-	rate := vie.report.PrefillRate
-	if rate <= 0 {
-		rate = assumedRate
+	return cost.Prefill(max(0, qry.Cost.PromptTokens-vie.prefixes.cached(qry.PrefixHash)), vie.rate())
+}
+
+func (vie *view) rate() float64 {
+	if vie.report.PrefillRate > 0 {
+		return vie.report.PrefillRate
 	}
-	return cost.Prefill(max(0, qry.Cost.PromptTokens-vie.prefixes.cached(qry.PrefixHash)), rate)
+	return assumedRate
 }
 
 func (vie *view) currentPenalty(now time.Time) time.Duration {
@@ -124,6 +132,7 @@
 		return nil
 	}
 	plc := &Placement{tab: tab, view: vie, sentAt: now, probe: vie.failed, work: vie.ownWork(qry)}
+	plc.long = !vie.short(qry.Cost)
 	plc.Cost = qry.Cost
 	plc.Cost.CachedTokens = min(vie.prefixes.cached(qry.PrefixHash), qry.Cost.PromptTokens)
 	vie.probing = vie.failed
@@ -140,6 +149,7 @@
 	view   *view
 	sentAt time.Time
 	work   time.Duration
+	long   bool // not short for the agent
 	probe  bool
 	ended  bool
 }
@@ -171,6 +181,13 @@
 	plc.view.probing = false
 }
 
+// FirstToken tells the table that the call's prefill has ended.
+func (plc *Placement) FirstToken() {
+	plc.view.lock.Lock()
+	defer plc.view.lock.Unlock()
+	plc.view.dropSent(plc)
+}
+
 // End takes the call off the agent's account. Further calls do nothing.
 func (plc *Placement) End(ver Verdict) {
 	now := plc.tab.opts.Clock.Now()
@@ -182,12 +199,7 @@
 	}
 	plc.ended = true
 	vie.outstanding--
-	for idx, other := range vie.sent {
-		if other == plc {
-			vie.sent = append(vie.sent[:idx], vie.sent[idx+1:]...)
-			break
-		}
-	}
+	vie.dropSent(plc)
 	if plc.probe {
 		vie.probing = false
 	}
@@ -205,6 +217,10 @@
 	}
 }
 
+func (vie *view) dropSent(plc *Placement) {
+	vie.sent = slices.DeleteFunc(vie.sent, func(other *Placement) bool { return other == plc })
+}
+
 func (vie *view) punish(now time.Time, amount time.Duration) {
 	vie.penalty = min(maxPenalty, vie.currentPenalty(now)+amount)
 	vie.penaltyAt = now
