--- a/proto/messages.go
+++ b/proto/messages.go
@@ -19,6 +19,13 @@
 // String returns the identifier in hexadecimal.
 func (aid AttemptID) String() string { return hex.EncodeToString(aid[:]) }
 
+// NewIncarnation returns a random identifier for one run of a process.
+func NewIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
 // Role is the role of a process.
 type Role string
 
@@ -88,8 +95,9 @@
 	BodyBytes   int64             `cbor:"12,keyasint"`
 	ResumeFrom  int               `cbor:"13,keyasint,omitempty"` // tokens already delivered to the caller
 	PrefixHash  []uint64          `cbor:"14,keyasint,omitempty"` // chained hashes of the prompt's leading blocks
-	Fingerprint uint64            `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
+	Fingerprint Fingerprint       `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
+	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
@@ -102,6 +110,8 @@
 	Status int               `cbor:"1,keyasint"`
 	Header map[string]string `cbor:"2,keyasint,omitempty"`
 	Replay bool              `cbor:"3,keyasint,omitempty"` // the answer of an earlier sending of the same key
+	// Repeated are the headers that occur more than once, with their values in order.
+	Repeated map[string][]string `cbor:"4,keyasint,omitempty"`
 }
 
 // Credit allows the other side to send that many further body bytes on the stream.
@@ -135,17 +145,18 @@
 
 // Report is an agent's load and state, sent every heartbeat interval and on change.
 type Report struct {
-	Queued        int           `cbor:"1,keyasint"` // requests waiting
-	Running       int           `cbor:"2,keyasint"`
-	QueuedPrefill time.Duration `cbor:"3,keyasint"` // predicted prefill work ahead of a new request
-	FreeTokens    int           `cbor:"4,keyasint"` // KV memory not reserved
-	TotalTokens   int           `cbor:"5,keyasint"`
-	PrefillRate   float64       `cbor:"6,keyasint"` // observed tokens per second
+	Queued        int           `cbor:"1,keyasint,omitempty"` // requests waiting
+	Running       int           `cbor:"2,keyasint,omitempty"`
+	QueuedPrefill time.Duration `cbor:"3,keyasint,omitempty"` // predicted prefill work ahead of a new request
+	FreeTokens    int           `cbor:"4,keyasint,omitempty"` // KV memory not reserved
+	TotalTokens   int           `cbor:"5,keyasint,omitempty"`
+	PrefillRate   float64       `cbor:"6,keyasint,omitempty"` // observed tokens per second
 	Draining      bool          `cbor:"7,keyasint,omitempty"`
-	Healthy       bool          `cbor:"8,keyasint"` // the upstream answers
-	StateVersion  int64         `cbor:"9,keyasint"`
+	Healthy       bool          `cbor:"8,keyasint,omitempty"` // the upstream answers
+	StateVersion  int64         `cbor:"9,keyasint,omitempty"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
+	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
 	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 }
@@ -154,12 +165,15 @@
 type PeerVersion struct {
 	Name    string `cbor:"1,keyasint"`
 	Version int64  `cbor:"2,keyasint"`
+
+	Draining bool `cbor:"3,keyasint,omitempty"` // it is stopping
 }
 
 // Beat is an entry's heartbeat.
 type Beat struct {
-	StateVersion int64 `cbor:"1,keyasint"`
-	Draining     bool  `cbor:"2,keyasint,omitempty"`
+	StateVersion int64   `cbor:"1,keyasint"`
+	Draining     bool    `cbor:"2,keyasint,omitempty"`
+	Crashes      []Crash `cbor:"3,keyasint,omitempty"` // crashes that are not in the log yet
 }
 
 // State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
--- a/route/backlog.go
+++ b/route/backlog.go
@@ -11,7 +11,7 @@
 // chunkTokens is the part of a long prompt that engines commonly prefill in a step.
 const chunkTokens = 4096
 
-// waitPerRunning is small beside any prefill: between agents without prefill work it prefers the one that decodes least.
+// waitPerRunning is small beside any prefill: among agents without prefill work, the one that decodes least is chosen.
 const waitPerRunning = time.Millisecond
 
 // backlog is the prefill work that an agent is taken to have. Short requests overtake long ones there, so the work is
@@ -51,8 +51,8 @@
 	return bkl
 }
 
-// busyLong tells whether the agent has a long prompt to prefill. A report follows at once when that changes. The lock is
-// held.
+// busyLong tells whether the agent has a long prompt to prefill. A report follows at once when that changes. The lock
+// is held.
 func (vie *view) busyLong() bool {
 	if vie.report.LongPrefill > 0 {
 		return true
