Keep agents free of long prompts while others can take them

Cause: long prompts went to the agent with the least work, so that at 80% load there was often no agent without one, and short requests met a step of 100 ms.

A long prompt now counts a claim for an agent that prefills no other long one: twice its own prefill time, divided by the number of such agents. Long prompts share agents while the wait is short compared to their own prefill, and spread over all when it is not. No partition is fixed and nothing is to be set.

--- a/route/backlog.go
+++ b/route/backlog.go
@@ -11,6 +11,10 @@
 // chunkTokens is the part of a long prompt that engines commonly prefill in a step.
 const chunkTokens = 4096
 
+// longClaim is the wait, as a multiple of its own prefill, for which a long prompt leaves the last free agent to short
+// requests.
+const longClaim = 2.0
+
 // waitPerRunning is small beside any prefill: among agents without prefill work, the one that decodes least is chosen.
 const waitPerRunning = time.Millisecond
 
@@ -65,6 +69,24 @@
 	return time.Duration(max(vie.outstanding, vie.report.Running)) * waitPerRunning
 }
 
+func (vie *view) prefillsLong() bool {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	return vie.busyLong()
+}
+
+// claim is what a long prompt is taken to cost the short requests if it goes to an agent that prefills no other long
+// one. The fewer such agents are left, the more it costs. So long prompts share a few agents while their wait there is
+// short compared to their own prefill, and spread over more, up to all, when it is not.
+func (vie *view) claim(qry Query, calm int) time.Duration {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	if vie.short(qry.Cost) || vie.busyLong() || vie.report.ShortLimit == 0 {
+		return 0
+	}
+	return time.Duration(longClaim / float64(calm) * float64(vie.ownWork(qry)))
+}
+
 // chunkWait is the time that a short request may wait for the engine's step with a chunk of a long prompt.
 func (vie *view) chunkWait() time.Duration { return cost.Prefill(chunkTokens, vie.rate()) }
 
--- a/route/policy.go
+++ b/route/policy.go
@@ -25,27 +25,24 @@
 	case PolicyBestOfTwo:
 		return lowest(sample(usable, 2), (*view).fewest)
 	default:
-		return lowest(tab.candidates(usable, qry), func(vie *view) time.Duration {
-			return vie.predict(now, qry, tab.opts)
+		calm, busy := split(usable, func(vie *view) bool { return !vie.prefillsLong() })
+		list := tab.candidates(calm, busy, qry)
+		return lowest(list, func(vie *view) time.Duration {
+			return vie.predict(now, qry, tab.opts) + vie.claim(qry, len(calm))
 		})
 	}
 }
 
-// candidates returns random agents, and the agent that probably has most of the prompt cached: with many agents, a few
-// random ones rarely include it. A short request gets candidates of both kinds: without and with a long prompt to
-// prefill, since a few random ones often include none without.
-func (tab *Table) candidates(usable []*view, qry Query) []*view {
-	calm, busy := split(usable, func(vie *view) bool {
-		vie.lock.Lock()
-		defer vie.lock.Unlock()
-		return !vie.short(qry.Cost) || !vie.busyLong()
-	})
-	list := slices.Concat(sample(calm, candidateCount), sample(busy, max(1, candidateCount-len(calm))))
-	if len(list) == len(usable) || len(qry.PrefixHash) == 0 {
+// candidates returns random agents of both kinds, those without and those with a long prompt to prefill, since a few
+// random ones of all often include none without. Also, they include the agent that probably has most of the prompt
+// cached.
+func (tab *Table) candidates(calm, busy []*view, qry Query) []*view {
+	list := slices.Concat(sample(calm, candidateCount), sample(busy, candidateCount))
+	if len(list) == len(calm)+len(busy) || len(qry.PrefixHash) == 0 {
 		return list
 	}
 	best, most := (*view)(nil), 0
-	for _, vie := range usable {
+	for _, vie := range slices.Concat(calm, busy) {
 		vie.lock.Lock()
 		num := vie.prefixes.cached(qry.PrefixHash)
 		vie.lock.Unlock()
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -161,3 +161,24 @@
 	}
 	is.Equal(count, 5) // 25 ms each: a fifth waits about as long as for the step of a long prompt.
 }
+
+// Guards against long prompts on all agents at once while few of them carry the load, and against a fixed partition that
+// makes long prompts wait while agents idle.
+func TestLongPromptsLeaveAgentsFree(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	tab, _ := table(names...)
+	for _, name := range names {
+		tab.Report(peer(name), proto.Report{Healthy: true, PrefillRate: 40_000, ShortLimit: 10_000})
+	}
+	used := make(map[string]bool)
+	spread := func(calls int) int {
+		for range calls {
+			used[pick(tab, 40_000).Agent()] = true
+		}
+		return len(used)
+	}
+	is.Equal(spread(6), 6)
+	is.True(used[pick(tab, 80_000).Agent()]) // It waits half its own prefill time, and two agents stay free.
+	is.Equal(spread(30), 8)
+}
