--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -200,6 +200,20 @@
 	is.True(rate > 4900 && rate < 5600) // 25,000 tokens in 5 s
 }
 
+// Guards against a rate far above the engine's, learnt when a long prefill that began in one span ends in the next.
+func TestRateOfInterruptedPrefill(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	long := bnc.must(t, 40_000)
+	bnc.time.Advance(3900 * time.Millisecond)
+	short := bnc.must(t, 1000)
+	bnc.time.Advance(100 * time.Millisecond)
+	short.FirstToken()
+	bnc.time.Advance(100 * time.Millisecond)
+	long.FirstToken()
+	is.Equal(bnc.model.Rate(), 10_000.0)
+}
+
 // Guards against requests without visible first token that block the window until their whole answer has come.
 func TestUnseenPrefillEndsWhenPredicted(t *testing.T) {
 	is := is.New(t)
@@ -233,3 +247,17 @@
 	// <nil> 500
 	// 0
 }
+
+// Guards against entries that take an engine for free of long prompts while one takes longer than predicted.
+func TestLongWorkLasts(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	long, short := bnc.must(t, 20_000), bnc.must(t, 1000)
+	is.Equal(bnc.State().LongWork, 2*time.Second)
+	is.Equal(bnc.State().Work, 2100*time.Millisecond)
+	short.FirstToken()
+	bnc.time.Advance(3 * time.Second)
+	is.True(bnc.State().LongWork > 0 && bnc.State().LongWork <= bnc.State().Work)
+	long.FirstToken()
+	is.Equal(bnc.State().LongWork, time.Duration(0))
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,7 +26,6 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-
 // Agent serves entries on behalf of one upstream.
 type Agent struct {
 	clock   *timer.Service
@@ -48,6 +47,8 @@
 	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
 	config  *configuration
+	// shortLimit is the longest prompt that counts as short, in tokens.
+	shortLimit int
 
 	mu       sync.Mutex
 	conns    map[*link.Conn]struct{}
@@ -66,13 +67,16 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Agent, error) {
 	agt := &Agent{
-		clock:    clk,
-		log:      log,
-		metrics:  metric.New(),
-		engine:   engine.New(config.AgentUpstream.Of(set)),
-		model:    cost.NewModel(),
-		ledger:   ledger.New(config.AgentShortHeadroom.Of(set)),
-		grace:    config.ProcessGrace.Of(set),
+		clock:   clk,
+		log:     log,
+		metrics: metric.New(),
+		engine:  engine.New(config.AgentUpstream.Of(set)),
+		model:   cost.NewModel(),
+		ledger:  ledger.New(config.AgentShortHeadroom.Of(set)),
+		grace:   config.ProcessGrace.Of(set),
+
+		shortLimit: config.AgentShortLimit.Of(set),
+
 		changed:  make(chan struct{}, 1),
 		reclaim:  make(chan struct{}, 1),
 		pollNow:  make(chan struct{}, 1),
@@ -92,7 +96,7 @@
 	agt.queue = admit.New(admit.Options{
 		Clock: clk, Model: agt.model, Ledger: agt.ledger,
 		ShortBias:  config.AgentShortBias.Of(set),
-		ShortLimit: config.AgentShortLimit.Of(set),
+		ShortLimit: agt.shortLimit,
 		Window:     config.AgentEngineWindow.Of(set),
 		Limit:      config.AgentQueueLimit.Of(set),
 		Changed:    func() { wake(agt.changed) },
@@ -133,7 +137,7 @@
 		Clock:   agt.clock,
 		Metrics: agt.metrics,
 		Log:     agt.log,
-		Pulse: link.NewPulse(grp, agt.clock, func() (proto.Kind, any) { return proto.KindReport, agt.report() }),
+		Pulse:   link.NewPulse(grp, agt.clock, func() (proto.Kind, any) { return proto.KindReport, agt.report() }),
 		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
 	}
