Add runnable examples

Cause: a newcomer had the demo and the pages, but no settings to start from and no client to read.

Ruled out: examples inside the pages, which no test checks.

The engine stand-in takes max_completion_tokens, the newer name of max_tokens.

Conclusion: the examples stay valid as keys change.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -104,3 +104,14 @@
 	_, ok = sec.Operator("same-key-0123456789")
 	is.True(!ok)
 }
+
+// Guards against example settings that the program refuses.
+func TestExampleSettingsAreValid(t *testing.T) {
+	is := is.New(t)
+	for _, role := range []string{"entry", "agent"} {
+		_, err := config.Load(filepath.Join("..", "examples", "local", role+".ini"), role)
+		is.NoErr(err)
+	}
+	_, err := config.LoadSecrets(filepath.Join("..", "examples", "local", "secrets.ini"))
+	is.NoErr(err)
+}
--- a/simeng/http.go
+++ b/simeng/http.go
@@ -26,6 +26,7 @@
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
+	MaxOutput int             `json:"max_completion_tokens"` // the newer name
 	Stream    bool            `json:"stream"`
 }
 
@@ -97,6 +98,9 @@
 		writeError(rw, trace.BadParameter("simeng: body: %v", err))
 		return
 	}
+	if body.MaxOutput > 0 {
+		body.MaxTokens = body.MaxOutput
+	}
 	if body.MaxTokens <= 0 {
 		body.MaxTokens = defaultMaxTokens
 	}
