--- a/edge/parse.go
+++ b/edge/parse.go
@@ -277,6 +277,9 @@
 	if err != nil || (pathlib.Clean(plain) != plain && pathlib.Clean(plain)+"/" != plain) {
 		return false
 	}
+	if srv.Repeatable(service, method+" "+plain) {
+		return true
+	}
 	for _, rule := range config.EntryRepeatable.Of(srv.Settings) {
 		if rule.Matches(service, method, path) {
 			return true
--- a/edge/server.go
+++ b/edge/server.go
@@ -32,6 +32,8 @@
 	Models func(account string) []string
 	// Known tells whether a model or service may exist. It is true while that cannot be told.
 	Known func(knd proto.UpstreamKind, name string) bool
+	// Repeatable tells whether the configuration lets a call of a service, given as "METHOD /path", run more than once.
+	Repeatable func(service, call string) bool
 	// Ready tells whether the balancer may send callers here.
 	Ready func() bool
 }
--- a/edge/server_test.go
+++ b/edge/server_test.go
@@ -30,7 +30,8 @@
 	}
 	return &Server{
 		Settings: set, Secrets: sec, Clock: timer.New(), Log: logr.Discard(), Metrics: metric.New(),
-		Known: func(proto.UpstreamKind, string) bool { return true },
+		Known:      func(proto.UpstreamKind, string) bool { return true },
+		Repeatable: func(service, call string) bool { return service == "svc" && call == "POST /confirmed" },
 	}
 }
 
@@ -86,6 +87,9 @@
 		{"DELETE", "/search", false},
 		{"POST", "/search", true},
 		{"POST", "/search/deep", true},
+		{"POST", "/confirmed", true},
+		{"PUT", "/confirmed", false},
+		{"POST", "/confirmed/../book", false},
 		{"PUT", "/items/7", true},
 		{"POST", "/searches", false},
 		{"POST", "/search/../book", false},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,8 @@
 		Known: func(knd proto.UpstreamKind, name string) bool {
 			return ent.table.Known(route.Target{Kind: knd, Serves: name})
 		},
-		Ready: ent.Ready,
+		Repeatable: ent.config.store.Repeatable,
+		Ready:      ent.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
