agent: tell callers that an answer is lost

Cause: a repeat of a call that had ended, but whose answer is no longer kept, was sent as a result without a head. The entry took that for a broken response and told the caller 409 outcome-unknown, to be sent again.

Change: the agent answers 502 with the code answer-lost.

--- a/agent/plain_once.go
+++ b/agent/plain_once.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -18,6 +20,14 @@
 // ReasonBodyTooLarge says that a non-idempotent call is longer than once.max-body.
 const ReasonBodyTooLarge = "body-too-large"
 
+// lostAnswer is sent in place of an answer that is no longer kept. Its shape is that of the entry's errors.
+var lostAnswer = once.Answer{
+	Status:      http.StatusBadGateway,
+	ContentType: "application/json",
+	Body: []byte(`{"error":{"message":"the call ran and was answered; the answer is no longer kept",` +
+		`"type":"server_error","code":"` + once.ReasonAnswerLost + `","not_run":false}}`),
+}
+
 // maxKeptAnswer is the longest answer body, in bytes, that is kept for repeats of a call.
 const maxKeptAnswer = 1 << 20
 
@@ -68,8 +78,8 @@
 		return agt.callOnce(ctx, gate, str, msg, body)
 	})
 	out := proto.Result{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail, RetryAfter: res.RetryAfter}
-	if res.Outcome == proto.OutcomeDone && !res.Ran && res.Answer != nil {
-		return sendAnswer(str, res.Answer, out)
+	if res.Outcome == proto.OutcomeDone && !res.Ran {
+		return sendAnswer(str, cmp.Or(res.Answer, &lostAnswer), out)
 	}
 	return out
 }
