entry: deliver error answers of upstreams whole

Cause: the entry checks that only a success answer follows the head of an earlier attempt. It made the same check on the attempt whose own head it had sent, so each answer with a status of 300 or more and a body was broken off at its end.

Ruled out: the agent's answer; the entry's result was unknown (stream-incomplete) although the agent had sent done.

Change: the check is made once for each attempt, before its head or its first bytes.

TestErrorAnswerIsWhole: before, unexpected EOF; after, passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,6 +86,7 @@
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
+	delivers bool          // the caller gets, or has got, this attempt's head, or goes on with an earlier one's
 	body     chan struct{} // closed when the body's sender has returned
 }
 
@@ -191,16 +192,17 @@
 }
 
 func (fol *follower) sendHead() error {
-	if fol.run.headSent {
-		// The caller has the head of an earlier attempt, and only another part of the same answer may follow it.
-		if fol.head == nil || fol.head.Status >= 300 {
-			return errIncomplete
-		}
+	if fol.delivers {
 		return nil
 	}
-	if fol.head == nil {
+	// After the head of an earlier attempt, only another part of the same answer may follow.
+	if fol.head == nil || fol.run.headSent && fol.head.Status >= 300 {
 		return errIncomplete
 	}
+	fol.delivers = true
+	if fol.run.headSent {
+		return nil
+	}
 	fol.run.headSent = true
 	if err := fol.run.rep.Head(*fol.head); err != nil {
 		fol.run.broken = err
--- a/entry/broken_test.go
+++ b/entry/broken_test.go
@@ -34,3 +34,19 @@
 	is.Equal(got, "one")
 	is.True(err != nil) // neither an orderly end nor part of an event
 }
+
+// Guards against an error answer of an upstream that is broken off after its body.
+func TestErrorAnswerIsWhole(t *testing.T) {
+	is := is.New(t)
+	agt := fakeAgent(t, proto.UpstreamPlain, func(str *link.Stream, _ proto.Open) {
+		_ = str.Send(proto.KindAccept, proto.Accept{})
+		_ = str.Send(proto.KindHead, proto.Head{Status: 404})
+		_, _ = str.Write([]byte("no such hold"))
+		_ = str.CloseWrite()
+		_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeDone})
+	})
+	_, base := startServing(t, "", agt)
+	status, text := call(t, "GET", base+"/v1/services/m/holds/1", "", nil)
+	is.Equal(status, 404)
+	is.Equal(text, "no such hold")
+}
