--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -48,12 +48,14 @@
 func init() { // Breaks the cycle between the table and the commands that refer to it.
 	commands = map[string]verb{
 		"engine": startSim("engine", "--model"), "log": startSim("log"), "vms": startSim("vms"),
+		"weights": startSim("weights"), "operator": runOperator,
 		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
 		"post": httpCall("POST"), "put": httpCall("PUT"), "service": startSim("service"), "book": book,
 		"executions": checkExecutions, "truthful": checkTruth, "active": checkActive, "metric": checkMetric,
 		"readyz": checkReady, "vm": listVM,
+		"load": startLoad, "answered": awaitLoad, "unload": endLoad,
 	}
 }
 
@@ -66,6 +68,8 @@
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
 	bookings  []*booking
+	loads     map[string]*traffic
+	log       func(args ...any)
 }
 
 const scenarioSecrets = `[deployment]
@@ -80,13 +84,16 @@
 func setUp(env *testscript.Env) error {
 	scn := &scenario{
 		dir: env.WorkDir, processes: make(map[string]*process), addresses: make(map[string]string),
-		calls: make(map[string]*call),
+		calls: make(map[string]*call), loads: make(map[string]*traffic), log: env.T().Log,
 	}
 	env.Values[scenarioKey{}] = scn
 	env.Defer(func() {
 		for _, cal := range scn.calls {
 			cal.cancel()
 		}
+		for _, trf := range scn.loads {
+			trf.stop.Store(true)
+		}
 		for name, prc := range scn.processes {
 			_ = prc.cmd.Process.Kill()
 			<-prc.done
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -87,6 +87,7 @@
 	head     *proto.Head
 	accepted bool
 	delivers bool          // the caller gets, or has got, this attempt's head, or goes on with an earlier one's
+	answered bool          // the first part of the answer has come
 	body     chan struct{} // closed when the body's sender has returned
 }
 
@@ -134,6 +135,7 @@
 			fol.head = &hed
 			fol.plc.Started()
 		case proto.KindData:
+			fol.firstToken()
 			if err := fol.data(frm); err != nil {
 				return proto.Result{}, err
 			}
@@ -143,6 +145,15 @@
 	}
 }
 
+// firstToken tells the table once that the prefill has ended.
+func (fol *follower) firstToken() {
+	if fol.answered {
+		return
+	}
+	fol.answered = true
+	fol.plc.FirstToken()
+}
+
 func (fol *follower) sendBody() {
 	if fol.accepted {
 		return
