Limit what client accounts use, shared over the entries

Each entry enforces its share of an account's limit (tokens a second of prompt and allowed output): a tenth is divided evenly, the rest by recent demand. Entries tell their demand in beats, at most 16 accounts; agents pass it on in reports. An entry counts its own demand once the others have heard of it. Weighed: fixed equal shares (an idle entry's share is lost), enforcement at agents (a call reaches one of many), counters in the log (several hundred appends a second in all).

A refused call answers 429 quota-exceeded with Retry-After, counts as refusal and is not run. A call that did not run costs nothing. Calls to plain services are not limited, as their cost is not known.

--- a/agent/config.go
+++ b/agent/config.go
@@ -30,9 +30,10 @@
 	metrics  *metric.Set
 	clock    *timer.Service
 
-	mu     sync.Mutex
-	listed time.Time // when a report last carried the entries' versions
-	sent   int64     // own version in that report
+	mu      sync.Mutex
+	listed  time.Time // when a report last carried the entries' versions
+	sent    int64     // own version in that report
+	demands demands
 }
 
 // newConfiguration announces each change in grp, with the message that report returns.
@@ -61,8 +62,11 @@
 // fill adds the configuration's part to a report.
 func (cfg *configuration) fill(rep proto.Report) proto.Report {
 	rep.StateVersion = cfg.store.Version()
+	connected := cfg.exchange.Versions(proto.RoleEntry)
+	rep.EntryCount = len(connected)
+	rep.Demands = cfg.demands.of(connected)
 	if cfg.listsEntries(rep.StateVersion) {
-		rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+		rep.Entries = connected
 	}
 	rep.Draining = rep.Draining || cfg.drained()
 	return rep
@@ -89,6 +93,7 @@
 	case proto.KindBeat:
 		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
 			cfg.exchange.Heard(per, msg.StateVersion)
+			cfg.demands.take(per.Name, msg.Demand)
 			if cfg.exchange.Draining(per.Name, msg.Draining) && msg.Draining {
 				cfg.log.Info("agent: entry drains", "entry", per.Name)
 			}
--- a/entry/config.go
+++ b/entry/config.go
@@ -39,7 +39,7 @@
 	clock    *timer.Service
 	log      logr.Logger
 	metrics  *metric.Set
-	stopping func() bool
+	beatOf   func(version int64) proto.Beat
 
 	mu     sync.Mutex
 	failed error // of the last read of the log
@@ -48,10 +48,11 @@
 // newConfiguration follows the log in grp and competes for the duty of republishing the snapshot. Without a log,
 // the empty state is current until a peer has more.
 func newConfiguration(
-	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set, stopping func() bool,
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set,
+	beat func(version int64) proto.Beat,
 ) *configuration {
 	addr := config.PlatformLog.Of(set)
-	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met, stopping: stopping}
+	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met, beatOf: beat}
 	cfg.exchange = state.NewExchange(cfg.store, clk, cfg.beat)
 	grp.Go("announce configuration", func(ctx context.Context) error {
 		cfg.announce(ctx)
@@ -81,7 +82,7 @@
 }
 
 func (cfg *configuration) beat() (proto.Kind, any) {
-	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version(), Draining: cfg.stopping()}
+	return proto.KindBeat, cfg.beatOf(cfg.store.Version())
 }
 
 func (cfg *configuration) announce(ctx context.Context) {
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -21,6 +21,7 @@
 		return
 	}
 	ent.attach(con) // The first report may arrive before the dialling goroutine goes on.
+	ent.limits.Hear(rep.EntryCount, rep.Demands)
 	ent.table.Report(con.Peer(), rep)
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -40,6 +40,10 @@
 	if res, no := ent.config.forbidden(cal.Kind, cal.Account, cal.Serves); no {
 		return res
 	}
+	return ent.dispatchLimited(ctx, cal, rep)
+}
+
+func (ent *Entry) dispatchAllowed(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
 	run := &running{ent: ent, cal: cal, rep: rep}
 	ent.budget.First()
 	var tried []string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonwheel/tarragonwheel/member"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/quota"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/route"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -40,6 +41,7 @@
 	table  *route.Table
 	config *configuration
 	budget *retry.Budget
+	limits *quota.Limiter
 	stop   *stop
 	server *httpd.Server
 
@@ -56,7 +58,11 @@
 	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
 	ent.slots = config.OnceSlots.Of(set)
 	ent.stop = newStop(set)
-	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.stop.begun)
+	ent.limits = quota.New(quota.Options{
+		Clock: clk, Self: config.ProcessName.Of(set),
+		Limit: func(account string) int { return ent.config.store.Limit(account) },
+	})
+	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.beat)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
 		DataCentre:  config.ProcessDataCentre.Of(set),
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -159,6 +159,8 @@
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
 	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
+	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
+	EntryCount    int           `cbor:"23,keyasint,omitempty"` // number of connected entries
 }
 
 // PeerVersion is the configuration version that a process has in force.
@@ -174,6 +176,8 @@
 	StateVersion int64   `cbor:"1,keyasint"`
 	Draining     bool    `cbor:"2,keyasint,omitempty"`
 	Crashes      []Crash `cbor:"3,keyasint,omitempty"` // crashes that are not in the log yet
+	// Demand is that of accounts with a limit, the largest first, at most 16.
+	Demand []AccountDemand `cbor:"20,keyasint,omitempty"`
 }
 
 // State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,136 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/quota"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+const limit = 10_000
+
+// fleet is a number of entries on one manual clock that hear each other's demand once a second, a second late.
+type fleet struct {
+	clock   *timer.Service
+	time    *timer.Manual
+	entries map[string]*quota.Limiter
+	late    []proto.EntryDemand
+}
+
+func newFleet() *fleet {
+	flt := &fleet{entries: make(map[string]*quota.Limiter)}
+	flt.clock, flt.time = timer.NewManual(time.Unix(0, 0))
+	return flt
+}
+
+func (flt *fleet) join(name string) {
+	flt.entries[name] = quota.New(quota.Options{Clock: flt.clock, Self: name, Limit: func(account string) int {
+		return map[string]int{"large": limit, "small": limit / 10}[account]
+	}})
+}
+
+// run offers requests of 100 tokens for so many seconds, at the given number a second to each entry, and returns the
+// tokens admitted a second.
+func (flt *fleet) run(seconds int, account string, rates map[string]int) float64 {
+	admitted := 0
+	for range seconds {
+		for tenth := range 10 {
+			for name, rate := range rates {
+				for range rate*(tenth+1)/10 - rate*tenth/10 {
+					if _, ok := flt.entries[name].Admit(account, 100); ok {
+						admitted += 100
+					}
+				}
+			}
+			flt.time.Advance(100 * time.Millisecond)
+		}
+		flt.exchange()
+	}
+	return float64(admitted) / float64(seconds)
+}
+
+func (flt *fleet) exchange() {
+	var now []proto.EntryDemand
+	for name, lim := range flt.entries {
+		now = append(now, proto.EntryDemand{Entry: name, Accounts: lim.Demand()})
+	}
+	for _, lim := range flt.entries {
+		lim.Hear(len(flt.entries), flt.late)
+	}
+	flt.late = now
+}
+
+// Guards against a limit that each entry grants in full, or of which the idle entries' share is lost.
+func TestShareFollowsDemand(t *testing.T) {
+	is := is.New(t)
+	flt := newFleet()
+	for num := range 4 {
+		flt.join(fmt.Sprint("e", num))
+	}
+	even := map[string]int{"e0": 100, "e1": 100, "e2": 100, "e3": 100} // Four times the limit.
+	flt.exchange()
+	flt.exchange()
+	flt.time.Advance(time.Minute)
+	flt.exchange()
+	is.True(flt.run(10, "large", even) < 1.2*limit) // All begin at once: at most 2 s of the limit too much.
+	got := flt.run(20, "large", even)
+	is.True(got > 0.95*limit && got < 1.05*limit)
+	skewed := map[string]int{"e0": 300}
+	got = flt.run(20, "large", skewed)
+	is.True(got > 0.6*limit && got < 1.05*limit) // While demand moves: at most 8 s of the limit lost.
+	got = flt.run(20, "large", skewed)
+	is.True(got > 0.9*limit && got < 1.05*limit)
+	flt.run(10, "small", map[string]int{"e1": 9})
+	is.True(flt.run(10, "small", map[string]int{"e1": 9}) > 890) // Idle shares are lent to it.
+}
+
+// Guards against entries that come and go multiplying the limit, or taking their share with them.
+func TestEntriesComeAndGo(t *testing.T) {
+	is := is.New(t)
+	flt := newFleet()
+	flt.join("e0")
+	flt.join("e1")
+	rates := map[string]int{"e0": 200, "e1": 200}
+	flt.run(20, "large", rates)
+	for round := range 5 {
+		delete(flt.entries, fmt.Sprint("e", round+1))
+		delete(rates, fmt.Sprint("e", round+1))
+		got := flt.run(10, "large", rates) // One entry has left.
+		is.True(got > 0.7*limit)           // Lost: less than 3 s of the limit.
+		name := fmt.Sprint("e", round+2)
+		flt.join(name)
+		flt.exchange() // An entry gets no work before the first report,
+		flt.exchange() // which is a second old.
+		rates[name] = 200
+		got = flt.run(10, "large", rates)
+		is.True(got < 1.1*limit) // Granted twice: less than 1 s of the limit.
+	}
+	got := flt.run(20, "large", rates)
+	is.True(got > 0.95*limit && got < 1.05*limit)
+}
+
+// Guards against a prompt longer than the burst that never runs, and one that runs at no cost.
+func TestLongPromptBorrows(t *testing.T) {
+	is := is.New(t)
+	flt := newFleet()
+	flt.join("e0")
+	lim := flt.entries["e0"]
+	_, ok := lim.Admit("large", 20*limit)
+	is.True(ok)
+	wait, ok := lim.Admit("large", 1)
+	is.True(!ok)
+	is.Equal(wait, 20*time.Second)
+	flt.time.Advance(wait)
+	_, ok = lim.Admit("large", 20*limit)
+	is.True(ok)
+	lim.Refund("large", 20*limit) // It was not run.
+	_, ok = lim.Admit("large", 1)
+	is.True(ok)
+	_, ok = lim.Admit("unlimited", 1<<40)
+	is.True(ok)
+}
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -162,8 +162,8 @@
 	is.Equal(count, 5) // 25 ms each: a fifth waits about as long as for the step of a long prompt.
 }
 
-// Guards against long prompts on all agents at once while few of them carry the load, and against a fixed partition that
-// makes long prompts wait while agents idle.
+// Guards against long prompts on all agents at once while few of them carry the load, and against a fixed partition
+// that makes long prompts wait while agents idle.
 func TestLongPromptsLeaveAgentsFree(t *testing.T) {
 	is := is.New(t)
 	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
