--- a/entry/dial.go
+++ b/entry/dial.go
@@ -23,6 +23,7 @@
 	ent.attach(con) // The first report may arrive before the dialling goroutine goes on.
 	ent.limits.Hear(rep.EntryCount, rep.Demands)
 	ent.table.Report(con.Peer(), rep)
+	ent.noteVersion(con.Peer().Name, rep)
 }
 
 // stayConnected keeps a connection to the agent at addr until ctx ends.
@@ -55,6 +56,7 @@
 	defer ent.mu.Unlock()
 	if ent.conns[con.Peer().Name] == con {
 		delete(ent.conns, con.Peer().Name)
+		delete(ent.versions, con.Peer().Name)
 		ent.table.Disconnect(con.Peer())
 	}
 }
