--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -270,12 +270,20 @@
 
 // fakeAgent starts an agent for the service or model "m" whose streams are handled by onOpen.
 func fakeAgent(t *testing.T, knd proto.UpstreamKind, onOpen func(str *link.Stream, msg proto.Open)) string {
+	t.Helper()
+	return fakeReportingAgent(t, knd, func() proto.Report { return proto.Report{Healthy: true} }, onOpen)
+}
+
+// fakeReportingAgent is like fakeAgent and sends the given reports.
+func fakeReportingAgent(
+	t *testing.T, knd proto.UpstreamKind, rep func() proto.Report, onOpen func(str *link.Stream, msg proto.Open),
+) string {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	opts := link.Options{
 		Secret: []byte("deployment-secret-0123"), Clock: timer.New(), Metrics: metric.New(), Log: logr.Discard(),
 		Local:  proto.Peer{Name: "fake", Role: proto.RoleAgent, Kind: knd, Serves: "m"},
-		Beat:   func() (proto.Kind, any) { return proto.KindReport, proto.Report{Healthy: true} },
+		Beat:   func() (proto.Kind, any) { return proto.KindReport, rep() },
 		OnOpen: onOpen,
 	}
 	srv := httptest.NewServer(link.Handler(ctx, opts, func(*link.Conn) {}))
