--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -48,14 +48,15 @@
 func init() { // Breaks the cycle between the table and the commands that refer to it.
 	commands = map[string]verb{
 		"engine": startSim("engine", "--model"), "log": startSim("log"), "vms": startSim("vms"),
-		"weights": startSim("weights"), "operator": runOperator,
-		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
+		"weights": startSim("weights"),
+		"proxy":   startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
 		"post": httpCall("POST"), "put": httpCall("PUT"), "service": startSim("service"), "book": book,
 		"executions": checkExecutions, "truthful": checkTruth, "active": checkActive, "metric": checkMetric,
 		"readyz": checkReady, "vm": listVM,
 		"load": startLoad, "answered": awaitLoad, "unload": endLoad,
+		"declare": declare, "operate": operateEntry, "operated": checkOperated, "one-in-force": exactlyOne,
 	}
 }
 
@@ -69,7 +70,9 @@
 	calls     map[string]*call
 	bookings  []*booking
 	loads     map[string]*traffic
-	log       func(args ...any)
+
+	operations map[string]*operatorRun
+	log        func(args ...any)
 }
 
 const scenarioSecrets = `[deployment]
@@ -84,7 +87,8 @@
 func setUp(env *testscript.Env) error {
 	scn := &scenario{
 		dir: env.WorkDir, processes: make(map[string]*process), addresses: make(map[string]string),
-		calls: make(map[string]*call), loads: make(map[string]*traffic), log: env.T().Log,
+		calls: make(map[string]*call), loads: make(map[string]*traffic),
+		operations: make(map[string]*operatorRun), log: env.T().Log,
 	}
 	env.Values[scenarioKey{}] = scn
 	env.Defer(func() {
@@ -100,6 +104,9 @@
 			env.T().Log(name + ":\n" + prc.text()) // Printed only if the test fails or is verbose.
 		}
 	})
+	if err := os.WriteFile(filepath.Join(env.WorkDir, "ops.key"), []byte("scenario-key-of-ops"), 0o600); err != nil {
+		return err
+	}
 	return os.WriteFile(filepath.Join(env.WorkDir, "secrets.ini"), []byte(scenarioSecrets), 0o600)
 }
 
