agent: refuse recorded calls of an entry with another number of slots

Cause: two agents of a service with different once.slots record the same key in different streams, so that a repeat through the other agent runs again. Nothing noticed a wrong setting.

Change: the entry sends its number with each call, and the agent refuses a recorded call as not-run (slots-differ) if its own is another. Entries that send no number are not checked.

Ruled out: a record of the number in the log, which would also notice old and new pairs of entries and agents side by side; it has to be renewed before the log's retention ends, which is left for later.

--- a/agent/plain_once.go
+++ b/agent/plain_once.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -20,6 +21,10 @@
 // ReasonBodyTooLarge says that a non-idempotent call is longer than once.max-body.
 const ReasonBodyTooLarge = "body-too-large"
 
+// ReasonSlotsDiffer refuses a call of an entry whose once.slots is another. Agents with different numbers record the same
+// key in different streams, so that it could run twice.
+const ReasonSlotsDiffer = "slots-differ"
+
 // lostAnswer is sent in place of an answer that is no longer kept. Its shape is that of the entry's errors.
 var lostAnswer = once.Answer{
 	Status:      http.StatusBadGateway,
@@ -60,6 +65,12 @@
 			Outcome: proto.OutcomeNotRun, Reason: once.ReasonLogUnavailable, Detail: "platform.log is not set",
 		}
 	}
+	if msg.Slots != 0 && msg.Slots != agt.once.Slots() {
+		return proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonSlotsDiffer,
+			Detail: fmt.Sprintf("once.slots is %d at the entry and %d at the agent", msg.Slots, agt.once.Slots()),
+		}
+	}
 	deadline := agt.clock.Now().Add(msg.Remaining)
 	body, err := io.ReadAll(io.LimitReader(str.Body(ctx), agt.maxOnce+1))
 	if err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -62,6 +62,7 @@
 		ResumeFrom: run.evs.tokens,
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
+		Slots:      ent.slots,
 	})
 	if err != nil {
 		return lost // The body was not sent, without which nothing runs.
--- a/once/recorder.go
+++ b/once/recorder.go
@@ -134,6 +134,9 @@
 	}, func() float64 { return float64(value()) }))
 }
 
+// Slots returns the number of slots.
+func (rec *Recorder) Slots() int { return len(rec.slots) }
+
 // Remembered returns the number of keys in memory.
 func (rec *Recorder) Remembered() int {
 	return rec.count(func(slt *slot) int { return len(slt.table.entries) })
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -98,6 +98,7 @@
 	Fingerprint Fingerprint       `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
 	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
+	Slots       int               `cbor:"18,keyasint,omitempty"` // the entry's number of slots of package once
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
