--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonwheel/tarragonwheel/member"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/quota"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/route"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -41,6 +42,7 @@
 	table    *route.Table
 	config   *configuration
 	budget   *retry.Budget
+	limits   *quota.Limiter
 	rollouts *duty.RollOuts
 	stop     *stop
 	server   *httpd.Server
@@ -62,7 +64,11 @@
 	}
 	ent.slots = config.OnceSlots.Of(set)
 	ent.stop = newStop(set)
-	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.stop.begun)
+	ent.limits = quota.New(quota.Options{
+		Clock: clk, Self: config.ProcessName.Of(set),
+		Limit: func(account string) int { return ent.config.store.Limit(account) },
+	})
+	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.beat)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
 		DataCentre:  config.ProcessDataCentre.Of(set),
@@ -99,7 +105,8 @@
 		Known: func(knd proto.UpstreamKind, name string) bool {
 			return ent.table.Known(route.Target{Kind: knd, Serves: name})
 		},
-		Ready: ent.Ready,
+		Repeatable: ent.config.store.Repeatable,
+		Ready:      ent.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
