--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,22 +4,19 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/admit"
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/cost"
 	"github.com/tarragonwheel/tarragonwheel/engine"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/ledger"
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/metric"
@@ -29,8 +26,6 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-const headerLimit = 5 * time.Second
-
 // Agent serves entries on behalf of one upstream.
 type Agent struct {
 	clock   *timer.Service
@@ -52,12 +47,16 @@
 	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
 	config  *configuration
+	// shortLimit is the longest prompt that counts as short, in tokens.
+	shortLimit int
 
 	mu       sync.Mutex
 	conns    map[*link.Conn]struct{}
 	attempts map[string]struct{}      // all that are being served
 	lost     map[string]*admit.Ticket // ended without the engine's completion, possibly still on the engine
 	draining bool
+	rolling  bool   // the engine is loading a version
+	version  string // that the engine has loaded, as it says
 	healthy  bool
 	listed   bool // the engine's requests have been listed since the start
 	failures int  // failed polls in a row
@@ -68,13 +67,16 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Agent, error) {
 	agt := &Agent{
-		clock:    clk,
-		log:      log,
-		metrics:  metric.New(),
-		engine:   engine.New(config.AgentUpstream.Of(set)),
-		model:    cost.NewModel(),
-		ledger:   ledger.New(config.AgentShortHeadroom.Of(set)),
-		grace:    config.ProcessGrace.Of(set),
+		clock:   clk,
+		log:     log,
+		metrics: metric.New(),
+		engine:  engine.New(config.AgentUpstream.Of(set)),
+		model:   cost.NewModel(),
+		ledger:  ledger.New(config.AgentShortHeadroom.Of(set)),
+		grace:   config.ProcessGrace.Of(set),
+
+		shortLimit: config.AgentShortLimit.Of(set),
+
 		changed:  make(chan struct{}, 1),
 		reclaim:  make(chan struct{}, 1),
 		pollNow:  make(chan struct{}, 1),
@@ -84,7 +86,7 @@
 		local: proto.Peer{
 			Name:        config.ProcessName.Of(set),
 			Role:        proto.RoleAgent,
-			Incarnation: newIncarnation(),
+			Incarnation: proto.NewIncarnation(),
 			DataCentre:  config.ProcessDataCentre.Of(set),
 			Kind:        proto.UpstreamKind(config.AgentKind.Of(set)),
 			Serves:      config.AgentServes.Of(set),
@@ -94,7 +96,7 @@
 	agt.queue = admit.New(admit.Options{
 		Clock: clk, Model: agt.model, Ledger: agt.ledger,
 		ShortBias:  config.AgentShortBias.Of(set),
-		ShortLimit: config.AgentShortLimit.Of(set),
+		ShortLimit: agt.shortLimit,
 		Window:     config.AgentEngineWindow.Of(set),
 		Limit:      config.AgentQueueLimit.Of(set),
 		Changed:    func() { wake(agt.changed) },
@@ -109,17 +111,12 @@
 		grp.Go("poll", agt.pollLoop)
 		grp.Go("sweep", agt.sweepLoop)
 		grp.Go("reclaim", agt.reclaimLoop)
+		agt.startRoller(grp, set)
 	}
 	grp.Go("report", agt.reportLoop)
 	return agt, agt.listen(grp, config.ProcessListen.Of(set), sec)
 }
 
-func newIncarnation() string {
-	buf := make([]byte, 8)
-	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
-	return hex.EncodeToString(buf)
-}
-
 // Address returns the address on which the agent listens.
 func (agt *Agent) Address() string { return agt.address }
 
@@ -134,34 +131,23 @@
 func (agt *Agent) Metrics() *metric.Set { return agt.metrics }
 
 func (agt *Agent) listen(grp *group.Group, addr string, sec *config.Secrets) error {
-	lis, err := (&net.ListenConfig{}).Listen(grp.Context(), "tcp", addr)
-	if err != nil {
-		return fmt.Errorf("agent: listen: %w", trace.ConnectionProblem(err, "%v", err))
-	}
-	agt.address = lis.Addr().String()
 	opts := link.Options{
 		Secret:  sec.Deployment(),
 		Local:   agt.local,
 		Clock:   agt.clock,
 		Metrics: agt.metrics,
 		Log:     agt.log,
-		Pulse: link.NewPulse(grp, agt.clock, func() (proto.Kind, any) { return proto.KindReport, agt.report() }),
+		Pulse:   link.NewPulse(grp, agt.clock, func() (proto.Kind, any) { return proto.KindReport, agt.report() }),
 		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
 	}
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, link.Handler(grp.Context(), opts, agt.connected))
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
-	grp.Go("listen", func(context.Context) error {
-		if err := srv.Serve(lis); err != http.ErrServerClosed {
-			return fmt.Errorf("serve: %w", err)
-		}
-		return nil
-	})
-	grp.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return srv.Close()
-	})
+	srv, err := httpd.Serve(grp, "entries", addr, mux)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	agt.address = srv.Address()
 	return nil
 }
 
--- a/agent/report.go
+++ b/agent/report.go
@@ -13,8 +13,8 @@
 	// reportPause bounds the reports of an agent that becomes full and free again with each request.
 	reportPause = 100 * time.Millisecond
 	drainPoll   = 20 * time.Millisecond
-	// drainFlush lets the last results leave the connections' send queues before the process ends.
-	drainFlush = 200 * time.Millisecond
+	// drainFlush bounds the time in which the last results leave the connections' send queues.
+	drainFlush = 2 * time.Second
 	// handBackLimit bounds the wait until the engine has confirmed the cancels of what was handed back.
 	handBackLimit = 5 * time.Second
 )
@@ -32,23 +32,29 @@
 		FreeTokens:    usg.Free(),
 		TotalTokens:   usg.Tokens,
 		PrefillRate:   agt.model.Rate(),
-		Draining:      agt.draining,
+		Draining:      agt.draining || agt.rolling,
+		Version:       agt.version,
 		Healthy:       agt.healthy,
 		WaitShort:     stt.WaitShort,
+		LongPrefill:   stt.LongWork,
+		ShortLimit:    agt.shortLimit,
 	}
 	return agt.config.fill(rep)
 }
 
 // standing is the part of a report whose change entries learn at once.
 type standing struct {
-	full, draining, healthy bool
+	full, draining, healthy, long bool
 }
 
 func standingOf(rep proto.Report) standing {
-	return standing{full: rep.Queued > 0, draining: rep.Draining, healthy: rep.Healthy}
+	return standing{
+		full: rep.Queued > 0, draining: rep.Draining, healthy: rep.Healthy, long: rep.LongPrefill > 0,
+	}
 }
 
-// reportLoop sends a report between heartbeats when the agent became full, free again, draining or unhealthy.
+// reportLoop sends a report between heartbeats when the agent became full, free again, draining or
+// unhealthy, or began or ended its work on long prompts.
 func (agt *Agent) reportLoop(ctx context.Context) error {
 	var sent standing
 	for {
@@ -96,7 +102,7 @@
 		defer done()
 		agt.awaitWork(end)
 	}
-	_ = agt.clock.Sleep(ctx, drainFlush)
+	agt.flush(ctx)
 	agt.log.Info("agent: drained")
 }
 
@@ -127,6 +133,17 @@
 	}
 }
 
+// flush returns when the last results have been written to the connections.
+func (agt *Agent) flush(ctx context.Context) {
+	lim, cancel := agt.clock.WithTimeout(ctx, drainFlush)
+	defer cancel()
+	for _, con := range agt.connections() {
+		if err := con.Flush(lim); err != nil {
+			agt.log.Info("agent: results may not have been sent", "entry", con.Peer().Name, "error", err.Error())
+		}
+	}
+}
+
 // stopping tells whether Drain has been called.
 func (agt *Agent) stopping() bool {
 	agt.mu.Lock()
@@ -134,9 +151,14 @@
 	return agt.draining
 }
 
-// inFlight counts attempts without a result and those whose memory the engine has not returned.
+// inFlight counts attempts without a result, those whose memory the engine has not returned, and what is missing in the
+// records of non-idempotent calls. A recorded call goes on when its caller has gone, and then is no attempt any more.
 func (agt *Agent) inFlight() int {
+	unrecorded := 0
+	if agt.once != nil {
+		unrecorded = agt.once.Unfinished()
+	}
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
-	return len(agt.attempts) + len(agt.lost)
+	return len(agt.attempts) + len(agt.lost) + unrecorded
 }
--- a/cmd/tarragonwheel/scenario_operate_test.go
+++ b/cmd/tarragonwheel/scenario_operator_test.go
@@ -25,7 +25,7 @@
 func operateEntry(scn *scenario, args []string) error {
 	words, opts := options(args)
 	if len(words) < 2 || scn.processes[words[0]] == nil {
-		return errors.New("usage: operate ENTRY COMMAND [WORD...] [as=NAME] [code=N] [body=REGEXP]")
+		return errors.New("usage: operator ENTRY COMMAND [WORD...] [as=NAME] [code=N] [body=REGEXP]")
 	}
 	addr := adminAddress.FindStringSubmatch(scn.processes[words[0]].text())
 	if addr == nil || addr[1] == "" {
@@ -58,7 +58,7 @@
 
 func (run *operatorRun) check(opts map[string]string) error {
 	<-run.done
-	exp, err := regexp.Compile(take(opts, "body", ""))
+	exp, err := regexp.Compile("(?s)" + take(opts, "body", ""))
 	if err != nil {
 		return err
 	}
--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -48,12 +48,14 @@
 func init() { // Breaks the cycle between the table and the commands that refer to it.
 	commands = map[string]verb{
 		"engine": startSim("engine", "--model"), "log": startSim("log"), "vms": startSim("vms"),
+		"weights": startSim("weights"), "operator": operateEntry,
 		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
 		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
-		"post": httpCall("POST"), "put": httpCall("PUT"), "active": checkActive, "metric": checkMetric,
+		"post": httpCall("POST"), "put": httpCall("PUT"), "service": startSim("service"), "book": book,
+		"executions": checkExecutions, "truthful": checkTruth, "active": checkActive, "metric": checkMetric,
 		"readyz": checkReady, "vm": listVM, "load": startLoad, "answered": awaitLoad, "unload": endLoad,
-		"declare": declare, "operate": operateEntry, "operated": checkOperated, "one-in-force": exactlyOne,
+		"declare": declare, "operated": checkOperated, "one-in-force": exactlyOne,
 	}
 }
 
@@ -65,6 +67,7 @@
 	processes map[string]*process
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
+	bookings  []*booking
 	loads     map[string]*traffic
 
 	operations map[string]*operatorRun
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
+	"github.com/tarragonwheel/tarragonwheel/once"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/route"
 )
@@ -70,10 +71,11 @@
 // again asks for a further attempt. Attempts that a planned stop moves elsewhere are not charged to the retry budget:
 // they are bounded by the stops, and a stop must not break a stream because of earlier failures.
 func (ent *Entry) again(number int, res proto.Result, remaining time.Duration) (time.Duration, string) {
+	least := leastAttempt + res.RetryAfter // A caller does not wait for a retry for which there is no time left.
 	if res.Reason == ReasonDraining && number <= mostMoves {
-		return ent.budget.Move(number, remaining, leastAttempt)
+		return ent.budget.Move(number, remaining, least)
 	}
-	return ent.budget.Again(number, remaining, leastAttempt)
+	return ent.budget.Again(number, remaining, least)
 }
 
 // running is a call on its way through one or more attempts.
@@ -142,6 +144,8 @@
 		return route.Worked
 	case ctx.Err() != nil || run.broken != nil:
 		return route.Neutral
+	case res.Reason == once.ReasonNoEnd: // Shows that another agent was lost, not this one.
+		return route.Neutral
 	case res.Outcome == proto.OutcomeNotRun && res.Reason != ReasonAgentLost:
 		return route.Refused
 	default:
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -19,6 +19,13 @@
 // String returns the identifier in hexadecimal.
 func (aid AttemptID) String() string { return hex.EncodeToString(aid[:]) }
 
+// NewIncarnation returns a random identifier for one run of a process.
+func NewIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
 // Role is the role of a process.
 type Role string
 
@@ -150,6 +157,9 @@
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
+	Version       string        `cbor:"22,keyasint,omitempty"` // of the model that the upstream has loaded
+	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
+	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 }
 
 // PeerVersion is the configuration version that a process has in force.
--- a/simeng/http.go
+++ b/simeng/http.go
@@ -26,6 +26,7 @@
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
+	MaxOutput int             `json:"max_completion_tokens"` // the newer name
 	Stream    bool            `json:"stream"`
 }
 
@@ -78,6 +79,7 @@
 			writeError(rw, err)
 		}
 	})
+	mux.HandleFunc("POST /v1/commands", eng.handleCommand)
 	mux.HandleFunc("GET /v1/load", func(rw http.ResponseWriter, _ *http.Request) {
 		writeJSON(rw, http.StatusOK, eng.load())
 	})
@@ -96,6 +98,9 @@
 		writeError(rw, trace.BadParameter("simeng: body: %v", err))
 		return
 	}
+	if body.MaxOutput > 0 {
+		body.MaxTokens = body.MaxOutput
+	}
 	if body.MaxTokens <= 0 {
 		body.MaxTokens = defaultMaxTokens
 	}
