--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -68,7 +68,7 @@
 		"logged":       checkLog,
 		"metric":       checkMetric,
 		"one-in-force": exactlyOne,
-		"operate":      operateEntry,
+		"operator":     operateEntry,
 		"operated":     checkOperated,
 		"post":         httpCall("POST"),
 		"proxy":        startSim("fault"),
