Refuse at the entry what reports leave no hope for

When the predicted time to first token at the chosen agent exceeds the remaining time, the entry refuses with 'overloaded' (503, Retry-After, not run, not retried) without asking. Agents that have reported no prefill rate are always asked.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -20,6 +20,10 @@
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
 	}
+	if res, hopeless := ent.overloaded(plc, run.cal.Deadline.Sub(ent.clock.Now())); hopeless {
+		plc.End(route.Neutral)
+		return res, ""
+	}
 	res := ent.send(ctx, run, plc)
 	plc.End(run.verdict(ctx, res))
 	return res, plc.Agent()
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -2,11 +2,29 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/route"
 )
 
+// maxRetryAfter bounds the advice to callers: a surge may end sooner than the work in the queues suggests.
+const maxRetryAfter = 30 * time.Second
+
+// overloaded refuses a call whose first token is predicted after its deadline at the best agent. The agent would refuse
+// it as well, but asking costs two messages, and another agent would be asked after it.
+func (ent *Entry) overloaded(plc *route.Placement, remaining time.Duration) (proto.Result, bool) {
+	late := plc.FirstTokenIn() - remaining
+	if late <= 0 {
+		return proto.Result{}, false
+	}
+	return proto.Result{
+		Outcome: proto.OutcomeNotRun, Reason: ReasonOverloaded, RetryAfter: min(max(late, time.Second), maxRetryAfter),
+		Detail: "all agents have work for longer than the time limit",
+	}, true
+}
+
 func (ent *Entry) beat(version int64) proto.Beat {
 	return proto.Beat{StateVersion: version, Draining: ent.stop.begun(), Demand: ent.limits.Demand()}
 }
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,7 +15,9 @@
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/entry"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/logsvc"
+	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/state"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -72,6 +75,27 @@
 	})
 }
 
+// Guards against agents that are asked although their reports leave no hope, and against such a refusal that is
+// retried or does not tell the caller when to come back.
+func TestRefusesEarlyUnderOverload(t *testing.T) {
+	is := is.New(t)
+	var opens atomic.Int64
+	rep := proto.Report{Healthy: true, PrefillRate: 40_000, QueuedPrefill: 20 * time.Second}
+	onOpen := func(str *link.Stream, _ proto.Open) {
+		opens.Add(1)
+		_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeNotRun, Reason: "queue-full"})
+	}
+	agt := fakeReportingAgent(t, proto.UpstreamEngine, func() proto.Report { return rep }, onOpen)
+	_, base := startServing(t, "", agt)
+	body := `{"model":"m","prompt":"x"}`
+	status, text := call(t, http.MethodPost, base+"/v1/completions", body, map[string]string{"X-Time-Limit": "5s"})
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(text, `"code":"overloaded"`) && strings.Contains(text, `"not_run":true`))
+	is.Equal(opens.Load(), int64(0))
+	is.True(retryAfter(t, base, `{"model":"m","prompt":"x"}`) > 0) // The default limit of 120 s leaves time to ask.
+	is.True(opens.Load() > 0)
+}
+
 func retryAfter(t *testing.T, base, body string) time.Duration {
 	t.Helper()
 	req := must[*http.Request](t)(http.NewRequestWithContext(
--- a/route/backlog.go
+++ b/route/backlog.go
@@ -55,6 +55,19 @@
 	return bkl
 }
 
+// wait returns the predicted time before the agent begins with the query's prefill. The lock is held.
+func (vie *view) wait(now time.Time, qry Query) time.Duration {
+	bkl := vie.backlog(now)
+	switch {
+	case !vie.short(qry.Cost):
+		return bkl.short + bkl.long
+	case vie.busyLong():
+		return bkl.short + vie.chunkWait()
+	default:
+		return bkl.short
+	}
+}
+
 // busyLong tells whether the agent has a long prompt to prefill. A report follows at once when that changes. The lock
 // is held.
 func (vie *view) busyLong() bool {
--- a/route/view.go
+++ b/route/view.go
@@ -82,14 +82,7 @@
 func (vie *view) predict(now time.Time, qry Query, opts Options) time.Duration {
 	vie.lock.Lock()
 	defer vie.lock.Unlock()
-	bkl := vie.backlog(now)
-	wait := bkl.short
-	switch {
-	case !vie.short(qry.Cost):
-		wait += bkl.long
-	case vie.busyLong():
-		wait += vie.chunkWait()
-	}
+	wait := vie.wait(now, qry)
 	if age := now.Sub(vie.reportAt); age > freshFor {
 		weight := float64(silentAfter-age) / float64(silentAfter-freshFor)
 		wait = time.Duration(weight*float64(wait) + (1-weight)*float64(max(wait, staleQueue)))
@@ -133,6 +126,9 @@
 	}
 	plc := &Placement{tab: tab, view: vie, sentAt: now, probe: vie.failed, work: vie.ownWork(qry)}
 	plc.long = !vie.short(qry.Cost)
+	if vie.report.PrefillRate > 0 {
+		plc.first = vie.wait(now, qry) + plc.work
+	}
 	plc.Cost = qry.Cost
 	plc.Cost.CachedTokens = min(vie.prefixes.cached(qry.PrefixHash), qry.Cost.PromptTokens)
 	vie.probing = vie.failed
@@ -149,7 +145,8 @@
 	view   *view
 	sentAt time.Time
 	work   time.Duration
-	long   bool // not short for the agent
+	first  time.Duration // predicted time to first token
+	long   bool          // not short for the agent
 	probe  bool
 	ended  bool
 }
@@ -157,6 +154,10 @@
 // Agent returns the name of the chosen agent.
 func (plc *Placement) Agent() string { return plc.view.peer.Name }
 
+// FirstTokenIn returns the time to first token that was predicted when the agent was chosen, or 0 if the agent has not
+// reported a prefill rate. No other agent that was compared is likely to be much faster.
+func (plc *Placement) FirstTokenIn() time.Duration { return plc.first }
+
 // Verdict tells what a call has shown about its agent.
 type Verdict int
 
