--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/load"
+	"github.com/tarragonwheel/tarragonwheel/proto"
 )
 
 // overloadLimit is the time limit of requests in BenchmarkOverload. It is short, so that overload shows in the run.
@@ -60,3 +64,28 @@
 	}
 	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
 }
+
+// BenchmarkRefusal measures the CPU time of a refusal of a prompt of 1,000 tokens, client included: by an agent that is
+// asked, and by the entry without asking.
+func BenchmarkRefusal(b *testing.B) {
+	for name, queued := range map[string]time.Duration{"agent": 0, "entry": time.Hour} {
+		b.Run(name, func(b *testing.B) {
+			rep := proto.Report{Healthy: true, PrefillRate: 40_000, QueuedPrefill: queued}
+			onOpen := func(str *link.Stream, _ proto.Open) {
+				// This reason is not retried.
+				_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeNotRun, Reason: "prompt-too-long"})
+			}
+			agt := fakeReportingAgent(b, proto.UpstreamEngine, func() proto.Report { return rep }, onOpen)
+			_, base := startServing(b, "", agt)
+			body := `{"model":"m","prompt":"` + strings.Repeat("abc ", 1000) + `"}`
+			before := cpuTime(b)
+			for b.Loop() {
+				status, _ := call(b, http.MethodPost, base+"/v1/completions", body, nil)
+				if status < http.StatusBadRequest {
+					b.Fatal(status)
+				}
+			}
+			b.ReportMetric(float64((cpuTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -276,9 +276,9 @@
 
 // fakeReportingAgent is like fakeAgent and sends the given reports.
 func fakeReportingAgent(
-	t *testing.T, knd proto.UpstreamKind, rep func() proto.Report, onOpen func(str *link.Stream, msg proto.Open),
+	tb testing.TB, knd proto.UpstreamKind, rep func() proto.Report, onOpen func(str *link.Stream, msg proto.Open),
 ) string {
-	t.Helper()
+	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	opts := link.Options{
 		Secret: []byte("deployment-secret-0123"), Clock: timer.New(), Metrics: metric.New(), Log: logr.Discard(),
@@ -287,8 +287,8 @@
 		OnOpen: onOpen,
 	}
 	srv := httptest.NewServer(link.Handler(ctx, opts, func(*link.Conn) {}))
-	t.Cleanup(srv.Close)
-	t.Cleanup(cancel)
+	tb.Cleanup(srv.Close)
+	tb.Cleanup(cancel)
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
