Allow for variation when the time of an output is predicted

Cause: under overload, streams that agents had admitted were cut off at their deadline (80 of 1812 at ten times the capacity). Tokens come every 10 ms beside idle and every 110 ms beside prefill, and the deadline check took the average.

The check now takes the average and two average deviations. Four, as for single delays, would refuse long outputs that do finish.

--- a/cost/model.go
+++ b/cost/model.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -11,8 +12,10 @@
 	observationWeight = 0.2
 	// minSampleTokens is the least prefill from which a rate is taken. Shorter ones measure the engine's step time.
 	minSampleTokens = 1000
-	minRatio        = 0.25
-	maxRatio        = 4
+	// decodeMargin is less than the factor 4 that bounds single delays, because an output takes many steps.
+	decodeMargin = 2
+	minRatio     = 0.25
+	maxRatio     = 4
 )
 
 // Model predicts what requests cost one engine. It is corrected by observation and safe for concurrent use.
@@ -23,6 +26,7 @@
 	promptRatio float64 // prompt tokens counted by the engine, per token predicted
 	outputRatio float64 // output tokens produced, per token allowed
 	decodeTime  float64 // seconds per output token; 0 while unknown
+	decodeDev   float64 // average deviation of decodeTime
 }
 
 // NewModel returns a Model without observations. It predicts a prefill time of 0 until it knows a rate.
@@ -78,6 +82,7 @@
 	if mdl.decodeTime == 0 {
 		mdl.decodeTime = sample
 	}
+	mdl.decodeDev = average(mdl.decodeDev, math.Abs(sample-mdl.decodeTime))
 	mdl.decodeTime = average(mdl.decodeTime, sample)
 }
 
@@ -98,9 +103,10 @@
 	return int(float64(predicted)*mdl.promptRatio + 0.5)
 }
 
-// Decode returns the predicted time to produce an output of at most so many tokens.
+// Decode returns the time within which an output of at most so many tokens is very likely produced: the average plus
+// decodeMargin deviations. Steps that prefill other requests make the time vary by a factor of ten.
 func (mdl *Model) Decode(allowed int) time.Duration {
 	mdl.mu.Lock()
 	defer mdl.mu.Unlock()
-	return time.Duration(float64(allowed) * mdl.outputRatio * mdl.decodeTime * float64(time.Second))
+	return time.Duration(float64(allowed) * mdl.outputRatio * (mdl.decodeTime + decodeMargin*mdl.decodeDev) * float64(time.Second))
 }
--- a/cost/model_test.go
+++ b/cost/model_test.go
@@ -29,3 +29,14 @@
 	is.True(mdl.Prompt(1000) >= 1990 && mdl.Prompt(1000) <= 2000)
 	is.True(math.Abs(mdl.Decode(100).Seconds()-0.5) < 0.01)
 }
+
+// Guards against admitted requests that miss their deadline because the average time per token is taken for sure.
+func TestDecodeCoversVariation(t *testing.T) {
+	is := is.New(t)
+	mdl := cost.NewModel()
+	for range 50 {
+		mdl.ObserveDecode(100, time.Second)
+		mdl.ObserveDecode(100, 10*time.Second)
+	}
+	is.True(mdl.Decode(100) >= 10*time.Second)
+}
