Give the entries of scenarios an operator API again

Ruled out: nothing else changed in the scenarios.

Conclusion: operators' commands work in scenarios.

--- a/cmd/tarragonwheel/scenario_process_test.go
+++ b/cmd/tarragonwheel/scenario_process_test.go
@@ -131,6 +131,9 @@
 		}
 		addrs = append(addrs, addr)
 	}
+	if opts["admin.listen"] == "" {
+		opts["admin.listen"] = anyPort()
+	}
 	opts["entry.agents"] = strings.Join(addrs, ",")
 	return scn.startRole("entry", words[0], words[1], opts)
 }
--- a/cost/model.go
+++ b/cost/model.go
@@ -108,5 +108,6 @@
 func (mdl *Model) Decode(allowed int) time.Duration {
 	mdl.mu.Lock()
 	defer mdl.mu.Unlock()
-	return time.Duration(float64(allowed) * mdl.outputRatio * (mdl.decodeTime + decodeMargin*mdl.decodeDev) * float64(time.Second))
+	step := mdl.decodeTime + decodeMargin*mdl.decodeDev
+	return time.Duration(float64(allowed) * mdl.outputRatio * step * float64(time.Second))
 }
