Hold memory for parts of prompts at the agent

Cause: memory on several engines has to be reserved for one request without deadlock and without starving other requests.

Ruled out: holds that wait in the queue. A group that waits at one agent while it holds memory at another can wait in a circle with a second group. Also ruled out: a hold with an expiry of its own. The stream that owns it ends with its connection, which heartbeats watch, or with the remaining time of the request.

Change: the agent grants or refuses a hold at once, within hold-share. A refused hold leaves a claim for 3 s, which keeps freed memory from long requests that are not overdue; overdue requests come before holds. The report tells the room for holds, and the metrics show what is held.

Not measured: entries do not ask for holds yet.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -77,6 +77,7 @@
 	prefilling []*Ticket // handed over, no first token yet; by due time
 	progress   time.Time // of the last first token or hand-over to an idle engine
 	span       span
+	claim      *claim // of a hold that was refused
 }
 
 // New returns an open Queue.
@@ -159,7 +160,7 @@
 			tick.settle(&Refusal{Reason: ReasonCannotFinish, Detail: "waited too long to finish in time"})
 			continue
 		}
-		if !que.reserve(tick, guarded) {
+		if !que.reserve(tick, guarded, now) {
 			if guarded == nil && !now.Before(tick.guarded) {
 				guarded = tick
 			}
@@ -171,8 +172,11 @@
 	que.waiting = kept
 }
 
-func (que *Queue) reserve(tick, guarded *Ticket) bool {
+func (que *Queue) reserve(tick, guarded *Ticket, now time.Time) bool {
 	if guarded == nil {
+		if clm := que.claimed(tick, now); clm != nil {
+			return que.opts.Ledger.ReserveBeside(tick.reserve, *clm) == nil
+		}
 		return que.opts.Ledger.Reserve(tick.reserve) == nil
 	}
 	return que.opts.Ledger.ReserveBeside(tick.reserve, guarded.reserve) == nil
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -38,6 +39,7 @@
 	metrics *metric.Set
 	local   proto.Peer
 	engine  *engine.Client
+	peer    string // address at which other engines reach this one
 	model   *cost.Model
 	ledger  *ledger.Ledger
 	queue   *admit.Queue
@@ -70,6 +72,7 @@
 		log:      log,
 		metrics:  metric.New(),
 		engine:   engine.New(config.AgentUpstream.Of(set)),
+		peer:     cmp.Or(config.AgentPeerAddress.Of(set), config.AgentUpstream.Of(set)),
 		model:    cost.NewModel(),
 		ledger:   ledger.New(config.AgentShortHeadroom.Of(set)),
 		grace:    config.ProcessGrace.Of(set),
@@ -88,6 +91,7 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	agt.ledger.ShareHolds(config.AgentHoldShare.Of(set))
 	agt.queue = admit.New(admit.Options{
 		Clock: clk, Model: agt.model, Ledger: agt.ledger,
 		ShortBias:  config.AgentShortBias.Of(set),
@@ -103,6 +107,7 @@
 		agt.healthy = true // A plain service has no load to poll; failed calls show its state.
 	} else {
 		agt.queue.Refuse(ReasonUnavailable)
+		agt.exposeMemory()
 		grp.Go("poll", agt.pollLoop)
 		grp.Go("sweep", agt.sweepLoop)
 		grp.Go("reclaim", agt.reclaimLoop)
--- a/agent/report.go
+++ b/agent/report.go
@@ -32,6 +32,9 @@
 		Draining:      agt.draining,
 		Healthy:       agt.healthy,
 		WaitShort:     stt.WaitShort,
+		FreeHold:      usg.FreeHold(),
+		HoldMax:       usg.HoldMax,
+		PromptRatio:   agt.model.PromptRatio(),
 	}
 	return agt.config.fill(rep)
 }
--- /dev/null
+++ b/agent/segment.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tarragonwheel/tarragonwheel/admit"
+	"github.com/tarragonwheel/tarragonwheel/engine"
+	"github.com/tarragonwheel/tarragonwheel/ledger"
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// ReasonSegmentLost is the reason code of a segment that the engine no longer holds.
+const ReasonSegmentLost = "segment-lost"
+
+// exposeMemory shows in the metrics what the ledger holds.
+func (agt *Agent) exposeMemory() {
+	gauge := func(name, help string, value func(ledger.Usage) int) {
+		opts := prometheus.GaugeOpts{Namespace: "tarragonwheel", Name: name, Help: help}
+		agt.metrics.Registry().MustRegister(prometheus.NewGaugeFunc(opts, func() float64 {
+			return float64(value(agt.ledger.Usage()))
+		}))
+	}
+	gauge("reserved_tokens", "KV memory reserved by all attempts.", func(usg ledger.Usage) int { return usg.Used })
+	gauge("held_tokens", "KV memory held for parts of prompts.", func(usg ledger.Usage) int { return usg.UsedHold })
+	gauge("free_hold_tokens", "Largest part of a prompt that would be granted now.", ledger.Usage.FreeHold)
+}
+
+// runSegment holds memory for a part of a prompt, and runs the part once the entry says so. The hold ends with the
+// stream, whose connection is watched by heartbeats, or with the attempt's remaining time.
+func (agt *Agent) runSegment(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
+	tick, err := agt.queue.Hold(admit.HoldRequest{
+		From: msg.Segment.From,
+		To:   msg.Segment.To,
+		Request: admit.Request{
+			ID:           msg.Attempt.String(),
+			PromptTokens: msg.Cost.PromptTokens,
+			OutputTokens: msg.Cost.OutputTokens,
+			Remaining:    msg.Remaining,
+			Streamed:     msg.Stream || msg.Segment.To > 0,
+		},
+	})
+	if err != nil {
+		return refused(err)
+	}
+	agt.metrics.Event("hold-granted")
+	bgn, err := agt.awaitBegin(ctx, str)
+	if err != nil {
+		tick.Withdraw()
+		agt.metrics.Event("hold-unused")
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled, Detail: err.Error()}
+	}
+	tick.Begin()
+	sco := &engine.Scope{From: msg.Segment.From, To: msg.Segment.To, Earlier: bgn.Earlier}
+	completed, res := false, proto.Result{}
+	if sco.To == 0 {
+		completed, res = agt.complete(ctx, str, msg, tick, sco)
+	} else {
+		res = agt.holdSegment(ctx, str, msg, tick, sco)
+	}
+	if completed {
+		tick.Release()
+	} else {
+		agt.abandon(msg.Attempt.String(), tick)
+	}
+	return res
+}
+
+// awaitBegin grants the hold and waits until the entry uses it.
+func (agt *Agent) awaitBegin(ctx context.Context, str *link.Stream) (proto.Begin, error) {
+	if err := str.Send(proto.KindAccept, proto.Accept{Engine: agt.peer}); err != nil {
+		return proto.Begin{}, fmt.Errorf("agent: grant hold: %w", err)
+	}
+	frm, err := str.Next(ctx)
+	if err != nil {
+		return proto.Begin{}, fmt.Errorf("agent: hold unused: %w", err)
+	}
+	if frm.Kind != proto.KindBegin {
+		return proto.Begin{}, trace.BadParameter("agent: unexpected %s instead of begin", frm.Kind)
+	}
+	return proto.Parse[proto.Begin](frm)
+}
+
+// holdSegment runs until the entry cancels the segment or the engine loses it. Either way the engine may still hold it.
+func (agt *Agent) holdSegment(
+	ctx context.Context, str *link.Stream, msg proto.Open, tick *admit.Ticket, sco *engine.Scope,
+) proto.Result {
+	hel, err := agt.engine.Hold(ctx, engineRequest(ctx, str, msg, tick, sco))
+	if err != nil {
+		return agt.failure(ctx, err)
+	}
+	defer hel.Close()
+	tick.Prefilled()
+	if err := str.Send(proto.KindHeld, proto.Held{}); err != nil {
+		return agt.failure(ctx, err)
+	}
+	hel.Wait()
+	if ctx.Err() != nil {
+		return agt.failure(ctx, ctx.Err())
+	}
+	wake(agt.pollNow)
+	return proto.Result{
+		Outcome: proto.OutcomeFailed, Reason: ReasonSegmentLost, Detail: "the engine no longer holds the segment",
+	}
+}
--- /dev/null
+++ b/agent/segment_test.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+// openSegment asks for a hold of the first tokens of a prompt and returns the agent's answer.
+func openSegment(t *testing.T, con *link.Conn, tokens int, remaining time.Duration) (*link.Stream, proto.Frame) {
+	t.Helper()
+	is := is.New(t)
+	body := []byte(`{"model":"m","prompt":""}`)
+	str, err := con.Open(proto.Open{
+		Attempt: proto.NewAttemptID(), Serves: "m", Remaining: remaining, Path: "/v1/completions",
+		Cost: proto.Cost{PromptTokens: tokens + 1, OutputTokens: 1}, BodyBytes: int64(len(body)),
+		Segment: &proto.Segment{To: tokens},
+	})
+	is.NoErr(err)
+	frm, err := str.Next(context.Background())
+	is.NoErr(err)
+	return str, frm
+}
+
+// Guards against a hold that outlives its owner: the stream is cancelled, the connection breaks, or time runs out.
+func TestHoldEndsWithItsOwner(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(t, fastModel(), "")
+	rig.start()
+	con := rig.dial()
+	str, frm := openSegment(t, con, 50_000, time.Minute)
+	is.Equal(frm.Kind, proto.KindAccept)
+	is.Equal(rig.agent.ledger.Usage().UsedHold, 50_000)
+	_, frm = openSegment(t, con, 50_000, time.Minute)
+	is.Equal(frm.Kind, proto.KindResult) // refused at once
+	is.NoErr(str.Send(proto.KindCancel, proto.Cancel{}))
+	rig.eventually("freed after a cancel", rig.empty)
+
+	_, frm = openSegment(t, con, 50_000, time.Minute)
+	is.Equal(frm.Kind, proto.KindAccept)
+	con.Close()
+	rig.eventually("freed after the connection", rig.empty)
+
+	con = rig.dial()
+	defer con.Close()
+	str, frm = openSegment(t, con, 50_000, 20*time.Millisecond)
+	is.Equal(frm.Kind, proto.KindAccept)
+	frm, err := str.Next(context.Background())
+	is.NoErr(err)
+	res, err := proto.Parse[proto.Result](frm)
+	is.NoErr(err)
+	is.Equal(res.Outcome, proto.OutcomeNotRun) // It has not begun.
+	rig.eventually("freed after its time", rig.empty)
+}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -53,6 +53,9 @@
 	if agt.plain != nil {
 		return agt.runPlain(ctx, str, msg)
 	}
+	if msg.Segment != nil {
+		return agt.runSegment(ctx, str, msg)
+	}
 	tick, err := agt.queue.Submit(admit.Request{
 		ID:           id,
 		PromptTokens: msg.Cost.PromptTokens,
@@ -111,14 +114,14 @@
 func (agt *Agent) execute(
 	ctx context.Context, str *link.Stream, msg proto.Open, tick *admit.Ticket,
 ) (bool, proto.Result) {
-	resp, err := agt.engine.Complete(ctx, engine.Request{
-		ID:         msg.Attempt.String(),
-		Path:       msg.Path,
-		Priority:   tick.Priority(),
-		ResumeFrom: msg.ResumeFrom,
-		Length:     msg.BodyBytes,
-		Body:       str.Body(ctx),
-	})
+	return agt.complete(ctx, str, msg, tick, nil)
+}
+
+// complete is execute for the part of the prompt in sco, or all of it.
+func (agt *Agent) complete(
+	ctx context.Context, str *link.Stream, msg proto.Open, tick *admit.Ticket, sco *engine.Scope,
+) (bool, proto.Result) {
+	resp, err := agt.engine.Complete(ctx, engineRequest(ctx, str, msg, tick, sco))
 	if err != nil {
 		return false, agt.failure(ctx, err)
 	}
@@ -143,6 +146,20 @@
 	return !refusedByEngine, proto.Result{Outcome: proto.OutcomeDone}
 }
 
+func engineRequest(
+	ctx context.Context, str *link.Stream, msg proto.Open, tick *admit.Ticket, sco *engine.Scope,
+) engine.Request {
+	return engine.Request{
+		ID:         msg.Attempt.String(),
+		Path:       msg.Path,
+		Priority:   tick.Priority(),
+		ResumeFrom: msg.ResumeFrom,
+		Length:     msg.BodyBytes,
+		Body:       str.Body(ctx),
+		Scope:      sco,
+	}
+}
+
 // relay sends the upstream's answer as it arrives, and its end.
 func relay(str *link.Stream, resp *http.Response) error {
 	if err := relayParts(str, resp, func([]byte) {}); err != nil {
--- a/config/keys_agent.go
+++ b/config/keys_agent.go
@@ -30,6 +30,16 @@
 		section: "agent", name: "short-headroom", fallback: "0.1",
 		help: "share of the engine's KV memory that only short requests may use",
 	}, 0, 0.9)
+	AgentHoldShare = floatKey(definition{
+		section: "agent", name: "hold-share", fallback: "0.8",
+		help: "share of the engine's KV memory that may be held for parts of prompts that several engines share; " +
+			"0 takes the engine out of all groups",
+	}, 0, 1)
+	AgentPeerAddress = addressKey(definition{
+		section: "agent", name: "peer-address",
+		help: "address at which other engines reach this one to read the parts of prompts that it holds; " +
+			"empty for agent.upstream",
+	})
 	AgentEngineWindow = durationKey(definition{
 		section: "agent", name: "engine-window", fallback: "100ms",
 		help: "predicted prefill work that the engine may hold ahead of a request handed over; larger values batch " +
--- a/cost/model.go
+++ b/cost/model.go
@@ -98,6 +98,13 @@
 	return int(float64(predicted)*mdl.promptRatio + 0.5)
 }
 
+// PromptRatio returns the prompt tokens that the engine counts, per token predicted.
+func (mdl *Model) PromptRatio() float64 {
+	mdl.mu.Lock()
+	defer mdl.mu.Unlock()
+	return mdl.promptRatio
+}
+
 // Decode returns the predicted time to produce an output of at most so many tokens.
 func (mdl *Model) Decode(allowed int) time.Duration {
 	mdl.mu.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,8 @@
 	used      int
 	usedLong  int
 	longCount int
+	holdShare float64
+	usedHold  int
 }
 
 // Reservation is what one attempt holds: a slot and KV memory.
@@ -26,6 +28,7 @@
 	Owner  string // attempt ID
 	Tokens int
 	Short  bool
+	Hold   bool // for a part of a prompt that several engines share; see Hold
 }
 
 // Usage is a consistent view of a Ledger. Memory is in tokens.
@@ -36,6 +39,8 @@
 	UsedLong int // part of Used held by requests that are not short
 	Running  int // slots held
 	LongMax  int // memory that requests which are not short may hold together
+	UsedHold int // part of UsedLong held for parts of prompts
+	HoldMax  int // memory that may be held for parts of prompts together
 }
 
 // Free returns the memory that is not reserved.
@@ -97,6 +102,9 @@
 	}
 	led.held[rsv.Owner] = rsv
 	led.used += rsv.Tokens
+	if rsv.Hold {
+		led.usedHold += rsv.Tokens
+	}
 	if !rsv.Short {
 		led.usedLong += rsv.Tokens
 		led.longCount++
@@ -129,6 +137,9 @@
 	}
 	delete(led.held, owner)
 	led.used -= rsv.Tokens
+	if rsv.Hold {
+		led.usedHold -= rsv.Tokens
+	}
 	if !rsv.Short {
 		led.usedLong -= rsv.Tokens
 		led.longCount--
@@ -151,5 +162,6 @@
 	return Usage{
 		Tokens: led.tokens, Slots: led.slots, Used: led.used, UsedLong: led.usedLong,
 		Running: len(led.held), LongMax: led.longTokens(),
+		UsedHold: led.usedHold, HoldMax: led.holdTokens(),
 	}
 }
--- a/proto/frame.go
+++ b/proto/frame.go
@@ -33,12 +33,15 @@
 	KindReport    Kind = 12
 	KindBeat      Kind = 13
 	KindState     Kind = 14
+	KindBegin     Kind = 20
+	KindHeld      Kind = 21
 )
 
 var kindNames = map[Kind]string{
 	KindChallenge: "challenge", KindHello: "hello", KindWelcome: "welcome", KindOpen: "open", KindAccept: "accept",
 	KindHead: "head", KindData: "data", KindCredit: "credit", KindEnd: "end", KindCancel: "cancel",
 	KindResult: "result", KindReport: "report", KindBeat: "beat", KindState: "state",
+	KindBegin: "begin", KindHeld: "held",
 }
 
 // String returns the kind's name in kebab case.
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -90,11 +90,13 @@
 	PrefixHash  []uint64          `cbor:"14,keyasint,omitempty"` // chained hashes of the prompt's leading blocks
 	Fingerprint uint64            `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
+	Segment     *Segment          `cbor:"20,keyasint,omitempty"` // set if several engines share the prompt
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
 type Accept struct {
 	QueuedFor time.Duration `cbor:"1,keyasint"`
+	Engine    string        `cbor:"20,keyasint,omitempty"` // address of the engine, for a segment
 }
 
 // Head carries status and headers of the upstream's response.
@@ -146,6 +148,9 @@
 	StateVersion  int64         `cbor:"9,keyasint"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
+	FreeHold      int           `cbor:"20,keyasint,omitempty"` // largest segment that would be granted now, in tokens
+	HoldMax       int           `cbor:"21,keyasint,omitempty"` // largest segment ever granted, in tokens
+	PromptRatio   float64       `cbor:"22,keyasint,omitempty"` // prompt tokens counted, per token predicted
 }
 
 // PeerVersion is the configuration version that a process has in force.
