Serve a prompt longer than one engine on a group of engines

Cause: a prompt that exceeds one engine's memory is refused with prompt-too-long.

Ruled out: asking all agents of a group at once, and waiting at an agent. Both let two groups block each other. Agents are asked one after another in the order of their names and answer at once, so of all groups being formed the one furthest on meets no other group's hold. Also ruled out: redoing only a lost part; the whole group is redone if the remaining time pays for it.

Change: when an agent refuses a prompt as too long, the entry divides it among as few agents as have room, holds memory on all of them, prefills the parts in order, and relays the answer of the last one. The loss of any part ends the attempt, and a token stream resumes on another group.

Trials: with the release of parts removed at the agent, or the cancel of parts at the entry, the group tests and the soak fail.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -13,12 +13,20 @@
 
 // attempt sends a call to one agent and follows it to its end. It returns the agent's name, if there was one.
 func (ent *Entry) attempt(ctx context.Context, run *running, tried []string) (proto.Result, string) {
+	if run.tooLong != nil {
+		return ent.attemptGroup(ctx, run, *run.tooLong), ""
+	}
 	plc := ent.table.Pick(query(run.cal, tried))
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
 	}
 	res := ent.send(ctx, run, plc)
+	if needsGroup(run.cal, res) {
+		plc.End(route.Neutral)
+		run.tooLong = &res
+		return ent.attemptGroup(ctx, run, res), ""
+	}
 	plc.End(run.verdict(ctx, res))
 	return res, plc.Agent()
 }
@@ -79,7 +87,7 @@
 // follower relays one attempt.
 type follower struct {
 	run      *running
-	plc      *route.Placement
+	plc      *route.Placement // nil for a group
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
@@ -128,7 +136,9 @@
 				return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
 			}
 			fol.head = &hed
-			fol.plc.Started()
+			if fol.plc != nil {
+				fol.plc.Started()
+			}
 		case proto.KindData:
 			if err := fol.data(frm); err != nil {
 				return proto.Result{}, err
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -60,6 +60,9 @@
 	sent     int   // body bytes delivered to the caller
 	broken   error // of the caller's connection
 	unsure   bool  // an attempt may have run
+
+	// tooLong is set once an agent has refused the prompt as too long for one engine.
+	tooLong *proto.Result
 }
 
 // again tells whether a further attempt is allowed. A call that is not idempotent is repeated only if no attempt can
@@ -69,7 +72,7 @@
 	case res.Outcome == proto.OutcomeDone, ctx.Err() != nil, run.broken != nil, run.evs.done:
 		return false
 	case res.Outcome == proto.OutcomeNotRun:
-		return !permanent[res.Reason]
+		return !permanent[res.Reason] && run.tooLong == nil // A group has made its own tries.
 	case !run.cal.Idempotent, run.headSent && !run.resumable():
 		run.unsure = true
 		return false
@@ -87,7 +90,9 @@
 var permanent = map[string]bool{edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true}
 
 // transient are the reasons of failures that another agent need not share.
-var transient = map[string]bool{ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true}
+var transient = map[string]bool{
+	ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true, ReasonSegmentLost: true,
+}
 
 // final is the result that the caller is told.
 func (run *running) final(ctx context.Context, res proto.Result) proto.Result {
