Wait for engines that are down before calling a prompt too long

A plan also kept an agent that was lost until the deadline.

Ruled out: remembering the largest fleet ever seen, which would keep trying for engines that were taken away.

Change: prompt-too-long is final only if no connected agent is down. A plan is given up when an agent of it answers anything but a refusal.

Conclusion: the new test fails without the change, as the answer is then 413 instead of 504. An agent that is not connected still does not count.

--- a/entry/group.go
+++ b/entry/group.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/admit"
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/engine"
 	"github.com/tarragonwheel/tarragonwheel/link"
@@ -17,11 +18,8 @@
 	"github.com/tarragonwheel/tarragonwheel/route"
 )
 
-// Reason codes of prompts that several engines share.
-const (
-	ReasonSegmentLost  = "segment-lost"
-	reasonCannotFinish = "cannot-finish-in-time"
-)
+// ReasonSegmentLost is the reason code of an attempt of which an engine has lost its part.
+const ReasonSegmentLost = "segment-lost"
 
 const (
 	// holdPause is the longest pause before the second try to form a group, doubled for each further one up to
@@ -59,32 +57,24 @@
 func (ent *Entry) attemptGroup(ctx context.Context, run *running, refusal proto.Result) proto.Result {
 	var wanted *groupPlan // the plan without regard to what is in use, kept so that the claims of refused holds add up
 	for number := 0; ; number++ {
-		rooms := ent.table.Rooms(route.Target{Kind: run.cal.Kind, Serves: run.cal.Serves})
-		pln := planGroup(rooms, run.cal.Cost, func(rom route.Room) int { return rom.Free })
-		if pln == nil && wanted == nil {
-			wanted = planGroup(rooms, run.cal.Cost, func(rom route.Room) int { return rom.Most })
-		}
-		if pln == nil {
-			pln = wanted
-		}
-		if pln == nil {
-			return refusal
+		pln, res, over := ent.planCall(run, &wanted, refusal)
+		if over {
+			return res
 		}
-		if pln.prefill > run.cal.Deadline.Sub(ent.clock.Now()) {
-			return proto.Result{
-				Outcome: proto.OutcomeNotRun, Reason: reasonCannotFinish,
-				Detail: "predicted to finish after the deadline on several engines",
+		if pln != nil {
+			gng := &gang{ent: ent, run: run}
+			var held bool
+			if res, held = gng.hold(ctx, pln); held {
+				ent.metrics.Event("group-formed")
+				res = gng.serve(ctx)
+			}
+			gng.release()
+			if held {
+				return res
+			}
+			if res.Reason != admit.ReasonHoldRefused {
+				wanted = nil // An agent of the plan is lost, or takes no work.
 			}
-		}
-		gng := &gang{ent: ent, run: run}
-		res, held := gng.hold(ctx, pln)
-		if held {
-			ent.metrics.Event("group-formed")
-			res = gng.serve(ctx)
-		}
-		gng.release()
-		if held {
-			return res
 		}
 		ent.metrics.Retry(res.Reason)
 		most := min(holdPauseMost, holdPause<<min(number, 10))
@@ -94,6 +84,33 @@
 	}
 }
 
+// planCall divides the call's prompt among the agents as they are now. Without a plan it returns why, and whether
+// waiting cannot change that.
+func (ent *Entry) planCall(run *running, wanted **groupPlan, refusal proto.Result) (*groupPlan, proto.Result, bool) {
+	rooms, down := ent.table.Rooms(route.Target{Kind: run.cal.Kind, Serves: run.cal.Serves})
+	pln := planGroup(rooms, run.cal.Cost, func(rom route.Room) int { return rom.Free })
+	if pln == nil {
+		if *wanted == nil {
+			*wanted = planGroup(rooms, run.cal.Cost, func(rom route.Room) int { return rom.Most })
+		}
+		pln = *wanted
+	}
+	switch {
+	case pln == nil && down > 0:
+		return nil, proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "too few engines are available",
+		}, false
+	case pln == nil:
+		return nil, refusal, true
+	case pln.prefill > run.cal.Deadline.Sub(ent.clock.Now()):
+		return nil, proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: admit.ReasonCannotFinish,
+			Detail: "predicted to finish after the deadline on several engines",
+		}, true
+	}
+	return pln, proto.Result{}, false
+}
+
 // hold asks the agents one after another, in the order of their names, and stops at the first refusal. Agents answer at
 // once. Of all groups that are being formed at a time, the one that holds the agent with the highest name among those
 // asked for by several groups meets no other group's hold further on. So groups neither wait for each other in a
--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonwheel/tarragonwheel/agent"
 	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/entry"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/simeng"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -28,18 +29,21 @@
 	name    string
 	serves  string
 	engine  *simeng.Engine
-	address string // of the engine
-	listen  string // of the agent
+	server  *httptest.Server // of the engine
+	address string           // of the engine
+	listen  string           // of the agent
+	more    string           // settings of the agent's section
 	grp     *group.Group
 	agent   *agent.Agent
 }
 
-func startMember(tb testing.TB, name string, mdl simeng.Model) *member {
+func startMember(tb testing.TB, name string, mdl simeng.Model, more string) *member {
 	tb.Helper()
 	grp := group.New(context.Background(), name)
-	mem := &member{tb: tb, name: name, serves: mdl.Name, listen: "127.0.0.1:0"}
+	mem := &member{tb: tb, name: name, serves: mdl.Name, listen: "127.0.0.1:0", more: more}
 	mem.engine = simeng.New(grp, mdl, timer.New())
 	srv := httptest.NewServer(mem.engine.Handler())
+	mem.server = srv
 	mem.address = strings.TrimPrefix(srv.URL, "http://")
 	mem.start()
 	mem.listen = mem.agent.Address()
@@ -55,8 +59,8 @@
 func (mem *member) start() {
 	mem.grp = group.New(context.Background(), mem.name)
 	set := must[*config.Settings](mem.tb)(config.Parse(fmt.Sprintf("[process]\nname = %s\ndata-centre = a\n"+
-		"listen = %s\nsecrets = -\n[agent]\nserves = %s\nupstream = %s\n",
-		mem.name, mem.listen, mem.serves, mem.address), "agent"))
+		"listen = %s\nsecrets = -\n[agent]\nserves = %s\nupstream = %s\n%s",
+		mem.name, mem.listen, mem.serves, mem.address, mem.more), "agent"))
 	sec := must[*config.Secrets](mem.tb)(config.ParseSecrets(callerFile))
 	var err error
 	// The address of a stopped agent can be in use for a moment longer.
@@ -95,7 +99,7 @@
 func startMembers(tb testing.TB, num int, mdl simeng.Model) (mems []*member, agents []string) {
 	tb.Helper()
 	for idx := range num {
-		mem := startMember(tb, fmt.Sprintf("a%d", idx+1), mdl)
+		mem := startMember(tb, fmt.Sprintf("a%d", idx+1), mdl, "")
 		mems = append(mems, mem)
 		agents = append(agents, mem.listen)
 	}
@@ -186,6 +190,27 @@
 	allIdle(t, mems)
 }
 
+// Guards against a prompt called too long because an engine is down for a moment.
+func TestLongPromptWaitsForEngineThatIsDown(t *testing.T) {
+	is := is.New(t)
+	mems, agents := startMembers(t, 3, groupModel())
+	ent, base := startServing(t, "", agents...)
+	ready(t, base, 100_000)
+	mems[2].server.CloseClientConnections()
+	mems[2].server.Close()
+	eventually(t, "the entry knows", func() bool {
+		status, text := call(t, http.MethodPost, base+"/v1/completions",
+			`{"model":"m","max_tokens":1,"prompt":"`+strings.Repeat("word", 100_000)+`"}`,
+			map[string]string{"X-Time-Limit": "1s"})
+		is.Equal(status, http.StatusGatewayTimeout)
+		is.True(strings.Contains(text, `"not_run":true`))
+		counts, err := ent.Metrics().Counts("retries_total")
+		is.NoErr(err)
+		return counts[entry.ReasonNoUpstream] > 0
+	})
+	allIdle(t, mems[:2])
+}
+
 // Guards against groups of two entries that block each other, by waiting in a circle or by refusing each other forever:
 // memory suffices for one group at a time.
 func TestGroupsOfTwoEntriesShareEngines(t *testing.T) {
--- a/route/room.go
+++ b/route/room.go
@@ -1,11 +1,5 @@
 package route
 
-import (
-	"time"
-
-	"github.com/tarragonwheel/tarragonwheel/proto"
-)
-
 // Room is what an agent can hold of a prompt that several engines share, as last reported. Memory is in tokens.
 type Room struct {
 	Agent       string
@@ -15,25 +9,26 @@
 	Rate        float64 // prefill, tokens a second
 }
 
-// Rooms returns the agents that can be given work and take part in groups.
-func (tab *Table) Rooms(tgt Target) []Room {
+// Rooms returns the agents that can be given work and take part in groups, and the number of connected agents that can
+// be given no work now.
+func (tab *Table) Rooms(tgt Target) (list []Room, down int) {
 	now := tab.opts.Clock.Now()
-	var list []Room
 	for _, vie := range (*tab.index.Load())[tgt] {
-		if rom, ok := vie.room(now); ok {
+		if !vie.usable(now) {
+			down++
+			continue
+		}
+		if rom := vie.room(); rom.Most > 0 {
 			list = append(list, rom)
 		}
 	}
-	return list
+	return list, down
 }
 
-func (vie *view) room(now time.Time) (Room, bool) {
+func (vie *view) room() Room {
 	vie.lock.Lock()
 	defer vie.lock.Unlock()
 	rep := vie.report
-	if !vie.mayTake(now) || rep.HoldMax == 0 || vie.peer.Kind != proto.UpstreamEngine {
-		return Room{}, false
-	}
 	rom := Room{
 		Agent: vie.peer.Name, Free: rep.FreeHold, Most: rep.HoldMax, PromptRatio: rep.PromptRatio,
 		Rate: rep.PrefillRate,
@@ -41,5 +36,5 @@
 	if rom.Rate <= 0 {
 		rom.Rate = assumedRate
 	}
-	return rom, true
+	return rom
 }
