--- a/admin/api.go
+++ b/admin/api.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/intent"
 	"github.com/tarragonwheel/tarragonwheel/state"
 )
@@ -67,6 +68,8 @@
 	Version int64         `json:"version"`
 	Lag     time.Duration `json:"lag"`   // time since a newer version is known; 0 if level
 	Heard   time.Duration `json:"heard"` // time since the process was last heard of
+
+	Draining bool `json:"draining,omitempty"` // it is stopping
 }
 
 // Status is the state of the configuration.
@@ -76,6 +79,7 @@
 	Gap       *state.Gap      `json:"gap,omitempty"`
 	Processes []ProcessStatus `json:"processes"`
 	Objects   []state.Named   `json:"objects"`
+	RollOuts  []duty.Progress `json:"roll-outs,omitempty"`
 }
 
 // History lists confirms, oldest first.
@@ -100,4 +104,5 @@
 	Store     *state.Store
 	Exchange  *state.Exchange
 	Upstreams func() []intent.Upstream
+	RollOuts  func() []duty.Progress
 }
--- a/agent/segment_test.go
+++ b/agent/segment_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	is := is.New(t)
 	body := []byte(`{"model":"m","prompt":""}`)
-	str, err := con.Open(proto.Open{
+	str, err := con.Open(context.Background(), proto.Open{
 		Attempt: proto.NewAttemptID(), Serves: "m", Remaining: remaining, Path: "/v1/completions",
 		Cost: proto.Cost{PromptTokens: tokens + 1, OutputTokens: 1}, BodyBytes: int64(len(body)),
 		Segment: &proto.Segment{To: tokens},
--- a/cmd/tarragonwheel/scenario_http_test.go
+++ b/cmd/tarragonwheel/scenario_http_test.go
@@ -30,7 +30,7 @@
 	err    error // of a response that ended before it was complete
 }
 
-func begin(method, addr, key, body string) (*call, error) {
+func begin(method, addr, key, body string, headers ...string) (*call, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	req, err := http.NewRequestWithContext(ctx, method, addr, strings.NewReader(body))
 	if err != nil {
@@ -40,6 +40,9 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer scenario-key-of-"+key)
 	}
+	for idx := 0; idx+1 < len(headers); idx += 2 {
+		req.Header.Set(headers[idx], headers[idx+1])
+	}
 	cal := &call{cancel: cancel, first: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(cal.done)
@@ -286,6 +289,23 @@
 	return nil
 }
 
+// checkReady asks a process on its metrics address whether it is ready: PROCESS [status=N].
+func checkReady(scn *scenario, args []string) error {
+	if len(args) == 0 || scn.processes[args[0]] == nil {
+		return errors.New("usage: readyz PROCESS [status=N]")
+	}
+	addr := metricsAddress.FindStringSubmatch(scn.processes[args[0]].text())
+	if addr == nil {
+		return fmt.Errorf("%s serves no metrics", args[0])
+	}
+	cal, err := begin(http.MethodGet, "http://"+addr[1]+"/readyz", "", "")
+	if err != nil {
+		return err
+	}
+	_, opts := options(args[1:])
+	return cal.check(scn, opts)
+}
+
 // addProxyRoute puts a route in front of a process: PROXY NAME TARGET. Its name then stands for the target.
 func addProxyRoute(scn *scenario, args []string) error {
 	if len(args) != 3 {
--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -47,11 +47,43 @@
 
 func init() { // Breaks the cycle between the table and the commands that refer to it.
 	commands = map[string]verb{
-		"engine": startSim("engine", "--model"), "log": startSim("log"), "vms": startSim("vms"),
-		"proxy": startSim("fault"), "agent": startAgent, "entry": startEntry, "restart": restart, "signal": sendSignal,
-		"gone": waitGone, "logged": checkLog, "route": addProxyRoute, "fault": setFault, "heal": heal, "until": until,
-		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
-		"post": httpCall("POST"), "active": checkActive, "metric": checkMetric, "vm": listVM,
+		"active":       checkActive,
+		"agent":        startAgent,
+		"answered":     awaitLoad,
+		"ask":          ask,
+		"book":         book,
+		"declare":      declare,
+		"engine":       startSim("engine", "--model"),
+		"entry":        startEntry,
+		"executions":   checkExecutions,
+		"fault":        setFault,
+		"finish":       finish,
+		"first":        waitFirst,
+		"get":          httpCall("GET"),
+		"gone":         waitGone,
+		"heal":         heal,
+		"leave":        leave,
+		"load":         startLoad,
+		"log":          startSim("log"),
+		"logged":       checkLog,
+		"metric":       checkMetric,
+		"one-in-force": exactlyOne,
+		"operator":     operateEntry,
+		"operated":     checkOperated,
+		"post":         httpCall("POST"),
+		"proxy":        startSim("fault"),
+		"put":          httpCall("PUT"),
+		"readyz":       checkReady,
+		"restart":      restart,
+		"route":        addProxyRoute,
+		"service":      startSim("service"),
+		"signal":       sendSignal,
+		"truthful":     checkTruth,
+		"unload":       endLoad,
+		"until":        until,
+		"vm":           listVM,
+		"vms":          startSim("vms"),
+		"weights":      startSim("weights"),
 	}
 }
 
@@ -63,6 +95,11 @@
 	processes map[string]*process
 	addresses map[string]string // of processes and routes
 	calls     map[string]*call
+	bookings  []*booking
+	loads     map[string]*traffic
+
+	operations map[string]*operatorRun
+	log        func(args ...any)
 }
 
 const scenarioSecrets = `[deployment]
@@ -77,19 +114,26 @@
 func setUp(env *testscript.Env) error {
 	scn := &scenario{
 		dir: env.WorkDir, processes: make(map[string]*process), addresses: make(map[string]string),
-		calls: make(map[string]*call),
+		calls: make(map[string]*call), loads: make(map[string]*traffic),
+		operations: make(map[string]*operatorRun), log: env.T().Log,
 	}
 	env.Values[scenarioKey{}] = scn
 	env.Defer(func() {
 		for _, cal := range scn.calls {
 			cal.cancel()
 		}
+		for _, trf := range scn.loads {
+			trf.stop.Store(true)
+		}
 		for name, prc := range scn.processes {
 			_ = prc.cmd.Process.Kill()
 			<-prc.done
 			env.T().Log(name + ":\n" + prc.text()) // Printed only if the test fails or is verbose.
 		}
 	})
+	if err := os.WriteFile(filepath.Join(env.WorkDir, "ops.key"), []byte("scenario-key-of-ops"), 0o600); err != nil {
+		return err
+	}
 	return os.WriteFile(filepath.Join(env.WorkDir, "secrets.ini"), []byte(scenarioSecrets), 0o600)
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/link"
+	"github.com/tarragonwheel/tarragonwheel/once"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/route"
 )
@@ -16,11 +18,15 @@
 	if run.tooLong != nil {
 		return ent.attemptGroup(ctx, run, *run.tooLong), ""
 	}
-	plc := ent.table.Pick(query(run.cal, tried))
+	plc := ent.table.Pick(ent.query(run.cal, tried))
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
 	}
+	if res, hopeless := ent.overloaded(plc, run.cal.Deadline.Sub(ent.clock.Now())); hopeless {
+		plc.End(route.Neutral)
+		return res, ""
+	}
 	res := ent.send(ctx, run, plc)
 	if needsGroup(run.cal, res) {
 		plc.End(route.Neutral)
@@ -31,7 +37,7 @@
 	return res, plc.Agent()
 }
 
-func query(cal edge.Call, tried []string) route.Query {
+func (ent *Entry) query(cal edge.Call, tried []string) route.Query {
 	qry := route.Query{
 		Target:     route.Target{Kind: cal.Kind, Serves: cal.Serves},
 		Cost:       cal.Cost,
@@ -39,7 +45,8 @@
 		Avoid:      tried,
 	}
 	if !cal.Idempotent {
-		qry.Sticky = cal.Account + "\x00" + cal.Key
+		// All calls of a slot go to one agent, so that each agent has to follow few slots.
+		qry.Sticky = strconv.Itoa(once.NewKey(cal.Account, cal.Key).Slot(ent.slots))
 	}
 	return qry
 }
@@ -51,7 +58,7 @@
 		return lost
 	}
 	cal := run.cal
-	str, err := con.Open(proto.Open{
+	str, err := con.Open(ctx, proto.Open{
 		Attempt:    proto.NewAttemptID(),
 		Kind:       cal.Kind,
 		Account:    cal.Account,
@@ -67,6 +74,7 @@
 		ResumeFrom: run.evs.tokens,
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
+		Slots:      ent.slots,
 	})
 	if err != nil {
 		return lost // The body was not sent, without which nothing runs.
@@ -91,6 +99,8 @@
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
+	delivers bool          // the caller gets, or has got, this attempt's head, or goes on with an earlier one's
+	answered bool          // the first part of the answer has come
 	body     chan struct{} // closed when the body's sender has returned
 }
 
@@ -140,6 +150,7 @@
 				fol.plc.Started()
 			}
 		case proto.KindData:
+			fol.firstToken()
 			if err := fol.data(frm); err != nil {
 				return proto.Result{}, err
 			}
@@ -149,6 +160,17 @@
 	}
 }
 
+// firstToken tells the table once that the prefill has ended.
+func (fol *follower) firstToken() {
+	if fol.answered {
+		return
+	}
+	fol.answered = true
+	if fol.plc != nil {
+		fol.plc.FirstToken()
+	}
+}
+
 func (fol *follower) sendBody() {
 	if fol.accepted {
 		return
@@ -198,16 +220,17 @@
 }
 
 func (fol *follower) sendHead() error {
-	if fol.run.headSent {
-		// The caller has the head of an earlier attempt, and only another part of the same answer may follow it.
-		if fol.head == nil || fol.head.Status >= 300 {
-			return errIncomplete
-		}
+	if fol.delivers {
 		return nil
 	}
-	if fol.head == nil {
+	// After the head of an earlier attempt, only another part of the same answer may follow.
+	if fol.head == nil || fol.run.headSent && fol.head.Status >= 300 {
 		return errIncomplete
 	}
+	fol.delivers = true
+	if fol.run.headSent {
+		return nil
+	}
 	fol.run.headSent = true
 	if err := fol.run.rep.Head(*fol.head); err != nil {
 		fol.run.broken = err
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/proto"
@@ -19,7 +21,9 @@
 		return
 	}
 	ent.attach(con) // The first report may arrive before the dialling goroutine goes on.
+	ent.limits.Hear(rep.EntryCount, rep.Demands)
 	ent.table.Report(con.Peer(), rep)
+	ent.noteVersion(con.Peer().Name, rep)
 }
 
 // stayConnected keeps a connection to the agent at addr until ctx ends.
@@ -52,10 +56,17 @@
 	defer ent.mu.Unlock()
 	if ent.conns[con.Peer().Name] == con {
 		delete(ent.conns, con.Peer().Name)
+		delete(ent.versions, con.Peer().Name)
 		ent.table.Disconnect(con.Peer())
 	}
 }
 
+func (ent *Entry) connections() []*link.Conn {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	return slices.Collect(maps.Values(ent.conns))
+}
+
 func (ent *Entry) conn(name string) *link.Conn {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
--- a/entry/group.go
+++ b/entry/group.go
@@ -137,7 +137,7 @@
 	}
 	cal := gng.run.cal
 	var err error
-	prt.str, err = con.Open(proto.Open{
+	prt.str, err = con.Open(ctx, proto.Open{
 		Attempt:    prt.id,
 		Kind:       cal.Kind,
 		Account:    cal.Account,
--- a/once/commit_bench_test.go
+++ b/once/commit_bench_test.go
@@ -75,13 +75,14 @@
 	}
 }
 
-// BenchmarkMemory measures the memory of a remembered key with an answer of 200 bytes, and with its answer dropped.
+// BenchmarkMemory measures the memory of a remembered key with an answer of 200 bytes, with its answer dropped, and at
+// the default of once.answer-memory.
 func BenchmarkMemory(b *testing.B) {
-	for name, limit := range map[string]int{"answer": 1 << 30, "dropped": 0} {
+	for name, limit := range map[string]int{"answer": 1 << 30, "default": 4 << 20, "dropped": 0} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
 				ben := newBench(b, timer.New())
-				rec, _ := ben.start(b, func(opts *once.Options) { opts.AnswerMemory = limit })
+				rec, _ := ben.start(b, func(opts *once.Options) { opts.AnswerMemory, opts.Slots = limit, 1 })
 				svc := &service{size: answerBytes}
 				before := heap()
 				var wait sync.WaitGroup
@@ -95,7 +96,7 @@
 				wait.Wait()
 				until(b, func() bool { return rec.Remembered() == manyKeys })
 				logBytes := int64(0)
-				bat, err := ben.cli.Read(context.Background(), "once-holds", 1, manyKeys, 0)
+				bat, err := ben.cli.Read(context.Background(), "once-holds-0", 1, manyKeys, 0)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -19,6 +19,13 @@
 // String returns the identifier in hexadecimal.
 func (aid AttemptID) String() string { return hex.EncodeToString(aid[:]) }
 
+// NewIncarnation returns a random identifier for one run of a process.
+func NewIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
 // Role is the role of a process.
 type Role string
 
@@ -88,8 +95,10 @@
 	BodyBytes   int64             `cbor:"12,keyasint"`
 	ResumeFrom  int               `cbor:"13,keyasint,omitempty"` // tokens already delivered to the caller
 	PrefixHash  []uint64          `cbor:"14,keyasint,omitempty"` // chained hashes of the prompt's leading blocks
-	Fingerprint uint64            `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
+	Fingerprint Fingerprint       `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
+	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
+	Slots       int               `cbor:"18,keyasint,omitempty"` // the entry's number of slots of package once
 	Segment     *Segment          `cbor:"20,keyasint,omitempty"` // set if several engines share the prompt
 }
 
@@ -104,6 +113,8 @@
 	Status int               `cbor:"1,keyasint"`
 	Header map[string]string `cbor:"2,keyasint,omitempty"`
 	Replay bool              `cbor:"3,keyasint,omitempty"` // the answer of an earlier sending of the same key
+	// Repeated are the headers that occur more than once, with their values in order.
+	Repeated map[string][]string `cbor:"4,keyasint,omitempty"`
 }
 
 // Credit allows the other side to send that many further body bytes on the stream.
@@ -137,32 +148,43 @@
 
 // Report is an agent's load and state, sent every heartbeat interval and on change.
 type Report struct {
-	Queued        int           `cbor:"1,keyasint"` // requests waiting
-	Running       int           `cbor:"2,keyasint"`
-	QueuedPrefill time.Duration `cbor:"3,keyasint"` // predicted prefill work ahead of a new request
-	FreeTokens    int           `cbor:"4,keyasint"` // KV memory not reserved
-	TotalTokens   int           `cbor:"5,keyasint"`
-	PrefillRate   float64       `cbor:"6,keyasint"` // observed tokens per second
+	Queued        int           `cbor:"1,keyasint,omitempty"` // requests waiting
+	Running       int           `cbor:"2,keyasint,omitempty"`
+	QueuedPrefill time.Duration `cbor:"3,keyasint,omitempty"` // predicted prefill work ahead of a new request
+	FreeTokens    int           `cbor:"4,keyasint,omitempty"` // KV memory not reserved
+	TotalTokens   int           `cbor:"5,keyasint,omitempty"`
+	PrefillRate   float64       `cbor:"6,keyasint,omitempty"` // observed tokens per second
 	Draining      bool          `cbor:"7,keyasint,omitempty"`
-	Healthy       bool          `cbor:"8,keyasint"` // the upstream answers
-	StateVersion  int64         `cbor:"9,keyasint"`
+	Healthy       bool          `cbor:"8,keyasint,omitempty"` // the upstream answers
+	StateVersion  int64         `cbor:"9,keyasint,omitempty"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
-	FreeHold      int           `cbor:"20,keyasint,omitempty"` // largest segment that would be granted now, in tokens
-	HoldMax       int           `cbor:"21,keyasint,omitempty"` // largest segment ever granted, in tokens
-	PromptRatio   float64       `cbor:"22,keyasint,omitempty"` // prompt tokens counted, per token predicted
+	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
+	Version       string        `cbor:"22,keyasint,omitempty"` // of the model that the upstream has loaded
+	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
+	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
+	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
+	EntryCount    int           `cbor:"23,keyasint,omitempty"` // number of connected entries
+	FreeHold      int           `cbor:"30,keyasint,omitempty"` // largest segment that would be granted now, in tokens
+	HoldMax       int           `cbor:"31,keyasint,omitempty"` // largest segment ever granted, in tokens
+	PromptRatio   float64       `cbor:"32,keyasint,omitempty"` // prompt tokens counted, per token predicted
 }
 
 // PeerVersion is the configuration version that a process has in force.
 type PeerVersion struct {
 	Name    string `cbor:"1,keyasint"`
 	Version int64  `cbor:"2,keyasint"`
+
+	Draining bool `cbor:"3,keyasint,omitempty"` // it is stopping
 }
 
 // Beat is an entry's heartbeat.
 type Beat struct {
-	StateVersion int64 `cbor:"1,keyasint"`
-	Draining     bool  `cbor:"2,keyasint,omitempty"`
+	StateVersion int64   `cbor:"1,keyasint"`
+	Draining     bool    `cbor:"2,keyasint,omitempty"`
+	Crashes      []Crash `cbor:"3,keyasint,omitempty"` // crashes that are not in the log yet
+	// Demand is that of accounts with a limit, the largest first, at most 16.
+	Demand []AccountDemand `cbor:"20,keyasint,omitempty"`
 }
 
 // State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
--- a/simeng/http.go
+++ b/simeng/http.go
@@ -26,6 +26,7 @@
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
+	MaxOutput int             `json:"max_completion_tokens"` // the newer name
 	Stream    bool            `json:"stream"`
 }
 
@@ -80,6 +81,7 @@
 			writeError(rw, err)
 		}
 	})
+	mux.HandleFunc("POST /v1/commands", eng.handleCommand)
 	mux.HandleFunc("GET /v1/load", func(rw http.ResponseWriter, _ *http.Request) {
 		writeJSON(rw, http.StatusOK, eng.load())
 	})
@@ -120,6 +122,9 @@
 	if err := json.Unmarshal(raw, &body); err != nil {
 		return nil, trace.BadParameter("simeng: body: %v", err)
 	}
+	if body.MaxOutput > 0 {
+		body.MaxTokens = body.MaxOutput
+	}
 	if body.MaxTokens <= 0 {
 		body.MaxTokens = defaultMaxTokens
 	}
