--- a/agent/report.go
+++ b/agent/report.go
@@ -36,6 +36,9 @@
 		Version:       agt.version,
 		Healthy:       agt.healthy,
 		WaitShort:     stt.WaitShort,
+		FreeHold:      usg.FreeHold(),
+		HoldMax:       usg.HoldMax,
+		PromptRatio:   agt.model.PromptRatio(),
 		LongPrefill:   stt.LongWork,
 		ShortLimit:    agt.shortLimit,
 	}
--- a/cost/model.go
+++ b/cost/model.go
@@ -103,11 +103,18 @@
 	return int(float64(predicted)*mdl.promptRatio + 0.5)
 }
 
+// PromptRatio returns the prompt tokens that the engine counts, per token predicted.
+func (mdl *Model) PromptRatio() float64 {
+	mdl.mu.Lock()
+	defer mdl.mu.Unlock()
+	return mdl.promptRatio
+}
+
 // Decode returns the time within which an output of at most so many tokens is very likely produced: the average plus
 // decodeMargin deviations. Steps that prefill other requests make the time vary by a factor of ten.
 func (mdl *Model) Decode(allowed int) time.Duration {
 	mdl.mu.Lock()
 	defer mdl.mu.Unlock()
-	step := mdl.decodeTime + decodeMargin*mdl.decodeDev
-	return time.Duration(float64(allowed) * mdl.outputRatio * step * float64(time.Second))
+	each := mdl.decodeTime + decodeMargin*mdl.decodeDev
+	return time.Duration(float64(allowed) * mdl.outputRatio * each * float64(time.Second))
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,6 +15,9 @@
 
 // attempt sends a call to one agent and follows it to its end. It returns the agent's name, if there was one.
 func (ent *Entry) attempt(ctx context.Context, run *running, tried []string) (proto.Result, string) {
+	if run.tooLong != nil {
+		return ent.attemptGroup(ctx, run, *run.tooLong), ""
+	}
 	plc := ent.table.Pick(ent.query(run.cal, tried))
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
@@ -25,6 +28,11 @@
 		return res, ""
 	}
 	res := ent.send(ctx, run, plc)
+	if needsGroup(run.cal, res) {
+		plc.End(route.Neutral)
+		run.tooLong = &res
+		return ent.attemptGroup(ctx, run, res), ""
+	}
 	plc.End(run.verdict(ctx, res))
 	return res, plc.Agent()
 }
@@ -87,7 +95,7 @@
 // follower relays one attempt.
 type follower struct {
 	run      *running
-	plc      *route.Placement
+	plc      *route.Placement // nil for a group
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
@@ -138,7 +146,9 @@
 				return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
 			}
 			fol.head = &hed
-			fol.plc.Started()
+			if fol.plc != nil {
+				fol.plc.Started()
+			}
 		case proto.KindData:
 			fol.firstToken()
 			if err := fol.data(frm); err != nil {
@@ -156,7 +166,9 @@
 		return
 	}
 	fol.answered = true
-	fol.plc.FirstToken()
+	if fol.plc != nil {
+		fol.plc.FirstToken()
+	}
 }
 
 func (fol *follower) sendBody() {
