Count the engine's work at hand-over

Cause: streams were cut off at their deadline under overload, because the check at hand-over counted a request's own prefill and output, but not the prefill that the engine already holds ahead of it. It now counts that as well.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -261,3 +261,16 @@
 	long.FirstToken()
 	is.Equal(bnc.State().LongWork, time.Duration(0))
 }
+
+// Guards against a request that is handed over although the engine's work ahead of it leaves it no time.
+func TestHandOverCountsHeldWork(t *testing.T) {
+	is := is.New(t)
+	bnc := newBench()
+	one, two := bnc.must(t, 20_000), bnc.must(t, 20_000)
+	third, err := bnc.submit(20_001, 6100*time.Millisecond)
+	is.NoErr(err)
+	is.True(passed(one) && passed(two))
+	bnc.time.Advance(3 * time.Second) // A second longer than predicted.
+	one.FirstToken()
+	is.Equal(reason(third.Wait(context.Background())), admit.ReasonCannotFinish)
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -155,7 +155,7 @@
 			kept = append(kept, que.waiting[idx:]...) // Later requests have at least as much work ahead.
 			break
 		}
-		if now.Add(tick.prefill + tick.decode).After(tick.deadline) {
+		if now.Add(que.held(tick.due, now) + tick.prefill + tick.decode).After(tick.deadline) {
 			tick.settle(&Refusal{Reason: ReasonCannotFinish, Detail: "waited too long to finish in time"})
 			continue
 		}
