Count the output's time in the entry's refusals

Cause: most refusals at ten times the capacity were still made by agents, since entries did not know how long an output takes. Agents report that now, with the margin for variation, and an entry refuses when the end of the answer is predicted after the deadline.

--- a/agent/report.go
+++ b/agent/report.go
@@ -38,6 +38,7 @@
 		WaitShort:     stt.WaitShort,
 		LongPrefill:   stt.LongWork,
 		ShortLimit:    agt.shortLimit,
+		OutputTime:    agt.model.Decode(1),
 	}
 	return agt.config.fill(rep)
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -117,7 +117,9 @@
 }
 
 // permanent are the reasons of refusals that another agent would repeat.
-var permanent = map[string]bool{edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true, ReasonOverloaded: true}
+var permanent = map[string]bool{
+	edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true, ReasonOverloaded: true,
+}
 
 // transient are the reasons of failures that another agent need not share.
 var transient = map[string]bool{ReasonAgentLost: true, ReasonBroken: true, ReasonDraining: true, "engine-failed": true}
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -12,10 +12,10 @@
 // maxRetryAfter bounds the advice to callers: a surge may end sooner than the work in the queues suggests.
 const maxRetryAfter = 30 * time.Second
 
-// overloaded refuses a call whose first token is predicted after its deadline at the best agent. The agent would refuse
-// it as well, but asking costs two messages, and another agent would be asked after it.
+// overloaded refuses a call whose end is predicted after its deadline at the best agent. The agent would refuse it as
+// well, but asking costs two messages, and another agent would be asked after it.
 func (ent *Entry) overloaded(plc *route.Placement, remaining time.Duration) (proto.Result, bool) {
-	late := plc.FirstTokenIn() - remaining
+	late := plc.Total() - remaining
 	if late <= 0 {
 		return proto.Result{}, false
 	}
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -162,6 +162,7 @@
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
 	EntryCount    int           `cbor:"23,keyasint,omitempty"` // number of connected entries
+	OutputTime    time.Duration `cbor:"24,keyasint,omitempty"` // predicted time of an output, for each token allowed
 }
 
 // PeerVersion is the configuration version that a process has in force.
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -182,3 +182,18 @@
 	is.True(used[pick(tab, 80_000).Agent()]) // It waits half its own prefill time, and two agents stay free.
 	is.Equal(spread(30), 8)
 }
+
+// Guards against refusals that overlook the output, and against refusals on the word of an agent that knows no rate.
+func TestPredictsTotal(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("one")
+	qry := route.Query{Target: target, Cost: proto.Cost{PromptTokens: 2000, OutputTokens: 100}}
+	rep := proto.Report{
+		Healthy: true, PrefillRate: 1000, QueuedPrefill: 5 * time.Second, OutputTime: 10 * time.Millisecond,
+	}
+	tab.Report(peer("one"), rep)
+	is.Equal(tab.Pick(qry).Total(), 8*time.Second)
+	rep.PrefillRate = 0
+	tab.Report(peer("one"), rep)
+	is.Equal(tab.Pick(qry).Total(), time.Duration(0))
+}
--- a/route/view.go
+++ b/route/view.go
@@ -127,7 +127,8 @@
 	plc := &Placement{tab: tab, view: vie, sentAt: now, probe: vie.failed, work: vie.ownWork(qry)}
 	plc.long = !vie.short(qry.Cost)
 	if vie.report.PrefillRate > 0 {
-		plc.first = vie.wait(now, qry) + plc.work
+		output := time.Duration(qry.Cost.OutputTokens) * vie.report.OutputTime
+		plc.total = vie.wait(now, qry) + plc.work + output
 	}
 	plc.Cost = qry.Cost
 	plc.Cost.CachedTokens = min(vie.prefixes.cached(qry.PrefixHash), qry.Cost.PromptTokens)
@@ -145,7 +146,7 @@
 	view   *view
 	sentAt time.Time
 	work   time.Duration
-	first  time.Duration // predicted time to first token
+	total  time.Duration // predicted time to the end of the answer
 	long   bool          // not short for the agent
 	probe  bool
 	ended  bool
@@ -154,9 +155,9 @@
 // Agent returns the name of the chosen agent.
 func (plc *Placement) Agent() string { return plc.view.peer.Name }
 
-// FirstTokenIn returns the time to first token that was predicted when the agent was chosen, or 0 if the agent has not
-// reported a prefill rate. No other agent that was compared is likely to be much faster.
-func (plc *Placement) FirstTokenIn() time.Duration { return plc.first }
+// Total returns the time to the end of the answer that was predicted when the agent was chosen, or 0 if the agent has
+// not reported a prefill rate. No other agent that was compared is likely to be much faster.
+func (plc *Placement) Total() time.Duration { return plc.total }
 
 // Verdict tells what a call has shown about its agent.
 type Verdict int
