Choose an agent that ends in time before all others

Cause: an entry refused by the prediction for the agent that it had chosen. A claim or a penalty could lead a call to an agent with more work, at which it was too late, although another agent could still answer in time.

Agents at which a call is predicted to miss its deadline now rank behind all others, so that a refusal means that none of the compared agents is in time. TestDeadlineBeforeClaim fails without it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -34,6 +34,7 @@
 		Target:     route.Target{Kind: cal.Kind, Serves: cal.Serves},
 		Cost:       cal.Cost,
 		PrefixHash: cal.PrefixHash,
+		Remaining:  cal.Deadline.Sub(ent.clock.Now()),
 		Avoid:      tried,
 	}
 	if !cal.Idempotent {
--- a/route/backlog.go
+++ b/route/backlog.go
@@ -8,6 +8,9 @@
 	"github.com/tarragonwheel/tarragonwheel/proto"
 )
 
+// lateRank is longer than any prediction.
+const lateRank = 1000 * time.Hour
+
 // chunkTokens is the part of a long prompt that engines commonly prefill in a step.
 const chunkTokens = 4096
 
@@ -68,6 +71,26 @@
 	}
 }
 
+// total returns the predicted time to the end of the answer, or 0 if the agent has reported no rate. The lock is held.
+func (vie *view) total(now time.Time, qry Query) time.Duration {
+	if vie.report.PrefillRate <= 0 {
+		return 0
+	}
+	return vie.wait(now, qry) + vie.ownWork(qry) + time.Duration(qry.Cost.OutputTokens)*vie.report.OutputTime
+}
+
+// lateness ranks an agent at which the call is predicted to miss its deadline behind all others. A claim or a penalty
+// must not lead a call to such an agent while another can still answer in time.
+func (vie *view) lateness(now time.Time, qry Query) time.Duration {
+	vie.lock.Lock()
+	defer vie.lock.Unlock()
+	total := vie.total(now, qry)
+	if qry.Remaining <= 0 || total <= qry.Remaining {
+		return 0
+	}
+	return lateRank + total
+}
+
 // busyLong tells whether the agent has a long prompt to prefill. A report follows at once when that changes. The lock
 // is held.
 func (vie *view) busyLong() bool {
--- a/route/policy.go
+++ b/route/policy.go
@@ -28,7 +28,7 @@
 		calm, busy := split(usable, func(vie *view) bool { return !vie.prefillsLong() })
 		list := tab.candidates(calm, busy, qry)
 		return lowest(list, func(vie *view) time.Duration {
-			return vie.predict(now, qry, tab.opts) + vie.claim(qry, len(calm))
+			return vie.predict(now, qry, tab.opts) + vie.claim(qry, len(calm)) + vie.lateness(now, qry)
 		})
 	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -59,8 +59,9 @@
 	Target     Target
 	Cost       proto.Cost
 	PrefixHash []uint64
-	Sticky     string   // if not empty, calls with the same value choose the same agent
-	Avoid      []string // agents that this call has tried, used only if there is no other
+	Remaining  time.Duration // until the deadline; 0 if not known
+	Sticky     string        // if not empty, calls with the same value choose the same agent
+	Avoid      []string      // agents that this call has tried, used only if there is no other
 }
 
 // NewTable returns an empty Table.
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -197,3 +197,19 @@
 	tab.Report(peer("one"), rep)
 	is.Equal(tab.Pick(qry).Total(), time.Duration(0))
 }
+
+// Guards against a claim that keeps a long prompt from the only agent at which it ends in time.
+func TestDeadlineBeforeClaim(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("busy", "free")
+	rep := proto.Report{Healthy: true, PrefillRate: 1000, ShortLimit: 1000}
+	tab.Report(peer("free"), rep)
+	rep.QueuedPrefill, rep.LongPrefill = 3*time.Second, 3*time.Second
+	tab.Report(peer("busy"), rep)
+	qry := route.Query{Target: target, Cost: proto.Cost{PromptTokens: 2000}, Remaining: 6 * time.Second}
+	plc := tab.Pick(qry)
+	is.Equal(plc.Agent(), "busy") // 3 s of wait are less than the claim of 4 s.
+	plc.End(route.Neutral)
+	qry.Remaining = 4 * time.Second
+	is.Equal(tab.Pick(qry).Agent(), "free")
+}
--- a/route/view.go
+++ b/route/view.go
@@ -126,10 +126,7 @@
 	}
 	plc := &Placement{tab: tab, view: vie, sentAt: now, probe: vie.failed, work: vie.ownWork(qry)}
 	plc.long = !vie.short(qry.Cost)
-	if vie.report.PrefillRate > 0 {
-		output := time.Duration(qry.Cost.OutputTokens) * vie.report.OutputTime
-		plc.total = vie.wait(now, qry) + plc.work + output
-	}
+	plc.total = vie.total(now, qry)
 	plc.Cost = qry.Cost
 	plc.Cost.CachedTokens = min(vie.prefixes.cached(qry.PrefixHash), qry.Cost.PromptTokens)
 	vie.probing = vie.failed
