--- a/cmd/tarragonwheel/scenario_operator_test.go
+++ b/cmd/tarragonwheel/scenario_operator_test.go
@@ -8,46 +8,96 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 )
 
-const operatorKeyFile = "operator.key"
+var adminAddress = regexp.MustCompile(`listening.* admin=(\S+)`)
 
-var operatorAddress = regexp.MustCompile(`entry: listening.* admin=(\S+)`)
+// operatorRun is an operator command under way.
+type operatorRun struct {
+	done chan struct{}
+	text string
+	code int
+}
 
-// runOperator runs an operator command against an entry: ENTRY COMMAND WORDS... [code=N] [body=REGEXP].
-func runOperator(scn *scenario, args []string) error {
+// operateEntry runs an operator command with the entry's address and a key: ENTRY COMMAND [WORD...] [as=NAME] and the
+// words of checkOperated.
+func operateEntry(scn *scenario, args []string) error {
 	words, opts := options(args)
-	if len(words) < 2 {
-		return errors.New("usage: operator ENTRY COMMAND WORDS... [code=N] [body=REGEXP]")
-	}
-	prc := scn.processes[words[0]]
-	if prc == nil {
-		return fmt.Errorf("no process %q", words[0])
+	if len(words) < 2 || scn.processes[words[0]] == nil {
+		return errors.New("usage: operator ENTRY COMMAND [WORD...] [as=NAME] [code=N] [body=REGEXP]")
 	}
-	found := operatorAddress.FindStringSubmatch(prc.text())
-	if found == nil {
-		return fmt.Errorf("%s has no operator API", words[0])
+	addr := adminAddress.FindStringSubmatch(scn.processes[words[0]].text())
+	if addr == nil || addr[1] == "" {
+		return fmt.Errorf("%s serves no operators", words[0])
 	}
-	key := filepath.Join(scn.dir, operatorKeyFile)
-	if err := os.WriteFile(key, []byte("scenario-key-of-ops"), 0o600); err != nil {
-		return err
-	}
-	cmd := exec.Command("tarragonwheel", append(words[1:], "--entry", found[1], "--key-file", operatorKeyFile)...)
+	words = append(words[1:], "--entry", addr[1], "--key-file", "ops.key")
+	cmd := exec.Command("tarragonwheel", words...)
 	cmd.Dir = scn.dir
-	text, err := cmd.CombinedOutput()
-	var exit *exec.ExitError
-	if err != nil && !errors.As(err, &exit) {
-		return err
+	run := &operatorRun{done: make(chan struct{})}
+	go func() {
+		defer close(run.done)
+		raw, _ := cmd.CombinedOutput()
+		run.text, run.code = string(raw), cmd.ProcessState.ExitCode()
+	}()
+	if name := take(opts, "as", ""); name != "" {
+		scn.operations[name] = run
+		return nil
 	}
-	if code, want := strconv.Itoa(cmd.ProcessState.ExitCode()), take(opts, "code", "0"); code != want {
-		return fmt.Errorf("exit code %s, want %s: %s", code, want, text)
+	return run.check(opts)
+}
+
+// checkOperated waits for an operator command in the background: NAME [code=N] [body=REGEXP].
+func checkOperated(scn *scenario, args []string) error {
+	words, opts := options(args)
+	if len(words) != 1 || scn.operations[words[0]] == nil {
+		return errors.New("usage: operated NAME [code=N] [body=REGEXP]")
 	}
-	body, err := regexp.Compile("(?s)" + take(opts, "body", ""))
+	return scn.operations[words[0]].check(opts)
+}
+
+func (run *operatorRun) check(opts map[string]string) error {
+	<-run.done
+	exp, err := regexp.Compile("(?s)" + take(opts, "body", ""))
 	if err != nil {
 		return err
 	}
-	if !body.Match(text) {
-		return fmt.Errorf("no match of %q in: %s", body, text)
+	if want := take(opts, "code", "0"); want != "any" && want != strconv.Itoa(run.code) || !exp.MatchString(run.text) {
+		return fmt.Errorf("exit code %d: %s", run.code, run.text)
+	}
+	for key := range opts {
+		return fmt.Errorf("unknown word %q", key)
+	}
+	return nil
+}
+
+// exactlyOne checks that one of two operator commands was put in force and the other refused as a conflict.
+func exactlyOne(scn *scenario, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: one-in-force NAME NAME")
+	}
+	won := 0
+	for _, name := range args {
+		if checkOperated(scn, []string{name, "code=0", `body=: in-force`}) == nil {
+			won++
+			continue
+		}
+		if err := checkOperated(scn, []string{name, "code=1", `body=objects-have-moved`}); err != nil {
+			return err
+		}
+	}
+	if won != 1 {
+		return fmt.Errorf("%d of 2 are in force", won)
 	}
 	return nil
 }
+
+// declare writes a declaration: FILE SECTION KEY=VALUE...
+func declare(scn *scenario, args []string) error {
+	if len(args) < 3 {
+		return errors.New("usage: declare FILE SECTION KEY=VALUE [KEY=VALUE]")
+	}
+	lines := strings.Join(args[2:], "\n")
+	text := fmt.Sprintf("[%s]\n%s\n[end]\n", args[1], lines)
+	return os.WriteFile(filepath.Join(scn.dir, args[0]), []byte(text), 0o600)
+}
--- a/cmd/tarragonwheel/scenario_process_test.go
+++ b/cmd/tarragonwheel/scenario_process_test.go
@@ -131,6 +131,9 @@
 		}
 		addrs = append(addrs, addr)
 	}
+	if opts["admin.listen"] == "" {
+		opts["admin.listen"] = anyPort()
+	}
 	opts["entry.agents"] = strings.Join(addrs, ",")
 	return scn.startRole("entry", words[0], words[1], opts)
 }
@@ -150,9 +153,6 @@
 	opts["process.name"], opts["process.data-centre"], opts["process.secrets"] = name, centre, "secrets.ini"
 	opts["process.listen"] = anyPort()
 	opts["process.metrics"] = anyPort()
-	if role == "entry" {
-		opts["admin.listen"] = anyPort()
-	}
 	file, err := scn.writeSettings(name, opts)
 	if err != nil {
 		return err
