--- a/agent/plain_once.go
+++ b/agent/plain_once.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -18,6 +21,18 @@
 // ReasonBodyTooLarge says that a non-idempotent call is longer than once.max-body.
 const ReasonBodyTooLarge = "body-too-large"
 
+// ReasonSlotsDiffer refuses a call of an entry whose once.slots is another. Agents with different numbers record the same
+// key in different streams, so that it could run twice.
+const ReasonSlotsDiffer = "slots-differ"
+
+// lostAnswer is sent in place of an answer that is no longer kept. Its shape is that of the entry's errors.
+var lostAnswer = once.Answer{
+	Status:      http.StatusBadGateway,
+	ContentType: "application/json",
+	Body: []byte(`{"error":{"message":"the call ran and was answered; the answer is no longer kept",` +
+		`"type":"server_error","code":"` + once.ReasonAnswerLost + `","not_run":false}}`),
+}
+
 // maxKeptAnswer is the longest answer body, in bytes, that is kept for repeats of a call.
 const maxKeptAnswer = 1 << 20
 
@@ -50,6 +65,12 @@
 			Outcome: proto.OutcomeNotRun, Reason: once.ReasonLogUnavailable, Detail: "platform.log is not set",
 		}
 	}
+	if msg.Slots != 0 && msg.Slots != agt.once.Slots() {
+		return proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonSlotsDiffer,
+			Detail: fmt.Sprintf("once.slots is %d at the entry and %d at the agent", msg.Slots, agt.once.Slots()),
+		}
+	}
 	deadline := agt.clock.Now().Add(msg.Remaining)
 	body, err := io.ReadAll(io.LimitReader(str.Body(ctx), agt.maxOnce+1))
 	if err != nil {
@@ -68,8 +89,8 @@
 		return agt.callOnce(ctx, gate, str, msg, body)
 	})
 	out := proto.Result{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail, RetryAfter: res.RetryAfter}
-	if res.Outcome == proto.OutcomeDone && !res.Ran && res.Answer != nil {
-		return sendAnswer(str, res.Answer, out)
+	if res.Outcome == proto.OutcomeDone && !res.Ran {
+		return sendAnswer(str, cmp.Or(res.Answer, &lostAnswer), out)
 	}
 	return out
 }
--- a/cmd/tarragonwheel/scenario_process_test.go
+++ b/cmd/tarragonwheel/scenario_process_test.go
@@ -150,9 +150,6 @@
 	opts["process.name"], opts["process.data-centre"], opts["process.secrets"] = name, centre, "secrets.ini"
 	opts["process.listen"] = anyPort()
 	opts["process.metrics"] = anyPort()
-	if role == "entry" {
-		opts["admin.listen"] = anyPort()
-	}
 	file, err := scn.writeSettings(name, opts)
 	if err != nil {
 		return err
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -20,6 +20,10 @@
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
 	}
+	if res, hopeless := ent.overloaded(plc, run.cal.Deadline.Sub(ent.clock.Now())); hopeless {
+		plc.End(route.Neutral)
+		return res, ""
+	}
 	res := ent.send(ctx, run, plc)
 	plc.End(run.verdict(ctx, res))
 	return res, plc.Agent()
@@ -62,6 +66,7 @@
 		ResumeFrom: run.evs.tokens,
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
+		Slots:      ent.slots,
 	})
 	if err != nil {
 		return lost // The body was not sent, without which nothing runs.
@@ -86,6 +91,7 @@
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
+	delivers bool          // the caller gets, or has got, this attempt's head, or goes on with an earlier one's
 	answered bool          // the first part of the answer has come
 	body     chan struct{} // closed when the body's sender has returned
 }
@@ -202,16 +208,17 @@
 }
 
 func (fol *follower) sendHead() error {
-	if fol.run.headSent {
-		// The caller has the head of an earlier attempt, and only another part of the same answer may follow it.
-		if fol.head == nil || fol.head.Status >= 300 {
-			return errIncomplete
-		}
+	if fol.delivers {
 		return nil
 	}
-	if fol.head == nil {
+	// After the head of an earlier attempt, only another part of the same answer may follow.
+	if fol.head == nil || fol.run.headSent && fol.head.Status >= 300 {
 		return errIncomplete
 	}
+	fol.delivers = true
+	if fol.run.headSent {
+		return nil
+	}
 	fol.run.headSent = true
 	if err := fol.run.rep.Head(*fol.head); err != nil {
 		fol.run.broken = err
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -98,6 +98,7 @@
 	Fingerprint Fingerprint       `cbor:"15,keyasint,omitempty"` // of the whole request, for blame after crashes
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
 	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
+	Slots       int               `cbor:"18,keyasint,omitempty"` // the entry's number of slots of package once
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
@@ -160,6 +161,8 @@
 	Version       string        `cbor:"22,keyasint,omitempty"` // of the model that the upstream has loaded
 	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
+	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
+	EntryCount    int           `cbor:"23,keyasint,omitempty"` // number of connected entries
 }
 
 // PeerVersion is the configuration version that a process has in force.
@@ -175,6 +178,8 @@
 	StateVersion int64   `cbor:"1,keyasint"`
 	Draining     bool    `cbor:"2,keyasint,omitempty"`
 	Crashes      []Crash `cbor:"3,keyasint,omitempty"` // crashes that are not in the log yet
+	// Demand is that of accounts with a limit, the largest first, at most 16.
+	Demand []AccountDemand `cbor:"20,keyasint,omitempty"`
 }
 
 // State carries configuration to a process that is behind. Snapshot is set when From is older than the sender's
