Let a long prompt begin before an engine's failure is known

It required each answer to be a 504 with not_run true. An engine's failure is known to the entry only with the agent's next report; until then a group begins on the engines that are up, and the answers seen were 502 engine-failed, 503, and 504 with not_run false, all of them true.

Ruled out: an answer prompt-too-long, which the test is there to prevent; none was seen.

Change: the test refuses that answer at each try, as before, and requires in the end an answer that waited for the engine and states that nothing ran.

Conclusion: the check was narrowed to what the trace shows to be allowed.

--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -202,11 +202,12 @@
 		status, text := call(t, http.MethodPost, base+"/v1/completions",
 			`{"model":"m","max_tokens":1,"prompt":"`+strings.Repeat("word", 100_000)+`"}`,
 			map[string]string{"X-Time-Limit": "1s"})
-		is.Equal(status, http.StatusGatewayTimeout)
-		is.True(strings.Contains(text, `"not_run":true`))
+		is.True(status != http.StatusRequestEntityTooLarge)
 		counts, err := ent.Metrics().Counts("retries_total")
 		is.NoErr(err)
-		return counts[entry.ReasonNoUpstream] > 0
+		// Before the entry knows, a group may begin on the engines that are up, and the answer says so.
+		waited := status == http.StatusGatewayTimeout && strings.Contains(text, `"not_run":true`)
+		return waited && counts[entry.ReasonNoUpstream] > 0
 	})
 	allIdle(t, mems[:2])
 }
