Give two fields of the report keys of their own

Cause: Report.Version and Report.Demands both had the key 22. The codec sends neither field then, without an error: a report with both came back empty in a trial, so entries saw neither loaded versions nor demands.

Change: Version has the key 24.

Also: TestLongPromptWaitsForEngineThatIsDown failed once in a full run. It expected 504 in a loop that began before the entry knew that the engine was down, when a group with the dead engine still fails in another way. The loop now only waits for that knowledge, and the same checks follow it.

--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -198,16 +198,21 @@
 	ready(t, base, 100_000)
 	mems[2].server.CloseClientConnections()
 	mems[2].server.Close()
-	eventually(t, "the entry knows", func() bool {
-		status, text := call(t, http.MethodPost, base+"/v1/completions",
+	ask := func() (int, string) {
+		return call(t, http.MethodPost, base+"/v1/completions",
 			`{"model":"m","max_tokens":1,"prompt":"`+strings.Repeat("word", 100_000)+`"}`,
 			map[string]string{"X-Time-Limit": "1s"})
-		is.Equal(status, http.StatusGatewayTimeout)
-		is.True(strings.Contains(text, `"not_run":true`))
+	}
+	// Until the entry knows, it forms a group with the dead engine, which fails.
+	eventually(t, "the entry knows", func() bool {
+		_, _ = ask()
 		counts, err := ent.Metrics().Counts("retries_total")
 		is.NoErr(err)
 		return counts[entry.ReasonNoUpstream] > 0
 	})
+	status, text := ask()
+	is.Equal(status, http.StatusGatewayTimeout)
+	is.True(strings.Contains(text, `"not_run":true`))
 	allIdle(t, mems[:2])
 }
 
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -160,7 +160,7 @@
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
-	Version       string        `cbor:"22,keyasint,omitempty"` // of the model that the upstream has loaded
+	Version       string        `cbor:"24,keyasint,omitempty"` // of the model that the upstream has loaded
 	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
