--- a/proto/messages.go
+++ b/proto/messages.go
@@ -160,11 +160,12 @@
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
-	Version       string        `cbor:"22,keyasint,omitempty"` // of the model that the upstream has loaded
+	Version       string        `cbor:"13,keyasint,omitempty"` // of the model that the upstream has loaded
 	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
 	EntryCount    int           `cbor:"23,keyasint,omitempty"` // number of connected entries
+	OutputTime    time.Duration `cbor:"24,keyasint,omitempty"` // predicted time of an output, for each token allowed
 	FreeHold      int           `cbor:"30,keyasint,omitempty"` // largest segment that would be granted now, in tokens
 	HoldMax       int           `cbor:"31,keyasint,omitempty"` // largest segment ever granted, in tokens
 	PromptRatio   float64       `cbor:"32,keyasint,omitempty"` // prompt tokens counted, per token predicted
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -182,3 +182,34 @@
 	is.True(used[pick(tab, 80_000).Agent()]) // It waits half its own prefill time, and two agents stay free.
 	is.Equal(spread(30), 8)
 }
+
+// Guards against refusals that overlook the output, and against refusals on the word of an agent that knows no rate.
+func TestPredictsTotal(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("one")
+	qry := route.Query{Target: target, Cost: proto.Cost{PromptTokens: 2000, OutputTokens: 100}}
+	rep := proto.Report{
+		Healthy: true, PrefillRate: 1000, QueuedPrefill: 5 * time.Second, OutputTime: 10 * time.Millisecond,
+	}
+	tab.Report(peer("one"), rep)
+	is.Equal(tab.Pick(qry).Total(), 8*time.Second)
+	rep.PrefillRate = 0
+	tab.Report(peer("one"), rep)
+	is.Equal(tab.Pick(qry).Total(), time.Duration(0))
+}
+
+// Guards against a claim that keeps a long prompt from the only agent at which it ends in time.
+func TestDeadlineBeforeClaim(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("busy", "free")
+	rep := proto.Report{Healthy: true, PrefillRate: 1000, ShortLimit: 1000}
+	tab.Report(peer("free"), rep)
+	rep.QueuedPrefill, rep.LongPrefill = 3*time.Second, 3*time.Second
+	tab.Report(peer("busy"), rep)
+	qry := route.Query{Target: target, Cost: proto.Cost{PromptTokens: 2000}, Remaining: 6 * time.Second}
+	plc := tab.Pick(qry)
+	is.Equal(plc.Agent(), "busy") // 3 s of wait are less than the claim of 4 s.
+	plc.End(route.Neutral)
+	qry.Remaining = 4 * time.Second
+	is.Equal(tab.Pick(qry).Agent(), "free")
+}
