--- a/proto/frame.go
+++ b/proto/frame.go
@@ -5,6 +5,7 @@
 package proto
 
 import (
+	"encoding/binary"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -33,12 +34,15 @@
 	KindReport    Kind = 12
 	KindBeat      Kind = 13
 	KindState     Kind = 14
+	KindBegin     Kind = 20
+	KindHeld      Kind = 21
 )
 
 var kindNames = map[Kind]string{
 	KindChallenge: "challenge", KindHello: "hello", KindWelcome: "welcome", KindOpen: "open", KindAccept: "accept",
 	KindHead: "head", KindData: "data", KindCredit: "credit", KindEnd: "end", KindCancel: "cancel",
 	KindResult: "result", KindReport: "report", KindBeat: "beat", KindState: "state",
+	KindBegin: "begin", KindHeld: "held",
 }
 
 // String returns the kind's name in kebab case.
@@ -123,6 +127,42 @@
 	return msg, nil
 }
 
+// Byte strings in CBOR start with one byte of type and length, which is followed by the length if that does not fit.
+const (
+	byteString     = 0x40 // major type 2 in the upper three bits
+	byteStringMask = 0xe0
+	lengthMask     = 0x1f
+	lengthOneByte  = 24
+	lengthTwoBytes = 25
+	lengthFour     = 26
+)
+
+func errNoBytes() error { return trace.BadParameter("proto: a data frame carries no byte string") }
+
+// Bytes returns the content of a data frame without copying it. It returns a trace.BadParameter error for a payload
+// that is not a byte string of definite length.
+func (frm Frame) Bytes() ([]byte, error) {
+	raw := frm.Payload
+	if len(raw) == 0 || raw[0]&byteStringMask != byteString {
+		return nil, errNoBytes()
+	}
+	head, size := 1, uint64(raw[0]&lengthMask)
+	switch {
+	case size == lengthOneByte && len(raw) >= 2:
+		head, size = 2, uint64(raw[1])
+	case size == lengthTwoBytes && len(raw) >= 3:
+		head, size = 3, uint64(binary.BigEndian.Uint16(raw[1:]))
+	case size == lengthFour && len(raw) >= 5:
+		head, size = 5, uint64(binary.BigEndian.Uint32(raw[1:]))
+	case size >= lengthOneByte:
+		return nil, errNoBytes()
+	}
+	if uint64(len(raw)-head) != size {
+		return nil, errNoBytes()
+	}
+	return raw[head:], nil
+}
+
 // Marshal encodes a value that is stored or hashed outside a frame, in the same deterministic CBOR.
 func Marshal(val any) ([]byte, error) {
 	raw, err := encMode.Marshal(val)
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -99,11 +99,13 @@
 	Stream      bool              `cbor:"16,keyasint,omitempty"`
 	Suspected   bool              `cbor:"17,keyasint,omitempty"` // the entry knows it as a suspect
 	Slots       int               `cbor:"18,keyasint,omitempty"` // the entry's number of slots of package once
+	Segment     *Segment          `cbor:"20,keyasint,omitempty"` // set if several engines share the prompt
 }
 
 // Accept tells the entry that the request has left the queue and that its body is wanted.
 type Accept struct {
 	QueuedFor time.Duration `cbor:"1,keyasint"`
+	Engine    string        `cbor:"20,keyasint,omitempty"` // address of the engine, for a segment
 }
 
 // Head carries status and headers of the upstream's response.
@@ -158,12 +160,15 @@
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
-	Version       string        `cbor:"22,keyasint,omitempty"` // of the model that the upstream has loaded
+	Version       string        `cbor:"13,keyasint,omitempty"` // of the model that the upstream has loaded
 	LongPrefill   time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill of prompts over ShortLimit
 	ShortLimit    int           `cbor:"21,keyasint,omitempty"` // longest prompt that the agent treats as short, tokens
 	Demands       []EntryDemand `cbor:"22,keyasint,omitempty"` // of the connected entries that have any
 	EntryCount    int           `cbor:"23,keyasint,omitempty"` // number of connected entries
 	OutputTime    time.Duration `cbor:"24,keyasint,omitempty"` // predicted time of an output, for each token allowed
+	FreeHold      int           `cbor:"30,keyasint,omitempty"` // largest segment that would be granted now, in tokens
+	HoldMax       int           `cbor:"31,keyasint,omitempty"` // largest segment ever granted, in tokens
+	PromptRatio   float64       `cbor:"32,keyasint,omitempty"` // prompt tokens counted, per token predicted
 }
 
 // PeerVersion is the configuration version that a process has in force.
--- a/proto/proto_test.go
+++ b/proto/proto_test.go
@@ -1,7 +1,10 @@
 package proto_test
 
 import (
+	"bytes"
 	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/gravitational/trace"
@@ -36,6 +39,59 @@
 		frm, err := proto.Decode(data)
 		if err == nil {
 			_, _ = proto.Parse[proto.Open](frm)
+			_, _ = frm.Bytes()
 		}
 	})
 }
+
+// Guards against a body that is cut, shifted or read beyond its end, for each length of its header.
+func TestBytesOfDataFrames(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{0, 1, 23, 24, 255, 256, 65535, 65536} {
+		want := bytes.Repeat([]byte{7}, size)
+		raw, err := proto.Encode(proto.KindData, 1, want)
+		is.NoErr(err)
+		frm, err := proto.Decode(raw)
+		is.NoErr(err)
+		got, err := frm.Bytes()
+		is.NoErr(err)
+		is.True(bytes.Equal(got, want))
+		frm.Payload = frm.Payload[:len(frm.Payload)-1]
+		_, err = frm.Bytes()
+		is.True(trace.IsBadParameter(err))
+	}
+	_, err := proto.Frame{Payload: []byte{0x5f, 0x41, 0x00, 0xff}}.Bytes() // of indefinite length
+	is.True(trace.IsBadParameter(err))
+}
+
+// Guards against two fields of a message with one key, for which the codec silently sends neither.
+func TestKeysOfMessagesAreUnique(t *testing.T) {
+	for _, msg := range []any{
+		proto.Peer{},
+		proto.Challenge{},
+		proto.Hello{},
+		proto.Welcome{},
+		proto.Cost{},
+		proto.Open{},
+		proto.Accept{},
+		proto.Head{},
+		proto.Credit{},
+		proto.Cancel{},
+		proto.Result{},
+		proto.Report{},
+		proto.PeerVersion{},
+		proto.Beat{},
+		proto.State{},
+		proto.EntryDemand{},
+	} {
+		typ := reflect.TypeOf(msg)
+		seen := make(map[string]string)
+		for idx := range typ.NumField() {
+			key, _, _ := strings.Cut(typ.Field(idx).Tag.Get("cbor"), ",")
+			if other := seen[key]; other != "" && key != "" {
+				t.Errorf("%s: %s and %s have the key %s", typ, other, typ.Field(idx).Name, key)
+			}
+			seen[key] = typ.Field(idx).Name
+		}
+	}
+}
