Keep a request that crashes engines from taking the fleet

Cause: an engine crash was reported as engine-failed, and the entry retried the request that caused it, with its batch, on the next engine. Each resend cost a further engine, and the retries of the batch emptied the budget.

Change: the agent tells a crash from a cut network, the end of one stream or a planned stop, and reports engine-crashed with the fingerprints that ran. Entries record the crash and spread it without the log too. A suspect runs one at a time on an agent that all entries choose alike; a verdict that comes meanwhile stops it. A convict is refused with 422 request-crashes-upstream. Repetitions after a crash do not draw on the retry budget. Copies of a new request at one entry go to one agent.

Ruled out, by reasoning and not by a run: a claim in the log for each run of a suspect (a round trip for each, impossible in an outage); waiting for the log before the verdict counts; spreading crashes with heartbeats only (up to 1 s a hop).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,7 @@
 	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
 	config  *configuration
+	crashes crashes
 
 	mu       sync.Mutex
 	conns    map[*link.Conn]struct{}
@@ -97,6 +98,13 @@
 		Changed:    func() { wake(agt.changed) },
 	})
 	agt.config = newConfiguration(grp, agt.local.Name, agt.report, clk, log, agt.metrics)
+	agt.config.heard = agt.sendReports
+	agt.crashes.agent = agt
+	agt.crashes.on = config.BlameEnabled.Of(set)
+	agt.crashes.suspects = agt.config.suspects
+	agt.crashes.suspectFor = config.BlameSuspectTime.Of(set)
+	agt.crashes.convictFor = config.BlameConvictionTime.Of(set)
+	agt.crashes.start(grp)
 	if agt.local.Kind == proto.UpstreamPlain {
 		agt.plain = plain.New(config.AgentUpstream.Of(set))
 		agt.startOnce(grp, set)
--- a/agent/config.go
+++ b/agent/config.go
@@ -20,6 +20,8 @@
 type configuration struct {
 	store    *state.Store
 	exchange *state.Exchange
+	suspects *state.Suspects
+	heard    func() // called after a crash was heard of; must not block
 	name     string
 	log      logr.Logger
 	metrics  *metric.Set
@@ -30,6 +32,7 @@
 	grp *group.Group, name string, report func() proto.Report, clk *timer.Service, log logr.Logger, met *metric.Set,
 ) *configuration {
 	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met}
+	cfg.suspects = state.NewSuspects(cfg.store, clk)
 	cfg.exchange = state.NewExchange(cfg.store, clk, func() (proto.Kind, any) { return proto.KindReport, report() })
 	grp.Go("announce configuration", func(ctx context.Context) error {
 		for {
@@ -52,10 +55,23 @@
 func (cfg *configuration) fill(rep proto.Report) proto.Report {
 	rep.StateVersion = cfg.store.Version()
 	rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+	rep.Crashes = cfg.suspects.Shared()
 	rep.Draining = rep.Draining || cfg.drained()
 	return rep
 }
 
+// takeCrashes takes in the crashes that an entry tells of. Those that are new are passed on at once, so that they
+// spread without the log as well.
+func (cfg *configuration) takeCrashes(list []proto.Crash) {
+	fresh := false
+	for _, crs := range list {
+		fresh = cfg.suspects.Crash(crs, 0) || fresh
+	}
+	if fresh && cfg.heard != nil {
+		cfg.heard()
+	}
+}
+
 // onFrame takes the versions in heartbeats, and state messages.
 func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
 	per := state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
@@ -63,6 +79,7 @@
 	case proto.KindBeat:
 		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
 			cfg.exchange.Heard(per, msg.StateVersion)
+			cfg.takeCrashes(msg.Crashes)
 		}
 	case proto.KindState:
 		msg, err := proto.Parse[proto.State](frm)
--- a/agent/health.go
+++ b/agent/health.go
@@ -49,6 +49,7 @@
 		agt.ledger.Resize(lod.TotalTokens, lod.MaxRunning)
 		agt.model.ReportedRate(lod.PrefillRate)
 		agt.queue.Retry()
+		agt.crashes.up()
 	}
 	agt.mu.Lock()
 	known := agt.listed
--- a/agent/report.go
+++ b/agent/report.go
@@ -59,13 +59,20 @@
 			continue
 		}
 		sent = standingOf(rep)
-		for _, con := range agt.connections() {
-			_ = con.Send(proto.KindReport, rep)
-		}
+		agt.send(rep)
 		_ = agt.clock.Sleep(ctx, reportPause)
 	}
 }
 
+// sendReports sends a report to all entries now.
+func (agt *Agent) sendReports() { agt.send(agt.report()) }
+
+func (agt *Agent) send(rep proto.Report) {
+	for _, con := range agt.connections() {
+		_ = con.Send(proto.KindReport, rep)
+	}
+}
+
 func (agt *Agent) connections() []*link.Conn {
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -35,6 +35,7 @@
 	grp    *group.Group
 	agent  *Agent
 	extra  string
+	cut    func() // breaks all connections to the engine, which goes on
 }
 
 func fastModel() simeng.Model {
@@ -51,12 +52,13 @@
 	grp := group.New(context.Background(), "engine")
 	eng := simeng.New(grp, mdl, timer.New())
 	srv := httptest.NewServer(eng.Handler())
+	cut := srv.CloseClientConnections
 	tb.Cleanup(func() {
 		srv.CloseClientConnections()
 		srv.Close()
 		_ = grp.Stop()
 	})
-	return &rig{tb: tb, engine: eng, url: srv.URL, extra: extra}
+	return &rig{tb: tb, engine: eng, url: srv.URL, extra: extra, cut: cut}
 }
 
 // start starts an agent and waits until it is healthy.
@@ -123,6 +125,8 @@
 	remaining      time.Duration
 	onToken        func() // called with the first part of the answer
 	ended          <-chan struct{}
+	fpr            proto.Fingerprint
+	suspected      bool
 }
 
 // ask runs an attempt to its result, or until ended is closed, upon which it cancels.
@@ -132,6 +136,7 @@
 	str, err := con.Open(proto.Open{
 		Attempt: proto.NewAttemptID(), Serves: "m", Remaining: req.remaining, Path: "/v1/completions", Stream: true,
 		Cost: proto.Cost{PromptTokens: req.prompt, OutputTokens: req.output}, BodyBytes: int64(len(body)),
+		Fingerprint: req.fpr, Suspected: req.suspected,
 	})
 	if err != nil {
 		return proto.Result{}, err
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/tarragonwheel/tarragonwheel/admit"
 	"github.com/tarragonwheel/tarragonwheel/engine"
 	"github.com/tarragonwheel/tarragonwheel/link"
@@ -52,8 +50,21 @@
 	if agt.plain != nil {
 		return agt.runPlain(ctx, str, msg)
 	}
+	isolated, free, sto := agt.crashes.admit(ctx, msg)
+	if sto != nil {
+		return sto.refusal()
+	}
+	defer free()
+	return agt.runEngine(ctx, str, msg, isolated)
+}
+
+// runEngine takes an attempt through the queue and runs it on the engine.
+func (agt *Agent) runEngine(parent context.Context, str *link.Stream, msg proto.Open, isolated bool) proto.Result {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	rnr := &runner{id: msg.Attempt.String(), fpr: msg.Fingerprint, isolated: isolated, stop: cancel}
 	tick, err := agt.queue.Submit(admit.Request{
-		ID:           id,
+		ID:           rnr.id,
 		PromptTokens: msg.Cost.PromptTokens,
 		CachedTokens: msg.Cost.CachedTokens,
 		OutputTokens: msg.Cost.OutputTokens,
@@ -70,11 +81,19 @@
 		tick.Release()
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonCancelled}
 	}
+	agt.crashes.enter(rnr)
+	if sto := agt.crashes.against(rnr.fpr, isolated); sto != nil { // It may have crashed another engine meanwhile.
+		agt.crashes.leave(rnr.id, true)
+		tick.Release()
+		return sto.refusal()
+	}
 	completed, res := agt.execute(ctx, str, msg, tick)
+	agt.crashes.leave(rnr.id, completed)
 	if completed {
+		agt.crashes.finished(rnr.fpr)
 		tick.Release()
 	} else {
-		agt.abandon(id, tick)
+		agt.abandon(rnr.id, tick)
 	}
 	return res
 }
@@ -110,8 +129,9 @@
 func (agt *Agent) execute(
 	ctx context.Context, str *link.Stream, msg proto.Open, tick *admit.Ticket,
 ) (bool, proto.Result) {
+	id := msg.Attempt.String()
 	resp, err := agt.engine.Complete(ctx, engine.Request{
-		ID:         msg.Attempt.String(),
+		ID:         id,
 		Path:       msg.Path,
 		Priority:   tick.Priority(),
 		ResumeFrom: msg.ResumeFrom,
@@ -119,25 +139,25 @@
 		Body:       str.Body(ctx),
 	})
 	if err != nil {
-		return false, agt.failure(ctx, err)
+		return false, agt.crashes.failure(ctx, id, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	head := proto.Head{Status: resp.StatusCode, Header: map[string]string{
 		"Content-Type": resp.Header.Get("Content-Type"),
 	}}
 	if err := str.Send(proto.KindHead, head); err != nil {
-		return false, agt.failure(ctx, err)
+		return false, agt.crashes.failure(ctx, id, err)
 	}
 	tai, err := agt.relayObserved(str, resp, tick)
 	if err != nil {
-		return false, agt.failure(ctx, err)
+		return false, agt.crashes.failure(ctx, id, err)
 	}
 	refusedByEngine := resp.StatusCode != http.StatusOK // Whether it holds memory then is not known.
 	if !refusedByEngine && msg.Stream && !tai.ended() {
-		return false, agt.failure(ctx, trace.ConnectionProblem(nil, "agent: the engine cut the response short"))
+		return false, agt.crashes.failure(ctx, id, errCutShort)
 	}
 	if err := str.CloseWrite(); err != nil {
-		return !refusedByEngine, agt.failure(ctx, err)
+		return !refusedByEngine, agt.crashes.failure(ctx, id, err)
 	}
 	return !refusedByEngine, proto.Result{Outcome: proto.OutcomeDone}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -13,7 +13,7 @@
 
 // attempt sends a call to one agent and follows it to its end. It returns the agent's name, if there was one.
 func (ent *Entry) attempt(ctx context.Context, run *running, tried []string) (proto.Result, string) {
-	plc := ent.table.Pick(query(run.cal, tried))
+	plc := ent.place(run, tried)
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
@@ -59,6 +59,9 @@
 		ResumeFrom: run.evs.tokens,
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
+
+		Fingerprint: run.fpr,
+		Suspected:   run.suspected,
 	})
 	if err != nil {
 		return lost // The body was not sent, without which nothing runs.
--- a/entry/config.go
+++ b/entry/config.go
@@ -35,6 +35,9 @@
 type configuration struct {
 	store    *state.Store
 	exchange *state.Exchange
+	suspects *state.Suspects
+	blame    bool           // requests that crash engines are looked for
+	name     string         // of this process
 	client   *logsvc.Client // nil without a log
 	clock    *timer.Service
 	log      logr.Logger
@@ -51,6 +54,9 @@
 ) *configuration {
 	addr := config.PlatformLog.Of(set)
 	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met}
+	cfg.suspects = state.NewSuspects(cfg.store, clk)
+	cfg.blame = config.BlameEnabled.Of(set)
+	cfg.name = config.ProcessName.Of(set)
 	cfg.exchange = state.NewExchange(cfg.store, clk, cfg.beat)
 	grp.Go("announce configuration", func(ctx context.Context) error {
 		cfg.announce(ctx)
@@ -65,6 +71,10 @@
 		cfg.follow(ctx)
 		return nil
 	})
+	grp.Go("record crashes", func(ctx context.Context) error {
+		cfg.recordCrashes(ctx)
+		return nil
+	})
 	snp := duty.NewSnapshots(duty.Options{
 		Process: config.ProcessName.Of(set), Store: cfg.store, Clock: clk,
 		Append: func(ctx context.Context, raw []byte) error {
@@ -80,7 +90,7 @@
 }
 
 func (cfg *configuration) beat() (proto.Kind, any) {
-	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version()}
+	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version(), Crashes: cfg.suspects.Shared()}
 }
 
 func (cfg *configuration) announce(ctx context.Context) {
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/tarragonwheel/tarragonwheel/link"
 	"github.com/tarragonwheel/tarragonwheel/proto"
@@ -18,6 +20,9 @@
 		ent.metrics.Drop("malformed-report")
 		return
 	}
+	if ent.config.takeCrashes(con, rep) {
+		ent.spread()
+	}
 	ent.attach(con) // The first report may arrive before the dialling goroutine goes on.
 	ent.table.Report(con.Peer(), rep)
 }
@@ -56,6 +61,17 @@
 	}
 }
 
+// spread tells all connected agents of crashes that are not in the log yet.
+func (ent *Entry) spread() {
+	ent.mu.Lock()
+	list := slices.Collect(maps.Values(ent.conns))
+	ent.mu.Unlock()
+	knd, msg := ent.config.beat()
+	for _, con := range list {
+		_ = con.Send(knd, msg) // The next heartbeat repeats it.
+	}
+}
+
 func (ent *Entry) conn(name string) *link.Conn {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -28,17 +28,32 @@
 		return res
 	}
 	run := &running{ent: ent, cal: cal, rep: rep}
+	if ent.config.blame {
+		run.fpr = fingerprint(cal)
+		run.flight = ent.flights.begin(run.fpr)
+	}
 	ent.budget.First()
+	res := run.repeat(ctx)
+	run.finish(res)
+	return res
+}
+
+// repeat makes one attempt after another.
+func (run *running) repeat(ctx context.Context) proto.Result {
+	ent := run.ent
 	var tried []string
 	for number := 1; ; number++ {
+		if res, no := run.convicted(); no {
+			return res
+		}
 		res, agent := ent.attempt(ctx, run, tried)
 		if !run.again(ctx, res) {
 			return run.final(ctx, res)
 		}
-		if agent != "" {
+		if agent != "" && !suspicious[res.Reason] { // A suspect stays with the agent that all entries choose.
 			tried = append(tried, agent)
 		}
-		delay, denied := ent.budget.Again(number, cal.Deadline.Sub(ent.clock.Now()), leastAttempt)
+		delay, denied := run.delay(number, res)
 		if denied != "" {
 			ent.metrics.Event(denied)
 			return run.final(ctx, res)
@@ -60,6 +75,11 @@
 	sent     int   // body bytes delivered to the caller
 	broken   error // of the caller's connection
 	unsure   bool  // an attempt may have run
+
+	fpr       proto.Fingerprint // 0 if requests that crash engines are not looked for
+	flight    *flight           // nil for a request that is known to be harmless
+	suspected bool              // the last attempt was that of a suspect
+	crashes   int               // engines that crashed during an attempt
 }
 
 // again tells whether a further attempt is allowed. A call that is not idempotent is repeated only if no attempt can
@@ -84,10 +104,17 @@
 }
 
 // permanent are the reasons of refusals that another agent would repeat.
-var permanent = map[string]bool{edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true}
+var permanent = map[string]bool{
+	edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true, ReasonConvicted: true,
+}
+
+// suspicious are the reasons that have to do with requests that crash engines.
+var suspicious = map[string]bool{ReasonCrashed: true, ReasonSuspectWaits: true, ReasonConvicted: true}
 
 // transient are the reasons of failures that another agent need not share.
-var transient = map[string]bool{ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true}
+var transient = map[string]bool{
+	ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true, ReasonCrashed: true, ReasonSuspectWaits: true,
+}
 
 // final is the result that the caller is told.
 func (run *running) final(ctx context.Context, res proto.Result) proto.Result {
@@ -109,7 +136,7 @@
 	switch {
 	case res.Outcome == proto.OutcomeDone:
 		return route.Worked
-	case ctx.Err() != nil || run.broken != nil:
+	case ctx.Err() != nil || run.broken != nil, res.Reason == ReasonSuspectWaits, res.Reason == ReasonConvicted:
 		return route.Neutral
 	case res.Outcome == proto.OutcomeNotRun && res.Reason != ReasonAgentLost:
 		return route.Refused
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,8 @@
 	config *configuration
 	budget *retry.Budget
 
+	flights flights
+
 	mu    sync.Mutex
 	conns map[string]*link.Conn // by the agent's name
 }
--- a/route/policy.go
+++ b/route/policy.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -85,3 +86,28 @@
 	}
 	return nil
 }
+
+// home chooses as sticky does, and passes over agents that are to be avoided as long as another one can be given work.
+func (tab *Table) home(list []*view, qry Query, now time.Time) *Placement {
+	qry.Sticky = qry.Home
+	rest := slices.DeleteFunc(slices.Clone(list), func(vie *view) bool {
+		return slices.Contains(qry.Avoid, vie.peer.Name)
+	})
+	if plc := tab.sticky(rest, qry, now); plc != nil {
+		return plc
+	}
+	return tab.sticky(list, qry, now)
+}
+
+// preferred returns nil if the preferred agent cannot be given work.
+func (tab *Table) preferred(list []*view, qry Query, now time.Time) *Placement {
+	if qry.Prefer == "" || slices.Contains(qry.Avoid, qry.Prefer) {
+		return nil
+	}
+	for _, vie := range list {
+		if vie.peer.Name == qry.Prefer {
+			return vie.place(tab, qry, now)
+		}
+	}
+	return nil
+}
--- a/route/table.go
+++ b/route/table.go
@@ -60,6 +60,8 @@
 	Cost       proto.Cost
 	PrefixHash []uint64
 	Sticky     string   // if not empty, calls with the same value choose the same agent
+	Home       string   // as Sticky, but among the agents that are not to be avoided, if there are any
+	Prefer     string   // if not empty, the agent to choose if it can be given work and is not to be avoided
 	Avoid      []string // agents that this call has tried, used only if there is no other
 }
 
@@ -153,6 +155,12 @@
 	if qry.Sticky != "" {
 		return tab.sticky(list, qry, now)
 	}
+	if qry.Home != "" {
+		return tab.home(list, qry, now)
+	}
+	if plc := tab.preferred(list, qry, now); plc != nil {
+		return plc
+	}
 	if plc := tab.among(list, qry, now, qry.Avoid); plc != nil || len(qry.Avoid) == 0 {
 		return plc
 	}
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -114,3 +114,35 @@
 	tab.Disconnect(peer(first.Agent()))
 	is.True(tab.Pick(qry).Agent() != first.Agent())
 }
+
+// Guards against entries that send copies of a suspect to different agents, or back to the agent whose engine it may
+// have crashed while there is another one.
+func TestHomeIsSharedAndAvoids(t *testing.T) {
+	is := is.New(t)
+	one, _ := table("a", "b", "c", "d")
+	two, _ := table("d", "c", "b", "a")
+	qry := route.Query{Target: target, Home: "fingerprint"}
+	first := one.Pick(qry).Agent()
+	is.Equal(two.Pick(qry).Agent(), first)
+	qry.Avoid = []string{first}
+	other := one.Pick(qry).Agent()
+	is.True(other != first)
+	is.Equal(two.Pick(qry).Agent(), other)
+	qry.Avoid = []string{"a", "b", "c", "d"}
+	is.Equal(one.Pick(qry).Agent(), first)
+}
+
+// Guards against copies of a new request on several agents, and against a preference for an agent that was tried or
+// cannot take work.
+func TestPreferredAgent(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("a", "b")
+	tab.Report(peer("b"), proto.Report{Healthy: true, PrefillRate: 1000, QueuedPrefill: time.Minute})
+	qry := route.Query{Target: target, Prefer: "b"}
+	is.Equal(tab.Pick(qry).Agent(), "b")
+	qry.Avoid = []string{"b"}
+	is.Equal(tab.Pick(qry).Agent(), "a")
+	qry.Avoid = nil
+	tab.Report(peer("b"), proto.Report{})
+	is.Equal(tab.Pick(qry).Agent(), "a")
+}
