--- a/agent/config.go
+++ b/agent/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -16,6 +18,9 @@
 // ReasonDraining refuses new work on an upstream that configuration drains.
 const ReasonDraining = "draining"
 
+// entriesInterval is the time between two reports that carry the entries' versions while nothing changes.
+const entriesInterval = 5 * time.Second
+
 // configuration keeps the agent's state level with its entries, and relays it to entries that are behind.
 type configuration struct {
 	store    *state.Store
@@ -25,13 +30,18 @@
 	name     string
 	log      logr.Logger
 	metrics  *metric.Set
+	clock    *timer.Service
+
+	mu     sync.Mutex
+	listed time.Time // when a report last carried the entries' versions
+	sent   int64     // own version in that report
 }
 
 // newConfiguration announces each change in grp, with the message that report returns.
 func newConfiguration(
 	grp *group.Group, name string, report func() proto.Report, clk *timer.Service, log logr.Logger, met *metric.Set,
 ) *configuration {
-	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met}
+	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met, clock: clk}
 	cfg.suspects = state.NewSuspects(cfg.store, clk)
 	cfg.exchange = state.NewExchange(cfg.store, clk, func() (proto.Kind, any) { return proto.KindReport, report() })
 	grp.Go("announce configuration", func(ctx context.Context) error {
@@ -54,8 +64,11 @@
 // fill adds the configuration's part to a report.
 func (cfg *configuration) fill(rep proto.Report) proto.Report {
 	rep.StateVersion = cfg.store.Version()
-	rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
 	rep.Crashes = cfg.suspects.Shared()
+	// Entries take turns in recording a crash, in the order of their names.
+	if cfg.listsEntries(rep.StateVersion) || len(rep.Crashes) > 0 {
+		rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+	}
 	rep.Draining = rep.Draining || cfg.drained()
 	return rep
 }
@@ -72,6 +85,20 @@
 	}
 }
 
+// listsEntries tells whether a report carries the versions of the entries. Only operators read them, and they are the
+// larger part of an idle agent's report.
+func (cfg *configuration) listsEntries(version int64) bool {
+	cfg.mu.Lock()
+	defer cfg.mu.Unlock()
+	now := cfg.clock.Now()
+	if version == cfg.sent && now.Sub(cfg.listed) < entriesInterval {
+		return false
+	}
+	cfg.sent = version
+	cfg.listed = now
+	return true
+}
+
 // onFrame takes the versions in heartbeats, and state messages.
 func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
 	per := state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
@@ -80,6 +107,9 @@
 		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
 			cfg.exchange.Heard(per, msg.StateVersion)
 			cfg.takeCrashes(msg.Crashes)
+			if cfg.exchange.Draining(per.Name, msg.Draining) && msg.Draining {
+				cfg.log.Info("agent: entry drains", "entry", per.Name)
+			}
 		}
 	case proto.KindState:
 		msg, err := proto.Parse[proto.State](frm)
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -26,6 +26,8 @@
 	// is crashing may accept connections for a moment without answering.
 	inquiryLimit = 3 * time.Second
 	inquiryPause = 20 * time.Millisecond
+	// goneGrace is the time for which a request that was given up may still crash the engine unseen.
+	goneGrace = time.Second
 )
 
 // errCutShort is the failure of a response that the engine ended in order, but early. A crash breaks the connection.
@@ -37,6 +39,7 @@
 	fpr      proto.Fingerprint
 	order    int64 // rises with each attempt handed to the engine
 	isolated bool  // holds the place of the suspect
+	ended    bool  // has its result, but may still be on the engine; guarded by crashes.mu
 	stop     context.CancelCauseFunc
 }
 
@@ -54,6 +57,7 @@
 	suspects   *state.Suspects
 	suspectFor time.Duration
 	convictFor time.Duration
+	grace      time.Duration // goneGrace, longer in tests
 	place      place
 
 	mu      sync.Mutex
@@ -94,16 +98,34 @@
 	crs.running[rnr.id] = rnr
 }
 
-// leave ends what enter began. An attempt that the engine completed is not to blame for a crash at the same moment.
+// leave takes in that an attempt has its result. One that the engine completed is not to blame for a crash at the same
+// moment. Any other, such as one whose caller has left, may still be on the engine and crash it: it counts as running
+// until the engine no longer lists it.
 func (crs *crashes) leave(id string, completed bool) {
 	crs.mu.Lock()
 	defer crs.mu.Unlock()
-	delete(crs.running, id)
+	if completed || crs.down {
+		delete(crs.running, id)
+	} else if rnr := crs.running[id]; rnr != nil {
+		rnr.ended = true
+	}
 	if completed && crs.asking != nil {
 		delete(crs.asking.held, id)
 	}
 }
 
+// gone takes in that the engine does not list an attempt. A cancel may overtake the request that it cancels, so the
+// attempt counts as running for a moment longer.
+func (crs *crashes) gone(id string) {
+	crs.agent.clock.After(crs.grace, func() {
+		crs.mu.Lock()
+		defer crs.mu.Unlock()
+		if rnr := crs.running[id]; rnr != nil && rnr.ended {
+			delete(crs.running, id)
+		}
+	})
+}
+
 // up takes in that the engine answers.
 func (crs *crashes) up() {
 	crs.mu.Lock()
--- a/agent/crash_test.go
+++ b/agent/crash_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// Guards against a request that goes free because its caller left just before it crashed the engine.
+func TestAbandonedRequestIsBlamed(t *testing.T) {
+	is := is.New(t)
+	rig := slowRig(t)
+	rig.agent.crashes.grace = hangLimit
+	ended := make(chan struct{})
+	wait := launch(rig, request{fpr: 7, ended: ended})
+	other := launch(rig, request{fpr: 8})
+	close(ended)
+	is.Equal(wait(), []string{ReasonCancelled})
+	rig.engine.Crash()
+	other()
+	is.Equal(rig.verdict(7), blame.Suspected)
+	is.Equal(rig.verdict(8), blame.Suspected)
+}
+
 func crashOf(id string, running ...proto.Fingerprint) proto.Crash {
 	return proto.Crash{
 		ID: id, Upstream: "other", At: time.Now().UnixMilli(), Running: running,
--- a/agent/health.go
+++ b/agent/health.go
@@ -184,6 +184,7 @@
 		tick := agt.lost[id]
 		delete(agt.lost, id)
 		agt.mu.Unlock()
+		agt.crashes.gone(id)
 		if tick != nil {
 			tick.Release()
 		}
--- a/agent/report.go
+++ b/agent/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/link"
@@ -12,8 +13,10 @@
 	// reportPause bounds the reports of an agent that becomes full and free again with each request.
 	reportPause = 100 * time.Millisecond
 	drainPoll   = 20 * time.Millisecond
-	// drainFlush lets the last results leave the connections' send queues before the process ends.
-	drainFlush = 200 * time.Millisecond
+	// drainFlush bounds the time in which the last results leave the connections' send queues.
+	drainFlush = 2 * time.Second
+	// handBackLimit bounds the wait until the engine has confirmed the cancels of what was handed back.
+	handBackLimit = 5 * time.Second
 )
 
 // report describes the load and state now.
@@ -83,7 +86,8 @@
 	return list
 }
 
-// Drain refuses new and queued work, reports so, and returns when no attempt is in flight or process.grace has passed.
+// Drain refuses new and queued work, reports so, and returns when no attempt is in flight. After process.grace it hands
+// the attempts on an engine back: the entry resumes their streams on another engine, which computes the prompt again.
 func (agt *Agent) Drain(ctx context.Context) {
 	agt.mu.Lock()
 	agt.draining = true
@@ -92,14 +96,53 @@
 	agt.log.Info("agent: draining", "grace", agt.grace.String())
 	lim, cancel := agt.clock.WithTimeout(ctx, agt.grace)
 	defer cancel()
+	if !agt.awaitWork(lim) {
+		agt.log.Info("agent: grace period has passed", "in-flight", agt.inFlight())
+		agt.cutNow()
+		end, done := agt.clock.WithTimeout(ctx, handBackLimit)
+		defer done()
+		agt.awaitWork(end)
+	}
+	agt.flush(ctx)
+	agt.log.Info("agent: drained")
+}
+
+// awaitWork tells whether nothing was left in flight before ctx ended.
+func (agt *Agent) awaitWork(ctx context.Context) bool {
 	for agt.inFlight() > 0 {
-		if agt.clock.Sleep(lim, drainPoll) != nil {
-			agt.log.Info("agent: grace period has passed", "in-flight", agt.inFlight())
-			break
+		if agt.clock.Sleep(ctx, drainPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// errGrace is the cause with which attempts end that go on after the grace period.
+var errGrace = errors.New("agent: grace period has passed")
+
+// untilCut ends an attempt on an engine with the grace period. Calls to plain services go on, since another agent
+// cannot take over what has been started.
+func (agt *Agent) untilCut(ctx context.Context, msg proto.Open) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if msg.Kind != proto.UpstreamEngine {
+		return ctx, func() { cancel(nil) }
+	}
+	stop := context.AfterFunc(agt.cut, func() { cancel(errGrace) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// flush returns when the last results have been written to the connections.
+func (agt *Agent) flush(ctx context.Context) {
+	lim, cancel := agt.clock.WithTimeout(ctx, drainFlush)
+	defer cancel()
+	for _, con := range agt.connections() {
+		if err := con.Flush(lim); err != nil {
+			agt.log.Info("agent: results may not have been sent", "entry", con.Peer().Name, "error", err.Error())
 		}
 	}
-	_ = agt.clock.Sleep(ctx, drainFlush)
-	agt.log.Info("agent: drained")
 }
 
 // stopping tells whether Drain has been called.
@@ -109,9 +152,14 @@
 	return agt.draining
 }
 
-// inFlight counts attempts without a result and those whose memory the engine has not returned.
+// inFlight counts attempts without a result, those whose memory the engine has not returned, and what is missing in the
+// records of non-idempotent calls. A recorded call goes on when its caller has gone, and then is no attempt any more.
 func (agt *Agent) inFlight() int {
+	unrecorded := 0
+	if agt.once != nil {
+		unrecorded = agt.once.Unfinished()
+	}
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
-	return len(agt.attempts) + len(agt.lost)
+	return len(agt.attempts) + len(agt.lost) + unrecorded
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -28,6 +28,8 @@
 func (agt *Agent) serve(str *link.Stream, msg proto.Open) {
 	ctx, cancel := agt.clock.WithTimeout(str.Context(), msg.Remaining)
 	defer cancel()
+	ctx, release := agt.untilCut(ctx, msg)
+	defer release()
 	res := agt.run(ctx, str, msg)
 	agt.metrics.Request(string(res.Outcome))
 	if res.Reason != "" {
@@ -39,14 +41,15 @@
 }
 
 func (agt *Agent) run(ctx context.Context, str *link.Stream, msg proto.Open) proto.Result {
-	if agt.config.drained() || agt.stopping() {
-		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
-	}
 	id := msg.Attempt.String()
 	if !agt.register(id) {
 		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDuplicate}
 	}
 	defer agt.unregister(id)
+	// Checked after registration, so that Drain either waits for this attempt or makes it refuse.
+	if agt.config.drained() || agt.stopping() {
+		return proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, Detail: "the upstream is drained"}
+	}
 	if agt.plain != nil {
 		return agt.runPlain(ctx, str, msg)
 	}
@@ -221,6 +224,8 @@
 
 func (agt *Agent) failure(ctx context.Context, err error) proto.Result {
 	switch {
+	case errors.Is(context.Cause(ctx), errGrace):
+		return proto.Result{Outcome: proto.OutcomeFailed, Reason: ReasonDraining, Detail: "the agent was stopped"}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return proto.Result{Outcome: proto.OutcomeFailed, Reason: ReasonTimeout}
 	case ctx.Err() != nil:
--- a/agent/suspect.go
+++ b/agent/suspect.go
@@ -97,7 +97,7 @@
 	crs.mu.Lock()
 	list := make([]*runner, 0, len(crs.running))
 	for id, rnr := range crs.running {
-		if crs.asking == nil || crs.asking.held[id] == nil {
+		if !rnr.ended && (crs.asking == nil || crs.asking.held[id] == nil) {
 			list = append(list, rnr)
 		}
 	}
--- a/cmd/tarragonwheel/scenario_http_test.go
+++ b/cmd/tarragonwheel/scenario_http_test.go
@@ -286,6 +286,23 @@
 	return nil
 }
 
+// checkReady asks a process on its metrics address whether it is ready: PROCESS [status=N].
+func checkReady(scn *scenario, args []string) error {
+	if len(args) == 0 || scn.processes[args[0]] == nil {
+		return errors.New("usage: readyz PROCESS [status=N]")
+	}
+	addr := metricsAddress.FindStringSubmatch(scn.processes[args[0]].text())
+	if addr == nil {
+		return fmt.Errorf("%s serves no metrics", args[0])
+	}
+	cal, err := begin(http.MethodGet, "http://"+addr[1]+"/readyz", "", "")
+	if err != nil {
+		return err
+	}
+	_, opts := options(args[1:])
+	return cal.check(scn, opts)
+}
+
 // addProxyRoute puts a route in front of a process: PROXY NAME TARGET. Its name then stands for the target.
 func addProxyRoute(scn *scenario, args []string) error {
 	if len(args) != 3 {
@@ -337,3 +354,31 @@
 	err = cal.check(scn, map[string]string{})
 	return string(cal.body), err
 }
+
+// listVM adds or changes a VM in a list: LIST NAME ROLE STATE [at=PROCESS]. The address is that of the process of the
+// same name unless another one is given.
+func listVM(scn *scenario, args []string) error {
+	words, opts := options(args)
+	if len(words) != 4 {
+		return errors.New("usage: vm LIST NAME entry|agent live|leaving|gone [at=PROCESS]")
+	}
+	addr, err := scn.address(take(opts, "at", words[1]))
+	if err != nil {
+		return err
+	}
+	list, err := scn.address(words[0])
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(map[string]string{
+		"name": words[1], "role": words[2], "state": words[3], "address": addr, "data-centre": "dc1",
+	})
+	if err != nil {
+		return err
+	}
+	cal, err := begin(http.MethodPost, "http://"+list+"/sim/vms", "", string(body))
+	if err != nil {
+		return err
+	}
+	return cal.check(scn, opts)
+}
--- a/entry/blame.go
+++ b/entry/blame.go
@@ -27,6 +27,9 @@
 	// freeCrashes is the number of crashed engines after which a call is still repeated outside the retry budget. A
 	// call that is not to blame meets more only if several requests crash engines at the same time.
 	freeCrashes = 4
+	// freeRefusals is the number of refusals after a crash that are repeated outside the retry budget, about 3 s. With
+	// no engine left a call then fails by the budget, rather than wait for the end of its time limit.
+	freeRefusals = 8
 	// crashDelay is the least pause before a repetition outside the budget, doubled up to crashDelayMost. It leaves
 	// time for the news of a crash of another copy elsewhere, which takes two hops of a few milliseconds.
 	crashDelay     = 50 * time.Millisecond
@@ -114,7 +117,7 @@
 // place chooses an agent. All entries send a suspect to the same one, which runs its copies one after another; it is
 // not the one whose engine the request may have crashed.
 func (ent *Entry) place(run *running, tried []string) *route.Placement {
-	qry := query(run.cal, tried)
+	qry := ent.query(run.cal, tried)
 	verdict, cas := ent.config.suspects.Verdict(run.fpr)
 	run.suspected = verdict == blame.Suspected
 	if run.suspected {
@@ -154,13 +157,8 @@
 func (run *running) delay(number int, res proto.Result) (time.Duration, string) {
 	ent := run.ent
 	remaining := run.cal.Deadline.Sub(ent.clock.Now())
-	if res.Reason == ReasonCrashed {
-		run.crashes++
-	}
-	free := run.crashes > 0 && run.crashes <= freeCrashes && (res.Reason == ReasonCrashed || waits(res)) ||
-		res.Reason == ReasonSuspectWaits
-	if !free {
-		return ent.budget.Again(number, remaining, leastAttempt)
+	if !run.free(res) {
+		return ent.again(number, res, remaining)
 	}
 	pause := min(crashDelay<<min(number-1, 5), crashDelayMost)
 	if verdict, cas := ent.config.suspects.Verdict(run.fpr); res.Reason == ReasonCrashed && verdict == blame.Suspected {
@@ -173,8 +171,22 @@
 	return pause, ""
 }
 
-// waits tells whether an attempt did not run.
-func waits(res proto.Result) bool { return res.Outcome == proto.OutcomeNotRun }
+// free tells whether a repetition does not draw on the retry budget.
+func (run *running) free(res proto.Result) bool {
+	switch {
+	case res.Reason == ReasonSuspectWaits:
+		return true
+	case res.Reason == ReasonCrashed:
+		run.crashes++
+		run.refused = 0
+		return run.crashes <= freeCrashes
+	case res.Outcome == proto.OutcomeNotRun && run.crashes > 0:
+		run.refused++
+		return run.refused <= freeRefusals
+	default:
+		return false
+	}
+}
 
 // finish clears a suspect that has finished.
 func (run *running) finish(res proto.Result) {
--- a/entry/config.go
+++ b/entry/config.go
@@ -42,6 +42,7 @@
 	clock    *timer.Service
 	log      logr.Logger
 	metrics  *metric.Set
+	stopping func() bool
 
 	mu     sync.Mutex
 	failed error // of the last read of the log
@@ -50,10 +51,10 @@
 // newConfiguration follows the log in grp and competes for the duty of republishing the snapshot. Without a log,
 // the empty state is current until a peer has more.
 func newConfiguration(
-	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set,
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set, stopping func() bool,
 ) *configuration {
 	addr := config.PlatformLog.Of(set)
-	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met}
+	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met, stopping: stopping}
 	cfg.suspects = state.NewSuspects(cfg.store, clk)
 	cfg.blame = config.BlameEnabled.Of(set)
 	cfg.name = config.ProcessName.Of(set)
@@ -90,7 +91,9 @@
 }
 
 func (cfg *configuration) beat() (proto.Kind, any) {
-	return proto.KindBeat, proto.Beat{StateVersion: cfg.store.Version(), Crashes: cfg.suspects.Shared()}
+	return proto.KindBeat, proto.Beat{
+		StateVersion: cfg.store.Version(), Draining: cfg.stopping(), Crashes: cfg.suspects.Shared(),
+	}
 }
 
 func (cfg *configuration) announce(ctx context.Context) {
@@ -118,6 +121,9 @@
 		cfg.exchange.Heard(per, rep.StateVersion)
 		for _, ent := range rep.Entries {
 			cfg.exchange.HeardOf(ent.Name, proto.RoleEntry, ent.Version)
+			if cfg.exchange.Draining(ent.Name, ent.Draining) && ent.Draining {
+				cfg.log.Info("entry: another entry drains", "entry", ent.Name)
+			}
 		}
 	case proto.KindState:
 		msg, err := proto.Parse[proto.State](frm)
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -45,7 +45,7 @@
 func (ent *Entry) attach(con *link.Conn) {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
-	if con.Err() != nil || ent.conns[con.Peer().Name] == con {
+	if con.Err() != nil || ent.retired(con) || ent.conns[con.Peer().Name] == con {
 		return
 	}
 	ent.conns[con.Peer().Name] = con
@@ -63,15 +63,18 @@
 
 // spread tells all connected agents of crashes that are not in the log yet.
 func (ent *Entry) spread() {
-	ent.mu.Lock()
-	list := slices.Collect(maps.Values(ent.conns))
-	ent.mu.Unlock()
 	knd, msg := ent.config.beat()
-	for _, con := range list {
+	for _, con := range ent.connections() {
 		_ = con.Send(knd, msg) // The next heartbeat repeats it.
 	}
 }
 
+func (ent *Entry) connections() []*link.Conn {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	return slices.Collect(maps.Values(ent.conns))
+}
+
 func (ent *Entry) conn(name string) *link.Conn {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -17,6 +17,7 @@
 	ReasonAgentLost  = "agent-lost"
 	ReasonBroken     = "stream-incomplete"
 	ReasonCallerGone = "caller-gone"
+	ReasonDraining   = "draining"
 )
 
 // leastAttempt is the shortest time in which an attempt can be worth its cost.
@@ -24,6 +25,18 @@
 
 // dispatch runs a call: one attempt after another, as long as it may and can be repeated.
 func (ent *Entry) dispatch(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
+	ctx, leave := ent.stop.enter(ctx)
+	if leave == nil {
+		return proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: ReasonDraining, RetryAfter: stopRetry,
+			Detail: "this entry is stopping",
+		}
+	}
+	defer leave()
+	return ent.dispatchEntered(ctx, cal, rep)
+}
+
+func (ent *Entry) dispatchEntered(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
 	if res, no := ent.config.forbidden(cal.Kind, cal.Account, cal.Serves); no {
 		return res
 	}
@@ -65,6 +78,19 @@
 	}
 }
 
+// mostMoves is the number of attempts of a call after which moves count as retries, so that a fleet that drains
+// everywhere does not keep a call going round.
+const mostMoves = 8
+
+// again asks for a further attempt. Attempts that a planned stop moves elsewhere are not charged to the retry budget:
+// they are bounded by the stops, and a stop must not break a stream because of earlier failures.
+func (ent *Entry) again(number int, res proto.Result, remaining time.Duration) (time.Duration, string) {
+	if res.Reason == ReasonDraining && number <= mostMoves {
+		return ent.budget.Move(number, remaining, leastAttempt)
+	}
+	return ent.budget.Again(number, remaining, leastAttempt)
+}
+
 // running is a call on its way through one or more attempts.
 type running struct {
 	ent      *Entry
@@ -80,6 +106,7 @@
 	flight    *flight           // nil for a request that is known to be harmless
 	suspected bool              // the last attempt was that of a suspect
 	crashes   int               // engines that crashed during an attempt
+	refused   int               // attempts since the last of them that did not run
 }
 
 // again tells whether a further attempt is allowed. A call that is not idempotent is repeated only if no attempt can
@@ -113,7 +140,8 @@
 
 // transient are the reasons of failures that another agent need not share.
 var transient = map[string]bool{
-	ReasonAgentLost: true, ReasonBroken: true, "engine-failed": true, ReasonCrashed: true, ReasonSuspectWaits: true,
+	ReasonAgentLost: true, ReasonBroken: true, ReasonDraining: true, "engine-failed": true, ReasonCrashed: true,
+	ReasonSuspectWaits: true,
 }
 
 // final is the result that the caller is told.
@@ -125,6 +153,11 @@
 		res.Reason = ReasonTimeout
 		res.Detail = "the time limit ran out"
 	}
+	if errors.Is(context.Cause(ctx), errGrace) {
+		res.Reason = ReasonDraining
+		res.Detail = "this entry was stopped and its grace period is over"
+		res.RetryAfter = stopRetry
+	}
 	if run.unsure && res.Outcome == proto.OutcomeNotRun {
 		res.Outcome = proto.OutcomeUnknown // An earlier attempt may have run, at least in part.
 	}
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -19,6 +19,13 @@
 // String returns the identifier in hexadecimal.
 func (aid AttemptID) String() string { return hex.EncodeToString(aid[:]) }
 
+// NewIncarnation returns a random identifier for one run of a process.
+func NewIncarnation() string {
+	buf := make([]byte, 8)
+	_, _ = rand.Read(buf) // crypto/rand.Read never fails on supported platforms.
+	return hex.EncodeToString(buf)
+}
+
 // Role is the role of a process.
 type Role string
 
@@ -103,6 +110,8 @@
 	Status int               `cbor:"1,keyasint"`
 	Header map[string]string `cbor:"2,keyasint,omitempty"`
 	Replay bool              `cbor:"3,keyasint,omitempty"` // the answer of an earlier sending of the same key
+	// Repeated are the headers that occur more than once, with their values in order.
+	Repeated map[string][]string `cbor:"4,keyasint,omitempty"`
 }
 
 // Credit allows the other side to send that many further body bytes on the stream.
@@ -136,15 +145,15 @@
 
 // Report is an agent's load and state, sent every heartbeat interval and on change.
 type Report struct {
-	Queued        int           `cbor:"1,keyasint"` // requests waiting
-	Running       int           `cbor:"2,keyasint"`
-	QueuedPrefill time.Duration `cbor:"3,keyasint"` // predicted prefill work ahead of a new request
-	FreeTokens    int           `cbor:"4,keyasint"` // KV memory not reserved
-	TotalTokens   int           `cbor:"5,keyasint"`
-	PrefillRate   float64       `cbor:"6,keyasint"` // observed tokens per second
+	Queued        int           `cbor:"1,keyasint,omitempty"` // requests waiting
+	Running       int           `cbor:"2,keyasint,omitempty"`
+	QueuedPrefill time.Duration `cbor:"3,keyasint,omitempty"` // predicted prefill work ahead of a new request
+	FreeTokens    int           `cbor:"4,keyasint,omitempty"` // KV memory not reserved
+	TotalTokens   int           `cbor:"5,keyasint,omitempty"`
+	PrefillRate   float64       `cbor:"6,keyasint,omitempty"` // observed tokens per second
 	Draining      bool          `cbor:"7,keyasint,omitempty"`
-	Healthy       bool          `cbor:"8,keyasint"` // the upstream answers
-	StateVersion  int64         `cbor:"9,keyasint"`
+	Healthy       bool          `cbor:"8,keyasint,omitempty"` // the upstream answers
+	StateVersion  int64         `cbor:"9,keyasint,omitempty"`
 	Entries       []PeerVersion `cbor:"10,keyasint,omitempty"` // entries connected to this agent
 	WaitShort     time.Duration `cbor:"11,keyasint,omitempty"` // predicted wait of a short request
 	Crashes       []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
@@ -154,6 +163,8 @@
 type PeerVersion struct {
 	Name    string `cbor:"1,keyasint"`
 	Version int64  `cbor:"2,keyasint"`
+
+	Draining bool `cbor:"3,keyasint,omitempty"` // it is stopping
 }
 
 // Beat is an entry's heartbeat.
