Show requests that crash engines to operators, and let them acquit

Cause: a wrong conviction could not be seen or lifted.

Change: tarragonwheel suspects lists suspects, convicts and acquittals, and tarragonwheel acquit FINGERPRINT lifts a verdict through the log, with the operator's name. A scenario runs three engine processes, two entries and a request that crashes engines, and lifts the verdict at the end; scenarios gain the commands ended, suspects and acquit.

Ruled out: an acquittal at one entry only, which the others would not know; acquitting while the log is down, since the record would be lost.

--- a/admin/api.go
+++ b/admin/api.go
@@ -102,4 +102,5 @@
 	Store     *state.Store
 	Exchange  *state.Exchange
 	Upstreams func() []intent.Upstream
+	Suspects  *state.Suspects // nil to show only what is in the log
 }
--- a/admin/server.go
+++ b/admin/server.go
@@ -70,6 +70,8 @@
 	mux.HandleFunc("GET "+PathStatus, srv.handle(srv.status))
 	mux.HandleFunc("GET "+PathHistory, srv.handle(srv.history))
 	mux.HandleFunc("GET "+PathExplain, srv.handle(srv.explain))
+	mux.HandleFunc("GET "+PathSuspects, srv.handle(srv.suspects))
+	mux.HandleFunc("POST "+PathAcquit, srv.handle(srv.acquit))
 	return mux
 }
 
--- a/cmd/tarragonwheel/roles.go
+++ b/cmd/tarragonwheel/roles.go
@@ -71,6 +71,7 @@
 func operatorSource(set *config.Settings, ent *entry.Entry) admin.Source {
 	return admin.Source{
 		Name: config.ProcessName.Of(set), Store: ent.Configuration(), Exchange: ent.Exchange(),
+		Suspects: ent.Suspects(),
 		Upstreams: func() (list []intent.Upstream) {
 			ent.Upstreams(func(name, serves string) {
 				list = append(list, intent.Upstream{Name: name, Serves: serves})
--- /dev/null
+++ b/cmd/tarragonwheel/scenario_blame_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+
+	"github.com/tarragonwheel/tarragonwheel/admin"
+)
+
+// checkEnded compares the number of processes that have ended: COUNT NAME...
+func checkEnded(scn *scenario, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: ended COUNT NAME")
+	}
+	ended := 0
+	for _, name := range args[1:] {
+		prc := scn.processes[name]
+		if prc == nil {
+			return fmt.Errorf("no process %q", name)
+		}
+		select {
+		case <-prc.done:
+			ended++
+		default:
+		}
+	}
+	if strconv.Itoa(ended) != args[0] {
+		return fmt.Errorf("%d have ended, want %s", ended, args[0])
+	}
+	return nil
+}
+
+var operatorAddress = regexp.MustCompile(`admin=(\S+)`)
+
+// operate runs an operator command against an entry, and decodes what it prints.
+func (scn *scenario) operate(name string, into any, words ...string) error {
+	prc := scn.processes[name]
+	if prc == nil {
+		return fmt.Errorf("no process %q", name)
+	}
+	addr := operatorAddress.FindStringSubmatch(prc.text())
+	if addr == nil {
+		return fmt.Errorf("%s has no operator API; set admin.listen", name)
+	}
+	key := filepath.Join(scn.dir, "operator.key")
+	if err := os.WriteFile(key, []byte("scenario-key-of-ops"), 0o600); err != nil {
+		return err
+	}
+	words = append(words, "--json", "--entry", addr[1], "--key-file", key)
+	out, err := exec.Command("tarragonwheel", words...).Output()
+	if err != nil {
+		return fmt.Errorf("%v: %w", words, err)
+	}
+	return json.Unmarshal(out, into)
+}
+
+// checkSuspects compares what an entry shows to operators: ENTRY convicts=N acquits=N.
+func checkSuspects(scn *scenario, args []string) error {
+	words, opts := options(args)
+	if len(words) != 1 {
+		return errors.New("usage: suspects ENTRY convicts=N acquits=N")
+	}
+	var sus admin.Suspects
+	if err := scn.operate(words[0], &sus, "suspects"); err != nil {
+		return err
+	}
+	got := fmt.Sprint(len(sus.Convicts), " ", len(sus.Acquits))
+	if want := opts["convicts"] + " " + opts["acquits"]; got != want {
+		return fmt.Errorf("convicts and acquits are %s, want %s", got, want)
+	}
+	return nil
+}
+
+// acquitAll acquits all that an entry refuses: ENTRY.
+func acquitAll(scn *scenario, args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: acquit ENTRY")
+	}
+	var sus admin.Suspects
+	if err := scn.operate(args[0], &sus, "suspects"); err != nil {
+		return err
+	}
+	for _, cas := range sus.Convicts {
+		var out admin.Acquittal
+		if err := scn.operate(args[0], &out, "acquit", cas.Fingerprint.String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -53,6 +53,7 @@
 		"ask": ask, "first": waitFirst, "finish": finish, "leave": leave, "get": httpCall("GET"),
 		"post": httpCall("POST"), "put": httpCall("PUT"), "active": checkActive, "metric": checkMetric,
 		"readyz": checkReady, "vm": listVM,
+		"ended": checkEnded, "suspects": checkSuspects, "acquit": acquitAll,
 	}
 }
 
--- /dev/null
+++ b/cmd/tarragonwheel/suspects.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/admin"
+	"github.com/tarragonwheel/tarragonwheel/blame"
+	"github.com/tarragonwheel/tarragonwheel/proto"
+)
+
+type suspectsCommand struct{ operate }
+
+type acquitCommand struct {
+	operate
+	Fingerprint string `arg:"positional,required" help:"fingerprint, as shown by the suspects command"`
+}
+
+func (cmd *suspectsCommand) run(ctx context.Context, std streams) error {
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	sus, err := cli.Suspects(ctx)
+	if err != nil {
+		return err
+	}
+	return cmd.print(std, sus, func(out *strings.Builder) {
+		writeCases(out, "Refused, as they crashed two engines", sus.Convicts)
+		writeCases(out, "Suspected, run one at a time on an engine", sus.Suspects)
+		line(out, "Acquitted: %d", len(sus.Acquits))
+		for _, acq := range sus.Acquits {
+			line(out, "  %s  by %s at %s", acq.Fingerprint, acq.Operator, clockText(acq.At))
+		}
+	})
+}
+
+func writeCases(out *strings.Builder, title string, list []blame.Case) {
+	line(out, "%s: %d", title, len(list))
+	for _, cas := range list {
+		line(out, "  %s  crash %s at %s, beside %s, with %d others; until %s", cas.Fingerprint, cas.Crash,
+			clockText(cas.At), cas.Upstream, cas.Others, clockText(cas.Until))
+	}
+}
+
+func (cmd *acquitCommand) run(ctx context.Context, std streams) error {
+	fpr, err := proto.ParseFingerprint(cmd.Fingerprint)
+	if err != nil {
+		return err
+	}
+	cli, err := cmd.client()
+	if err != nil {
+		return err
+	}
+	out, err := cli.Acquit(ctx, fpr)
+	if err != nil {
+		return err
+	}
+	err = cmd.print(std, out, func(txt *strings.Builder) {
+		line(txt, "Acquittal of %s (was %s): %s", out.Fingerprint, out.Before, out.Outcome)
+		if out.Detail != "" {
+			line(txt, "%s", out.Detail)
+		}
+	})
+	if err != nil || out.Outcome == admin.InForce {
+		return err
+	}
+	return trace.CompareFailed("the acquittal is %s", out.Outcome)
+}
