--- a/admin/api.go
+++ b/admin/api.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/intent"
 	"github.com/tarragonwheel/tarragonwheel/state"
 )
@@ -78,6 +79,7 @@
 	Gap       *state.Gap      `json:"gap,omitempty"`
 	Processes []ProcessStatus `json:"processes"`
 	Objects   []state.Named   `json:"objects"`
+	RollOuts  []duty.Progress `json:"roll-outs,omitempty"`
 }
 
 // History lists confirms, oldest first.
@@ -103,4 +105,5 @@
 	Exchange  *state.Exchange
 	Upstreams func() []intent.Upstream
 	Suspects  *state.Suspects // nil to show only what is in the log
+	RollOuts  func() []duty.Progress
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -32,9 +32,10 @@
 	metrics  *metric.Set
 	clock    *timer.Service
 
-	mu     sync.Mutex
-	listed time.Time // when a report last carried the entries' versions
-	sent   int64     // own version in that report
+	mu      sync.Mutex
+	listed  time.Time // when a report last carried the entries' versions
+	sent    int64     // own version in that report
+	demands demands
 }
 
 // newConfiguration announces each change in grp, with the message that report returns.
@@ -65,9 +66,12 @@
 func (cfg *configuration) fill(rep proto.Report) proto.Report {
 	rep.StateVersion = cfg.store.Version()
 	rep.Crashes = cfg.suspects.Shared()
+	connected := cfg.exchange.Versions(proto.RoleEntry)
+	rep.EntryCount = len(connected)
+	rep.Demands = cfg.demands.of(connected)
 	// Entries take turns in recording a crash, in the order of their names.
 	if cfg.listsEntries(rep.StateVersion) || len(rep.Crashes) > 0 {
-		rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
+		rep.Entries = connected
 	}
 	rep.Draining = rep.Draining || cfg.drained()
 	return rep
@@ -107,6 +111,7 @@
 		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
 			cfg.exchange.Heard(per, msg.StateVersion)
 			cfg.takeCrashes(msg.Crashes)
+			cfg.demands.take(per.Name, msg.Demand)
 			if cfg.exchange.Draining(per.Name, msg.Draining) && msg.Draining {
 				cfg.log.Info("agent: entry drains", "entry", per.Name)
 			}
--- a/cmd/tarragonwheel/scenario_process_test.go
+++ b/cmd/tarragonwheel/scenario_process_test.go
@@ -95,7 +95,7 @@
 			line = append(line, flag, words[1+idx])
 		}
 		for key, val := range opts {
-			line = append(line, "--"+key, val)
+			line = append(line, "--"+key+"="+val)
 		}
 		return scn.start(words[0], line...)
 	}
@@ -131,12 +131,17 @@
 		}
 		addrs = append(addrs, addr)
 	}
+	if opts["admin.listen"] == "" {
+		opts["admin.listen"] = anyPort()
+	}
 	opts["entry.agents"] = strings.Join(addrs, ",")
 	return scn.startRole("entry", words[0], words[1], opts)
 }
 
 func (scn *scenario) startRole(role, name, centre string, opts map[string]string) error {
-	for word, key := range map[string]string{"vms": "platform.vm-list", "log": "platform.log"} {
+	for word, key := range map[string]string{
+		"vms": "platform.vm-list", "log": "platform.log", "weights": "platform.weight-store",
+	} {
 		if other := take(opts, word, ""); other != "" {
 			addr, err := scn.address(other)
 			if err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,12 +15,24 @@
 
 // attempt sends a call to one agent and follows it to its end. It returns the agent's name, if there was one.
 func (ent *Entry) attempt(ctx context.Context, run *running, tried []string) (proto.Result, string) {
+	if run.tooLong != nil {
+		return ent.attemptGroup(ctx, run, *run.tooLong), ""
+	}
 	plc := ent.place(run, tried)
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
 	}
+	if res, hopeless := ent.overloaded(plc, run.cal.Deadline.Sub(ent.clock.Now())); hopeless {
+		plc.End(route.Neutral)
+		return res, ""
+	}
 	res := ent.send(ctx, run, plc)
+	if needsGroup(run.cal, res) {
+		plc.End(route.Neutral)
+		run.tooLong = &res
+		return ent.attemptGroup(ctx, run, res), ""
+	}
 	plc.End(run.verdict(ctx, res))
 	return res, plc.Agent()
 }
@@ -30,6 +42,7 @@
 		Target:     route.Target{Kind: cal.Kind, Serves: cal.Serves},
 		Cost:       cal.Cost,
 		PrefixHash: cal.PrefixHash,
+		Remaining:  cal.Deadline.Sub(ent.clock.Now()),
 		Avoid:      tried,
 	}
 	if !cal.Idempotent {
@@ -62,6 +75,7 @@
 		ResumeFrom: run.evs.tokens,
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
+		Slots:      ent.slots,
 
 		Fingerprint: run.fpr,
 		Suspected:   run.suspected,
@@ -85,10 +99,12 @@
 // follower relays one attempt.
 type follower struct {
 	run      *running
-	plc      *route.Placement
+	plc      *route.Placement // nil for a group
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
+	delivers bool          // the caller gets, or has got, this attempt's head, or goes on with an earlier one's
+	answered bool          // the first part of the answer has come
 	body     chan struct{} // closed when the body's sender has returned
 }
 
@@ -134,8 +150,11 @@
 				return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
 			}
 			fol.head = &hed
-			fol.plc.Started()
+			if fol.plc != nil {
+				fol.plc.Started()
+			}
 		case proto.KindData:
+			fol.firstToken()
 			if err := fol.data(frm); err != nil {
 				return proto.Result{}, err
 			}
@@ -145,6 +164,17 @@
 	}
 }
 
+// firstToken tells the table once that the prefill has ended.
+func (fol *follower) firstToken() {
+	if fol.answered {
+		return
+	}
+	fol.answered = true
+	if fol.plc != nil {
+		fol.plc.FirstToken()
+	}
+}
+
 func (fol *follower) sendBody() {
 	if fol.accepted {
 		return
@@ -194,16 +224,17 @@
 }
 
 func (fol *follower) sendHead() error {
-	if fol.run.headSent {
-		// The caller has the head of an earlier attempt, and only another part of the same answer may follow it.
-		if fol.head == nil || fol.head.Status >= 300 {
-			return errIncomplete
-		}
+	if fol.delivers {
 		return nil
 	}
-	if fol.head == nil {
+	// After the head of an earlier attempt, only another part of the same answer may follow.
+	if fol.head == nil || fol.run.headSent && fol.head.Status >= 300 {
 		return errIncomplete
 	}
+	fol.delivers = true
+	if fol.run.headSent {
+		return nil
+	}
 	fol.run.headSent = true
 	if err := fol.run.rep.Head(*fol.head); err != nil {
 		fol.run.broken = err
--- a/entry/config.go
+++ b/entry/config.go
@@ -42,7 +42,7 @@
 	clock    *timer.Service
 	log      logr.Logger
 	metrics  *metric.Set
-	stopping func() bool
+	beatOf   func(version int64) proto.Beat
 
 	mu     sync.Mutex
 	failed error // of the last read of the log
@@ -51,10 +51,11 @@
 // newConfiguration follows the log in grp and competes for the duty of republishing the snapshot. Without a log,
 // the empty state is current until a peer has more.
 func newConfiguration(
-	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set, stopping func() bool,
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, met *metric.Set,
+	beat func(version int64) proto.Beat,
 ) *configuration {
 	addr := config.PlatformLog.Of(set)
-	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met, stopping: stopping}
+	cfg := &configuration{store: state.NewStore(), clock: clk, log: log, metrics: met, beatOf: beat}
 	cfg.suspects = state.NewSuspects(cfg.store, clk)
 	cfg.blame = config.BlameEnabled.Of(set)
 	cfg.name = config.ProcessName.Of(set)
@@ -91,9 +92,9 @@
 }
 
 func (cfg *configuration) beat() (proto.Kind, any) {
-	return proto.KindBeat, proto.Beat{
-		StateVersion: cfg.store.Version(), Draining: cfg.stopping(), Crashes: cfg.suspects.Shared(),
-	}
+	msg := cfg.beatOf(cfg.store.Version())
+	msg.Crashes = cfg.suspects.Shared()
+	return proto.KindBeat, msg
 }
 
 func (cfg *configuration) announce(ctx context.Context) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/edge"
+	"github.com/tarragonwheel/tarragonwheel/once"
 	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/route"
 )
@@ -17,6 +18,7 @@
 	ReasonAgentLost  = "agent-lost"
 	ReasonBroken     = "stream-incomplete"
 	ReasonCallerGone = "caller-gone"
+	ReasonOverloaded = "overloaded"
 	ReasonDraining   = "draining"
 )
 
@@ -40,6 +42,10 @@
 	if res, no := ent.config.forbidden(cal.Kind, cal.Account, cal.Serves); no {
 		return res
 	}
+	return ent.dispatchLimited(ctx, cal, rep)
+}
+
+func (ent *Entry) dispatchAllowed(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
 	run := &running{ent: ent, cal: cal, rep: rep}
 	if ent.config.blame {
 		run.fpr = fingerprint(cal)
@@ -85,10 +91,11 @@
 // again asks for a further attempt. Attempts that a planned stop moves elsewhere are not charged to the retry budget:
 // they are bounded by the stops, and a stop must not break a stream because of earlier failures.
 func (ent *Entry) again(number int, res proto.Result, remaining time.Duration) (time.Duration, string) {
+	least := leastAttempt + res.RetryAfter // A caller does not wait for a retry for which there is no time left.
 	if res.Reason == ReasonDraining && number <= mostMoves {
-		return ent.budget.Move(number, remaining, leastAttempt)
+		return ent.budget.Move(number, remaining, least)
 	}
-	return ent.budget.Again(number, remaining, leastAttempt)
+	return ent.budget.Again(number, remaining, least)
 }
 
 // running is a call on its way through one or more attempts.
@@ -107,6 +114,9 @@
 	suspected bool              // the last attempt was that of a suspect
 	crashes   int               // engines that crashed during an attempt
 	refused   int               // attempts since the last of them that did not run
+
+	// tooLong is set once an agent has refused the prompt as too long for one engine.
+	tooLong *proto.Result
 }
 
 // again tells whether a further attempt is allowed. A call that is not idempotent is repeated only if no attempt can
@@ -116,7 +126,7 @@
 	case res.Outcome == proto.OutcomeDone, ctx.Err() != nil, run.broken != nil, run.evs.done:
 		return false
 	case res.Outcome == proto.OutcomeNotRun:
-		return !permanent[res.Reason]
+		return !permanent[res.Reason] && run.tooLong == nil // A group has made its own tries.
 	case !run.cal.Idempotent, run.headSent && !run.resumable():
 		run.unsure = true
 		return false
@@ -132,7 +142,8 @@
 
 // permanent are the reasons of refusals that another agent would repeat.
 var permanent = map[string]bool{
-	edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true, ReasonConvicted: true,
+	edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true, ReasonOverloaded: true,
+	ReasonConvicted: true,
 }
 
 // suspicious are the reasons that have to do with requests that crash engines.
@@ -140,8 +151,8 @@
 
 // transient are the reasons of failures that another agent need not share.
 var transient = map[string]bool{
-	ReasonAgentLost: true, ReasonBroken: true, ReasonDraining: true, "engine-failed": true, ReasonCrashed: true,
-	ReasonSuspectWaits: true,
+	ReasonAgentLost: true, ReasonBroken: true, ReasonDraining: true, "engine-failed": true, ReasonSegmentLost: true,
+	ReasonCrashed: true, ReasonSuspectWaits: true,
 }
 
 // final is the result that the caller is told.
@@ -171,6 +182,8 @@
 		return route.Worked
 	case ctx.Err() != nil || run.broken != nil, res.Reason == ReasonSuspectWaits, res.Reason == ReasonConvicted:
 		return route.Neutral
+	case res.Reason == once.ReasonNoEnd: // Shows that another agent was lost, not this one.
+		return route.Neutral
 	case res.Outcome == proto.OutcomeNotRun && res.Reason != ReasonAgentLost:
 		return route.Refused
 	default:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/duty"
 	"github.com/tarragonwheel/tarragonwheel/edge"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/httpd"
@@ -20,6 +21,7 @@
 	"github.com/tarragonwheel/tarragonwheel/member"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/quota"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/route"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -37,28 +39,38 @@
 	opts    link.Options
 	slots   int // of at-most-once records
 
-	table  *route.Table
-	config *configuration
-	budget *retry.Budget
-	stop   *stop
-	server *httpd.Server
+	table    *route.Table
+	config   *configuration
+	budget   *retry.Budget
+	limits   *quota.Limiter
+	rollouts *duty.RollOuts
+	stop     *stop
+	server   *httpd.Server
 
 	members atomic.Pointer[member.Keeper] // nil without a VM list
 
 	flights flights
 
-	mu    sync.Mutex
-	conns map[string]*link.Conn // by the agent's name
+	mu       sync.Mutex
+	conns    map[string]*link.Conn // by the agent's name
+	versions map[string]string     // loaded by the engine, by the agent's name
 }
 
 // New starts an Entry in grp. It returns once the entry listens.
 func New(
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
-	ent := &Entry{clock: clk, log: log, metrics: metric.New(), conns: make(map[string]*link.Conn)}
+	ent := &Entry{
+		clock: clk, log: log, metrics: metric.New(),
+		conns: make(map[string]*link.Conn), versions: make(map[string]string),
+	}
 	ent.slots = config.OnceSlots.Of(set)
 	ent.stop = newStop(set)
-	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.stop.begun)
+	ent.limits = quota.New(quota.Options{
+		Clock: clk, Self: config.ProcessName.Of(set),
+		Limit: func(account string) int { return ent.config.store.Limit(account) },
+	})
+	ent.config = newConfiguration(grp, set, clk, log, ent.metrics, ent.beat)
 	ent.table = route.NewTable(route.Options{
 		Clock:       clk,
 		DataCentre:  config.ProcessDataCentre.Of(set),
@@ -88,13 +100,15 @@
 		})
 	}
 	ent.startMembers(grp, set)
+	ent.startRollOuts(grp, set)
 	srv := &edge.Server{
 		Settings: set, Secrets: sec, Clock: clk, Log: log, Metrics: ent.metrics, Dispatch: ent.dispatch,
 		Models: ent.models,
 		Known: func(knd proto.UpstreamKind, name string) bool {
 			return ent.table.Known(route.Target{Kind: knd, Serves: name})
 		},
-		Ready: ent.Ready,
+		Repeatable: ent.config.store.Repeatable,
+		Ready:      ent.Ready,
 	}
 	return ent, ent.listen(grp, config.ProcessListen.Of(set), srv.Handler())
 }
--- a/route/policy.go
+++ b/route/policy.go
@@ -25,21 +25,24 @@
 	case PolicyBestOfTwo:
 		return lowest(sample(usable, 2), (*view).fewest)
 	default:
-		return lowest(tab.candidates(usable, qry), func(vie *view) time.Duration {
-			return vie.predict(now, qry, tab.opts)
+		calm, busy := split(usable, func(vie *view) bool { return !vie.prefillsLong() })
+		list := tab.candidates(calm, busy, qry)
+		return lowest(list, func(vie *view) time.Duration {
+			return vie.predict(now, qry, tab.opts) + vie.claim(qry, len(calm)) + vie.lateness(now, qry)
 		})
 	}
 }
 
-// candidates returns random agents, one of which is replaced by the agent that probably has most of the prompt cached:
-// with many agents, a few random ones rarely include it.
-func (tab *Table) candidates(usable []*view, qry Query) []*view {
-	list := sample(usable, candidateCount)
-	if len(list) == len(usable) || len(qry.PrefixHash) == 0 {
+// candidates returns random agents of both kinds, those without and those with a long prompt to prefill, since a few
+// random ones of all often include none without. Also, they include the agent that probably has most of the prompt
+// cached.
+func (tab *Table) candidates(calm, busy []*view, qry Query) []*view {
+	list := slices.Concat(sample(calm, candidateCount), sample(busy, candidateCount))
+	if len(list) == len(calm)+len(busy) || len(qry.PrefixHash) == 0 {
 		return list
 	}
 	best, most := (*view)(nil), 0
-	for _, vie := range usable {
+	for _, vie := range slices.Concat(calm, busy) {
 		vie.lock.Lock()
 		num := vie.prefixes.cached(qry.PrefixHash)
 		vie.lock.Unlock()
@@ -48,11 +51,23 @@
 		}
 	}
 	if best != nil {
-		list[len(list)-1] = best
+		list = append(list, best)
 	}
 	return list
 }
 
+// split divides a list by a condition and keeps the order.
+func split(list []*view, cond func(vie *view) bool) (yes, no []*view) {
+	for _, vie := range list {
+		if cond(vie) {
+			yes = append(yes, vie)
+		} else {
+			no = append(no, vie)
+		}
+	}
+	return yes, no
+}
+
 func lowest[T int | time.Duration](list []*view, value func(vie *view) T) *view {
 	best := list[0]
 	least := value(best)
--- a/route/table.go
+++ b/route/table.go
@@ -59,10 +59,11 @@
 	Target     Target
 	Cost       proto.Cost
 	PrefixHash []uint64
-	Sticky     string   // if not empty, calls with the same value choose the same agent
-	Home       string   // as Sticky, but among the agents that are not to be avoided, if there are any
-	Prefer     string   // if not empty, the agent to choose if it can be given work and is not to be avoided
-	Avoid      []string // agents that this call has tried, used only if there is no other
+	Remaining  time.Duration // until the deadline; 0 if not known
+	Sticky     string        // if not empty, calls with the same value choose the same agent
+	Home       string        // as Sticky, but among the agents that are not to be avoided, if there are any
+	Prefer     string        // if not empty, the agent to choose if it can be given work and is not to be avoided
+	Avoid      []string      // agents that this call has tried, used only if there is no other
 }
 
 // NewTable returns an empty Table.
