--- a/admin/api.go
+++ b/admin/api.go
@@ -104,5 +104,6 @@
 	Store     *state.Store
 	Exchange  *state.Exchange
 	Upstreams func() []intent.Upstream
+	Suspects  *state.Suspects // nil to show only what is in the log
 	RollOuts  func() []duty.Progress
 }
--- a/cmd/tarragonwheel/scenario_test.go
+++ b/cmd/tarragonwheel/scenario_test.go
@@ -47,12 +47,14 @@
 
 func init() { // Breaks the cycle between the table and the commands that refer to it.
 	commands = map[string]verb{
+		"acquit":       acquitAll,
 		"active":       checkActive,
 		"agent":        startAgent,
 		"answered":     awaitLoad,
 		"ask":          ask,
 		"book":         book,
 		"declare":      declare,
+		"ended":        checkEnded,
 		"engine":       startSim("engine", "--model"),
 		"entry":        startEntry,
 		"executions":   checkExecutions,
@@ -78,6 +80,7 @@
 		"route":        addProxyRoute,
 		"service":      startSim("service"),
 		"signal":       sendSignal,
+		"suspects":     checkSuspects,
 		"truthful":     checkTruth,
 		"unload":       endLoad,
 		"until":        until,
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -18,7 +18,7 @@
 	if run.tooLong != nil {
 		return ent.attemptGroup(ctx, run, *run.tooLong), ""
 	}
-	plc := ent.table.Pick(ent.query(run.cal, tried))
+	plc := ent.place(run, tried)
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
@@ -76,6 +76,9 @@
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
 		Slots:      ent.slots,
+
+		Fingerprint: run.fpr,
+		Suspected:   run.suspected,
 	})
 	if err != nil {
 		return lost // The body was not sent, without which nothing runs.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -47,17 +47,32 @@
 
 func (ent *Entry) dispatchAllowed(ctx context.Context, cal edge.Call, rep edge.Reply) proto.Result {
 	run := &running{ent: ent, cal: cal, rep: rep}
+	if ent.config.blame {
+		run.fpr = fingerprint(cal)
+		run.flight = ent.flights.begin(run.fpr)
+	}
 	ent.budget.First()
+	res := run.repeat(ctx)
+	run.finish(res)
+	return res
+}
+
+// repeat makes one attempt after another.
+func (run *running) repeat(ctx context.Context) proto.Result {
+	ent := run.ent
 	var tried []string
 	for number := 1; ; number++ {
+		if res, no := run.convicted(); no {
+			return res
+		}
 		res, agent := ent.attempt(ctx, run, tried)
 		if !run.again(ctx, res) {
 			return run.final(ctx, res)
 		}
-		if agent != "" {
+		if agent != "" && !suspicious[res.Reason] { // A suspect stays with the agent that all entries choose.
 			tried = append(tried, agent)
 		}
-		delay, denied := ent.again(number, res, cal.Deadline.Sub(ent.clock.Now()))
+		delay, denied := run.delay(number, res)
 		if denied != "" {
 			ent.metrics.Event(denied)
 			return run.final(ctx, res)
@@ -94,6 +109,12 @@
 	broken   error // of the caller's connection
 	unsure   bool  // an attempt may have run
 
+	fpr       proto.Fingerprint // 0 if requests that crash engines are not looked for
+	flight    *flight           // nil for a request that is known to be harmless
+	suspected bool              // the last attempt was that of a suspect
+	crashes   int               // engines that crashed during an attempt
+	refused   int               // attempts since the last of them that did not run
+
 	// tooLong is set once an agent has refused the prompt as too long for one engine.
 	tooLong *proto.Result
 }
@@ -122,11 +143,16 @@
 // permanent are the reasons of refusals that another agent would repeat.
 var permanent = map[string]bool{
 	edge.CodePromptTooLong: true, edge.CodeQuota: true, ReasonTimeout: true, ReasonOverloaded: true,
+	ReasonConvicted: true,
 }
 
+// suspicious are the reasons that have to do with requests that crash engines.
+var suspicious = map[string]bool{ReasonCrashed: true, ReasonSuspectWaits: true, ReasonConvicted: true}
+
 // transient are the reasons of failures that another agent need not share.
 var transient = map[string]bool{
 	ReasonAgentLost: true, ReasonBroken: true, ReasonDraining: true, "engine-failed": true, ReasonSegmentLost: true,
+	ReasonCrashed: true, ReasonSuspectWaits: true,
 }
 
 // final is the result that the caller is told.
@@ -154,7 +180,7 @@
 	switch {
 	case res.Outcome == proto.OutcomeDone:
 		return route.Worked
-	case ctx.Err() != nil || run.broken != nil:
+	case ctx.Err() != nil || run.broken != nil, res.Reason == ReasonSuspectWaits, res.Reason == ReasonConvicted:
 		return route.Neutral
 	case res.Reason == once.ReasonNoEnd: // Shows that another agent was lost, not this one.
 		return route.Neutral
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,8 @@
 
 	members atomic.Pointer[member.Keeper] // nil without a VM list
 
+	flights flights
+
 	mu       sync.Mutex
 	conns    map[string]*link.Conn // by the agent's name
 	versions map[string]string     // loaded by the engine, by the agent's name
