Close connections of a planned stop with a handshake

Cause: TestFlushWaitsForTheNetwork failed under load. A flush only waits until bytes are with the kernel. Closing the socket right after it, while frames of the peer are unread, resets the connection, and the kernel then discards what the peer has not read yet: the last results of a draining agent.

Ruled out: a pause after the flush, which proves nothing.

Change: Conn.Shutdown flushes, exchanges WebSocket close frames, which come after all earlier frames in both directions, and then closes. The agent's Drain shuts its connections down. The test sends a window of body before the result.

Conclusion: results of a planned stop arrive before the connection ends.

--- a/agent/report.go
+++ b/agent/report.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync"
 	"context"
 	"errors"
 	"time"
@@ -113,7 +114,7 @@
 		defer done()
 		agt.awaitWork(end)
 	}
-	agt.flush(ctx)
+	agt.shutDown(ctx)
 	agt.log.Info("agent: drained")
 }
 
@@ -144,15 +145,19 @@
 	}
 }
 
-// flush returns when the last results have been written to the connections.
-func (agt *Agent) flush(ctx context.Context) {
+// shutDown ends the connections after the entries have received the last results.
+func (agt *Agent) shutDown(ctx context.Context) {
 	lim, cancel := agt.clock.WithTimeout(ctx, drainFlush)
 	defer cancel()
+	var wait sync.WaitGroup
 	for _, con := range agt.connections() {
-		if err := con.Flush(lim); err != nil {
-			agt.log.Info("agent: results may not have been sent", "entry", con.Peer().Name, "error", err.Error())
-		}
+		wait.Go(func() {
+			if err := con.Shutdown(lim); err != nil {
+				agt.log.Info("agent: results may not have been sent", "entry", con.Peer().Name, "error", err.Error())
+			}
+		})
 	}
+	wait.Wait()
 }
 
 // stopping tells whether Drain has been called.
--- a/link/conn.go
+++ b/link/conn.go
@@ -169,8 +169,21 @@
 	return str, nil
 }
 
-// Flush returns when all that was sent on the connection's streams so far has been written to the network.
-func (con *Conn) Flush(ctx context.Context) error {
+// Shutdown ends the connection after the peer has received all that was sent on its streams so far. Closing the socket
+// at once could discard what the peer has not read yet.
+func (con *Conn) Shutdown(ctx context.Context) error {
+	defer con.Close()
+	if err := con.flush(ctx); err != nil {
+		return err
+	}
+	if err := con.sock.Close(websocket.StatusGoingAway, "planned stop"); err != nil {
+		return fmt.Errorf("link: shut down: %w", trace.ConnectionProblem(err, "%v", err))
+	}
+	return nil
+}
+
+// flush returns when all that was sent on the connection's streams so far has been written to the network.
+func (con *Conn) flush(ctx context.Context) error {
 	mark := outgoing{written: make(chan struct{})}
 	if err := con.enqueue(ctx, mark); err != nil {
 		return fmt.Errorf("link: flush: %w", err)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -166,17 +166,23 @@
 	t.Fatal("streams were opened although the context had ended")
 }
 
-// Guards against a result that is lost because its process ends while it waits in the send queue.
-func TestFlushWaitsForTheNetwork(t *testing.T) {
+// Guards against a result that is lost because its process ends while the result waits in the send queue, or is not
+// read by the peer yet.
+func TestShutdownDeliversWhatWasSent(t *testing.T) {
 	is := is.New(t)
 	con := dial(t, serve(t, func(str *link.Stream, _ proto.Open) {
+		_, _ = str.Write(make([]byte, link.Window))
 		_ = str.Send(proto.KindResult, proto.Result{Outcome: proto.OutcomeDone})
-		is.NoErr(str.Conn().Flush(context.Background()))
-		go str.Conn().Close() // Close waits for this handler.
+		go func() { _ = str.Conn().Shutdown(context.Background()) }() // It waits for this handler.
+		<-str.Context().Done()
 	}))
 	str, err := con.Open(context.Background(), proto.Open{})
 	is.NoErr(err)
-	frm, err := str.Next(context.Background())
-	is.NoErr(err)
-	is.Equal(frm.Kind, proto.KindResult)
+	kind := proto.KindData
+	for kind == proto.KindData {
+		frm, err := str.Next(context.Background())
+		is.NoErr(err)
+		kind = frm.Kind
+	}
+	is.Equal(kind, proto.KindResult)
 }
