--- a/config/keys_agent.go
+++ b/config/keys_agent.go
@@ -31,7 +31,7 @@
 		help: "share of the engine's KV memory that only short requests may use",
 	}, 0, 0.9)
 	AgentHoldShare = floatKey(definition{
-		section: "agent", name: "hold-share", fallback: "0.8",
+		section: "agent", name: "hold-share", fallback: "0.6",
 		help: "share of the engine's KV memory that may be held for parts of prompts that several engines share; " +
 			"0 takes the engine out of all groups",
 	}, 0, 1)
--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -99,7 +99,7 @@
 func startMembers(tb testing.TB, num int, mdl simeng.Model) (mems []*member, agents []string) {
 	tb.Helper()
 	for idx := range num {
-		mem := startMember(tb, fmt.Sprintf("a%d", idx+1), mdl, "")
+		mem := startMember(tb, fmt.Sprintf("a%d", idx+1), mdl, "hold-share = 0.8\n")
 		mems = append(mems, mem)
 		agents = append(agents, mem.listen)
 	}
