--- a/agent/config.go
+++ b/agent/config.go
@@ -25,6 +25,8 @@
 type configuration struct {
 	store    *state.Store
 	exchange *state.Exchange
+	suspects *state.Suspects
+	heard    func() // called after a crash was heard of; must not block
 	name     string
 	log      logr.Logger
 	metrics  *metric.Set
@@ -41,6 +43,7 @@
 	grp *group.Group, name string, report func() proto.Report, clk *timer.Service, log logr.Logger, met *metric.Set,
 ) *configuration {
 	cfg := &configuration{store: state.NewStore(), name: name, log: log, metrics: met, clock: clk}
+	cfg.suspects = state.NewSuspects(cfg.store, clk)
 	cfg.exchange = state.NewExchange(cfg.store, clk, func() (proto.Kind, any) { return proto.KindReport, report() })
 	grp.Go("announce configuration", func(ctx context.Context) error {
 		for {
@@ -62,16 +65,30 @@
 // fill adds the configuration's part to a report.
 func (cfg *configuration) fill(rep proto.Report) proto.Report {
 	rep.StateVersion = cfg.store.Version()
+	rep.Crashes = cfg.suspects.Shared()
 	connected := cfg.exchange.Versions(proto.RoleEntry)
 	rep.EntryCount = len(connected)
 	rep.Demands = cfg.demands.of(connected)
-	if cfg.listsEntries(rep.StateVersion) {
+	// Entries take turns in recording a crash, in the order of their names.
+	if cfg.listsEntries(rep.StateVersion) || len(rep.Crashes) > 0 {
 		rep.Entries = connected
 	}
 	rep.Draining = rep.Draining || cfg.drained()
 	return rep
 }
 
+// takeCrashes takes in the crashes that an entry tells of. Those that are new are passed on at once, so that they
+// spread without the log as well.
+func (cfg *configuration) takeCrashes(list []proto.Crash) {
+	fresh := false
+	for _, crs := range list {
+		fresh = cfg.suspects.Crash(crs, 0) || fresh
+	}
+	if fresh && cfg.heard != nil {
+		cfg.heard()
+	}
+}
+
 // listsEntries tells whether a report carries the versions of the entries. Only operators read them, and they are the
 // larger part of an idle agent's report.
 func (cfg *configuration) listsEntries(version int64) bool {
@@ -93,6 +110,7 @@
 	case proto.KindBeat:
 		if msg, err := proto.Parse[proto.Beat](frm); err == nil {
 			cfg.exchange.Heard(per, msg.StateVersion)
+			cfg.takeCrashes(msg.Crashes)
 			cfg.demands.take(per.Name, msg.Demand)
 			if cfg.exchange.Draining(per.Name, msg.Draining) && msg.Draining {
 				cfg.log.Info("agent: entry drains", "entry", per.Name)
