--- a/agent/agent.go
+++ b/agent/agent.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -33,6 +34,7 @@
 	metrics *metric.Set
 	local   proto.Peer
 	engine  *engine.Client
+	peer    string // address at which other engines reach this one
 	model   *cost.Model
 	ledger  *ledger.Ledger
 	queue   *admit.Queue
@@ -47,6 +49,7 @@
 	maxOnce int64          // longest body of a non-idempotent call, in bytes
 	address string
 	config  *configuration
+	crashes crashes
 	// shortLimit is the longest prompt that counts as short, in tokens.
 	shortLimit int
 
@@ -71,6 +74,7 @@
 		log:     log,
 		metrics: metric.New(),
 		engine:  engine.New(config.AgentUpstream.Of(set)),
+		peer:    cmp.Or(config.AgentPeerAddress.Of(set), config.AgentUpstream.Of(set)),
 		model:   cost.NewModel(),
 		ledger:  ledger.New(config.AgentShortHeadroom.Of(set)),
 		grace:   config.ProcessGrace.Of(set),
@@ -92,6 +96,7 @@
 			Serves:      config.AgentServes.Of(set),
 		},
 	}
+	agt.ledger.ShareHolds(config.AgentHoldShare.Of(set))
 	agt.cut, agt.cutNow = context.WithCancel(context.Background())
 	agt.queue = admit.New(admit.Options{
 		Clock: clk, Model: agt.model, Ledger: agt.ledger,
@@ -102,12 +107,21 @@
 		Changed:    func() { wake(agt.changed) },
 	})
 	agt.config = newConfiguration(grp, agt.local.Name, agt.report, clk, log, agt.metrics)
+	agt.config.heard = agt.sendReports
+	agt.crashes.agent = agt
+	agt.crashes.grace = goneGrace
+	agt.crashes.on = config.BlameEnabled.Of(set)
+	agt.crashes.suspects = agt.config.suspects
+	agt.crashes.suspectFor = config.BlameSuspectTime.Of(set)
+	agt.crashes.convictFor = config.BlameConvictionTime.Of(set)
+	agt.crashes.start(grp)
 	if agt.local.Kind == proto.UpstreamPlain {
 		agt.plain = plain.New(config.AgentUpstream.Of(set))
 		agt.startOnce(grp, set)
 		agt.healthy = true // A plain service has no load to poll; failed calls show its state.
 	} else {
 		agt.queue.Refuse(ReasonUnavailable)
+		agt.exposeMemory()
 		grp.Go("poll", agt.pollLoop)
 		grp.Go("sweep", agt.sweepLoop)
 		grp.Go("reclaim", agt.reclaimLoop)
--- a/agent/health.go
+++ b/agent/health.go
@@ -49,6 +49,7 @@
 		agt.ledger.Resize(lod.TotalTokens, lod.MaxRunning)
 		agt.model.ReportedRate(lod.PrefillRate)
 		agt.queue.Retry()
+		agt.crashes.up()
 	}
 	agt.mu.Lock()
 	if err == nil {
@@ -186,6 +187,7 @@
 		tick := agt.lost[id]
 		delete(agt.lost, id)
 		agt.mu.Unlock()
+		agt.crashes.gone(id)
 		if tick != nil {
 			tick.Release()
 		}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,7 +15,10 @@
 
 // attempt sends a call to one agent and follows it to its end. It returns the agent's name, if there was one.
 func (ent *Entry) attempt(ctx context.Context, run *running, tried []string) (proto.Result, string) {
-	plc := ent.table.Pick(ent.query(run.cal, tried))
+	if run.tooLong != nil {
+		return ent.attemptGroup(ctx, run, *run.tooLong), ""
+	}
+	plc := ent.place(run, tried)
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
@@ -25,6 +28,11 @@
 		return res, ""
 	}
 	res := ent.send(ctx, run, plc)
+	if needsGroup(run.cal, res) {
+		plc.End(route.Neutral)
+		run.tooLong = &res
+		return ent.attemptGroup(ctx, run, res), ""
+	}
 	plc.End(run.verdict(ctx, res))
 	return res, plc.Agent()
 }
@@ -34,6 +42,7 @@
 		Target:     route.Target{Kind: cal.Kind, Serves: cal.Serves},
 		Cost:       cal.Cost,
 		PrefixHash: cal.PrefixHash,
+		Remaining:  cal.Deadline.Sub(ent.clock.Now()),
 		Avoid:      tried,
 	}
 	if !cal.Idempotent {
@@ -67,6 +76,9 @@
 		PrefixHash: cal.PrefixHash,
 		Stream:     cal.Stream,
 		Slots:      ent.slots,
+
+		Fingerprint: run.fpr,
+		Suspected:   run.suspected,
 	})
 	if err != nil {
 		return lost // The body was not sent, without which nothing runs.
@@ -87,7 +99,7 @@
 // follower relays one attempt.
 type follower struct {
 	run      *running
-	plc      *route.Placement
+	plc      *route.Placement // nil for a group
 	str      *link.Stream
 	head     *proto.Head
 	accepted bool
@@ -138,7 +150,9 @@
 				return proto.Result{}, fmt.Errorf("entry: follow attempt: %w", err)
 			}
 			fol.head = &hed
-			fol.plc.Started()
+			if fol.plc != nil {
+				fol.plc.Started()
+			}
 		case proto.KindData:
 			fol.firstToken()
 			if err := fol.data(frm); err != nil {
@@ -156,7 +170,9 @@
 		return
 	}
 	fol.answered = true
-	fol.plc.FirstToken()
+	if fol.plc != nil {
+		fol.plc.FirstToken()
+	}
 }
 
 func (fol *follower) sendBody() {
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -20,6 +20,9 @@
 		ent.metrics.Drop("malformed-report")
 		return
 	}
+	if ent.config.takeCrashes(con, rep) {
+		ent.spread()
+	}
 	ent.attach(con) // The first report may arrive before the dialling goroutine goes on.
 	ent.limits.Hear(rep.EntryCount, rep.Demands)
 	ent.table.Report(con.Peer(), rep)
@@ -61,6 +64,14 @@
 	}
 }
 
+// spread tells all connected agents of crashes that are not in the log yet.
+func (ent *Entry) spread() {
+	knd, msg := ent.config.beat()
+	for _, con := range ent.connections() {
+		_ = con.Send(knd, msg) // The next heartbeat repeats it.
+	}
+}
+
 func (ent *Entry) connections() []*link.Conn {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
--- a/route/policy.go
+++ b/route/policy.go
@@ -28,7 +28,7 @@
 		calm, busy := split(usable, func(vie *view) bool { return !vie.prefillsLong() })
 		list := tab.candidates(calm, busy, qry)
 		return lowest(list, func(vie *view) time.Duration {
-			return vie.predict(now, qry, tab.opts) + vie.claim(qry, len(calm))
+			return vie.predict(now, qry, tab.opts) + vie.claim(qry, len(calm)) + vie.lateness(now, qry)
 		})
 	}
 }
@@ -101,3 +101,28 @@
 	}
 	return nil
 }
+
+// home chooses as sticky does, and passes over agents that are to be avoided as long as another one can be given work.
+func (tab *Table) home(list []*view, qry Query, now time.Time) *Placement {
+	qry.Sticky = qry.Home
+	rest := slices.DeleteFunc(slices.Clone(list), func(vie *view) bool {
+		return slices.Contains(qry.Avoid, vie.peer.Name)
+	})
+	if plc := tab.sticky(rest, qry, now); plc != nil {
+		return plc
+	}
+	return tab.sticky(list, qry, now)
+}
+
+// preferred returns nil if the preferred agent cannot be given work.
+func (tab *Table) preferred(list []*view, qry Query, now time.Time) *Placement {
+	if qry.Prefer == "" || slices.Contains(qry.Avoid, qry.Prefer) {
+		return nil
+	}
+	for _, vie := range list {
+		if vie.peer.Name == qry.Prefer {
+			return vie.place(tab, qry, now)
+		}
+	}
+	return nil
+}
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -115,6 +115,38 @@
 	is.True(tab.Pick(qry).Agent() != first.Agent())
 }
 
+// Guards against entries that send copies of a suspect to different agents, or back to the agent whose engine it may
+// have crashed while there is another one.
+func TestHomeIsSharedAndAvoids(t *testing.T) {
+	is := is.New(t)
+	one, _ := table("a", "b", "c", "d")
+	two, _ := table("d", "c", "b", "a")
+	qry := route.Query{Target: target, Home: "fingerprint"}
+	first := one.Pick(qry).Agent()
+	is.Equal(two.Pick(qry).Agent(), first)
+	qry.Avoid = []string{first}
+	other := one.Pick(qry).Agent()
+	is.True(other != first)
+	is.Equal(two.Pick(qry).Agent(), other)
+	qry.Avoid = []string{"a", "b", "c", "d"}
+	is.Equal(one.Pick(qry).Agent(), first)
+}
+
+// Guards against copies of a new request on several agents, and against a preference for an agent that was tried or
+// cannot take work.
+func TestPreferredAgent(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("a", "b")
+	tab.Report(peer("b"), proto.Report{Healthy: true, PrefillRate: 1000, QueuedPrefill: time.Minute})
+	qry := route.Query{Target: target, Prefer: "b"}
+	is.Equal(tab.Pick(qry).Agent(), "b")
+	qry.Avoid = []string{"b"}
+	is.Equal(tab.Pick(qry).Agent(), "a")
+	qry.Avoid = nil
+	tab.Report(peer("b"), proto.Report{})
+	is.Equal(tab.Pick(qry).Agent(), "a")
+}
+
 // Guards against short requests that count the long work which they overtake, and against work that counts as waiting
 // long after it was reported.
 func TestShortCountsShortWork(t *testing.T) {
@@ -182,3 +214,34 @@
 	is.True(used[pick(tab, 80_000).Agent()]) // It waits half its own prefill time, and two agents stay free.
 	is.Equal(spread(30), 8)
 }
+
+// Guards against refusals that overlook the output, and against refusals on the word of an agent that knows no rate.
+func TestPredictsTotal(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("one")
+	qry := route.Query{Target: target, Cost: proto.Cost{PromptTokens: 2000, OutputTokens: 100}}
+	rep := proto.Report{
+		Healthy: true, PrefillRate: 1000, QueuedPrefill: 5 * time.Second, OutputTime: 10 * time.Millisecond,
+	}
+	tab.Report(peer("one"), rep)
+	is.Equal(tab.Pick(qry).Total(), 8*time.Second)
+	rep.PrefillRate = 0
+	tab.Report(peer("one"), rep)
+	is.Equal(tab.Pick(qry).Total(), time.Duration(0))
+}
+
+// Guards against a claim that keeps a long prompt from the only agent at which it ends in time.
+func TestDeadlineBeforeClaim(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table("busy", "free")
+	rep := proto.Report{Healthy: true, PrefillRate: 1000, ShortLimit: 1000}
+	tab.Report(peer("free"), rep)
+	rep.QueuedPrefill, rep.LongPrefill = 3*time.Second, 3*time.Second
+	tab.Report(peer("busy"), rep)
+	qry := route.Query{Target: target, Cost: proto.Cost{PromptTokens: 2000}, Remaining: 6 * time.Second}
+	plc := tab.Pick(qry)
+	is.Equal(plc.Agent(), "busy") // 3 s of wait are less than the claim of 4 s.
+	plc.End(route.Neutral)
+	qry.Remaining = 4 * time.Second
+	is.Equal(tab.Pick(qry).Agent(), "free")
+}
