Ask another agent without waiting for the retry-after of the first

Cause: an entry slept for the retry-after of the agent that had refused, or refused its caller if the time did not suffice, although agents it had not asked were free. The advice concerns that agent alone.

Ruled out: dropping the wait altogether, since a call that must meet one agent, or has tried them all, would ask too early.

Change: route.Table.Others; the wait applies only if no other agent is left.

Measured: TestRetryAfterOfOneAgentDoesNotDelayAnother fails without the change and passes with it.

Conclusion: a full agent no longer delays a call while others are free.

--- a/entry/blame.go
+++ b/entry/blame.go
@@ -154,11 +154,11 @@
 
 // delay asks for a repetition, and returns the pause before it or why there is none. After a crash, repetitions do
 // not draw on the retry budget, which one crash of a full batch would empty.
-func (run *running) delay(number int, res proto.Result) (time.Duration, string) {
+func (run *running) delay(number int, res proto.Result, wait time.Duration) (time.Duration, string) {
 	ent := run.ent
 	remaining := run.cal.Deadline.Sub(ent.clock.Now())
 	if !run.free(res) {
-		return ent.again(number, res, remaining)
+		return ent.again(number, res, remaining, wait)
 	}
 	pause := min(crashDelay<<min(number-1, 5), crashDelayMost)
 	if verdict, cas := ent.config.suspects.Verdict(run.fpr); res.Reason == ReasonCrashed && verdict == blame.Suspected {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -72,26 +72,35 @@
 		if agent != "" && !suspicious[res.Reason] { // A suspect stays with the agent that all entries choose.
 			tried = append(tried, agent)
 		}
-		delay, denied := run.delay(number, res)
+		wait := res.RetryAfter
+		if run.elsewhere(tried) {
+			wait = 0 // It is the advice of one agent, and there is another one to ask.
+		}
+		delay, denied := run.delay(number, res, wait)
 		if denied != "" {
 			ent.metrics.Event(denied)
 			return run.final(ctx, res)
 		}
 		ent.metrics.Retry(res.Reason)
-		if err := ent.clock.Sleep(ctx, max(delay, res.RetryAfter)); err != nil {
+		if err := ent.clock.Sleep(ctx, max(delay, wait)); err != nil {
 			return run.final(ctx, res)
 		}
 	}
 }
 
+// elsewhere tells whether there is an agent to ask that this call has not tried.
+func (run *running) elsewhere(tried []string) bool {
+	return run.tooLong == nil && run.ent.table.Others(run.ent.query(run.cal, tried))
+}
+
 // mostMoves is the number of attempts of a call after which moves count as retries, so that a fleet that drains
 // everywhere does not keep a call going round.
 const mostMoves = 8
 
 // again asks for a further attempt. Attempts that a planned stop moves elsewhere are not charged to the retry budget:
 // they are bounded by the stops, and a stop must not break a stream because of earlier failures.
-func (ent *Entry) again(number int, res proto.Result, remaining time.Duration) (time.Duration, string) {
-	least := leastAttempt + res.RetryAfter // A caller does not wait for a retry for which there is no time left.
+func (ent *Entry) again(number int, res proto.Result, remaining, wait time.Duration) (time.Duration, string) {
+	least := leastAttempt + wait // A caller does not wait for a retry for which there is no time left.
 	if res.Reason == ReasonDraining && number <= mostMoves {
 		return ent.budget.Move(number, remaining, least)
 	}
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -326,3 +326,29 @@
 	is.True(strings.Contains(text, `"code":"outcome-unknown"`))
 	is.Equal(opens.Load(), int64(2))
 }
+
+// Guards against a caller that waits out, or is refused for, the retry-after of one agent while another one is free.
+func TestRetryAfterOfOneAgentDoesNotDelayAnother(t *testing.T) {
+	is := is.New(t)
+	var opens atomic.Int64
+	fast := func() proto.Report { return proto.Report{Healthy: true, PrefillRate: 1e9} } // Chosen before the other one.
+	busy := fakeReportingAgent(t, proto.UpstreamEngine, fast, func(str *link.Stream, _ proto.Open) {
+		opens.Add(1)
+		_ = str.Send(proto.KindResult, proto.Result{
+			Outcome: proto.OutcomeNotRun, Reason: "queue-full", RetryAfter: time.Minute,
+		})
+	})
+	_, free := startEngine(t, "a1", simeng.DefaultModel("m"))
+	ent, base := startServing(t, "", busy, free)
+	eventually(t, "both agents are known", func() bool {
+		known := 0
+		ent.Upstreams(func(string, string) { known++ })
+		return known == 2
+	})
+	for range 20 {
+		status, _ := call(t, http.MethodPost, base+"/v1/completions", `{"model":"m","prompt":"`+
+			strings.Repeat("word", 1000)+`"}`, map[string]string{"X-Time-Limit": "30s"})
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(opens.Load() > 0)
+}
--- a/route/table.go
+++ b/route/table.go
@@ -168,6 +168,18 @@
 	return tab.among(list, qry, now, nil)
 }
 
+// Others tells whether an agent that the query does not avoid can be given work. Calls that have to meet a certain
+// agent have no others.
+func (tab *Table) Others(qry Query) bool {
+	if qry.Sticky != "" || qry.Home != "" {
+		return false
+	}
+	now := tab.opts.Clock.Now()
+	return slices.ContainsFunc((*tab.index.Load())[qry.Target], func(vie *view) bool {
+		return !slices.Contains(qry.Avoid, vie.peer.Name) && vie.usable(now)
+	})
+}
+
 func (tab *Table) among(list []*view, qry Query, now time.Time, avoid []string) *Placement {
 	usable := make([]*view, 0, len(list))
 	for _, vie := range list {
