--- a/agent/crash.go
+++ b/agent/crash.go
@@ -56,7 +56,7 @@
 	on         bool
 	suspects   *state.Suspects
 	suspectFor time.Duration
-	blockFor time.Duration
+	blockFor   time.Duration
 	grace      time.Duration // goneGrace, longer in tests
 	place      place
 
@@ -172,7 +172,7 @@
 			inq.held[key] = rnr
 		}
 		crs.asking = inq
-		go crs.inquire(inq)
+		go crs.inquire(inq) //nolint:gosec // The inquiry serves all attempts and outlives the one that began it.
 	}
 	crs.mu.Unlock()
 	select {
--- a/agent/plain_once.go
+++ b/agent/plain_once.go
@@ -21,8 +21,8 @@
 // ReasonBodyTooLarge says that a non-idempotent call is longer than once.max-body.
 const ReasonBodyTooLarge = "body-too-large"
 
-// ReasonSlotsDiffer refuses a call of an entry whose once.slots is another. Agents with different numbers record the same
-// key in different streams, so that it could run twice.
+// ReasonSlotsDiffer refuses a call of an entry whose once.slots is another. Agents with different numbers record the
+// same key in different streams, so that it could run twice.
 const ReasonSlotsDiffer = "slots-differ"
 
 // lostAnswer is sent in place of an answer that is no longer kept. Its shape is that of the entry's errors.
--- a/agent/report.go
+++ b/agent/report.go
@@ -1,9 +1,9 @@
 package agent
 
 import (
-	"sync"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/link"
--- a/agent/segment.go
+++ b/agent/segment.go
@@ -56,7 +56,8 @@
 	}
 	tick.Begin()
 	sco := &engine.Scope{From: msg.Segment.From, To: msg.Segment.To, Earlier: bgn.Earlier}
-	completed, res := false, proto.Result{}
+	var completed bool
+	var res proto.Result
 	if sco.To == 0 {
 		completed, res = agt.complete(ctx, str, msg, tick, sco)
 	} else {
--- a/agent/suspect.go
+++ b/agent/suspect.go
@@ -37,8 +37,8 @@
 	return proto.Result{Outcome: proto.OutcomeNotRun, Reason: sto.reason, Detail: sto.Error()}
 }
 
-// admit decides whether a request may run: a blocked request may not, and a suspect waits until no other suspect runs. The
-// function free gives the suspect's place back. A request with sto set is refused.
+// admit decides whether a request may run: a blocked request may not, and a suspect waits until no other suspect runs.
+// The function free gives the suspect's place back. A request with sto set is refused.
 func (crs *crashes) admit(ctx context.Context, msg proto.Open) (isolated bool, free func(), sto *stopped) {
 	verdict, cas := crs.verdict(msg.Fingerprint)
 	switch {
