Parse each report once, and print queries in one place

Cause: an entry decoded each agent's report twice, once for the configuration and once for routing; three operator commands repeated the same query and print.

Ruled out: merging the switches of the two stand-ins for faults, which share shape but no state; a common client for the platform's adapters, each of which must be replaceable alone.

Change: entry.onFrame decodes a report and hands it on; show prints the result of a query.

The CPU saved was not measured.

Conclusion: a report has one place of entry.

--- a/cmd/tarragonwheel/operate.go
+++ b/cmd/tarragonwheel/operate.go
@@ -72,6 +72,22 @@
 	return err
 }
 
+// show prints what the operator API returns to a query.
+func show[T any](
+	ctx context.Context, opr operate, std streams, query func(cli *admin.Client, ctx context.Context) (T, error),
+	write func(out *strings.Builder, val T),
+) error {
+	cli, err := opr.client()
+	if err != nil {
+		return err
+	}
+	val, err := query(cli, ctx)
+	if err != nil {
+		return err
+	}
+	return opr.print(std, val, func(out *strings.Builder) { write(out, val) })
+}
+
 func (cmd *planCommand) run(ctx context.Context, std streams) error {
 	cli, err := cmd.client()
 	if err != nil {
@@ -181,37 +197,16 @@
 }
 
 func (cmd *statusCommand) run(ctx context.Context, std streams) error {
-	cli, err := cmd.client()
-	if err != nil {
-		return err
-	}
-	sta, err := cli.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return cmd.print(std, sta, func(out *strings.Builder) { writeStatus(out, sta) })
+	return show(ctx, cmd.operate, std, (*admin.Client).Status, writeStatus)
 }
 
 func (cmd *historyCommand) run(ctx context.Context, std streams) error {
-	cli, err := cmd.client()
-	if err != nil {
-		return err
-	}
-	his, err := cli.History(ctx)
-	if err != nil {
-		return err
-	}
-	return cmd.print(std, his, func(out *strings.Builder) { writeHistory(out, his) })
+	return show(ctx, cmd.operate, std, (*admin.Client).History, writeHistory)
 }
 
 func (cmd *explainCommand) run(ctx context.Context, std streams) error {
-	cli, err := cmd.client()
-	if err != nil {
-		return err
-	}
-	exp, err := cli.Explain(ctx, cmd.Name)
-	if err != nil {
-		return err
+	explain := func(cli *admin.Client, ctx context.Context) (admin.Explanation, error) {
+		return cli.Explain(ctx, cmd.Name)
 	}
-	return cmd.print(std, exp, func(out *strings.Builder) { writeExplanation(out, exp) })
+	return show(ctx, cmd.operate, std, explain, writeExplanation)
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -109,35 +109,36 @@
 	}
 }
 
-// onFrame takes the versions in reports, and state messages.
-func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
-	per := state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
-	switch frm.Kind {
-	case proto.KindReport:
-		rep, err := proto.Parse[proto.Report](frm)
-		if err != nil {
-			cfg.metrics.Drop("malformed-report")
-			return
-		}
-		cfg.exchange.Heard(per, rep.StateVersion)
-		for _, ent := range rep.Entries {
-			cfg.exchange.HeardOf(ent.Name, proto.RoleEntry, ent.Version)
-			if cfg.exchange.Draining(ent.Name, ent.Draining) && ent.Draining {
-				cfg.log.Info("entry: another entry drains", "entry", ent.Name)
-			}
-		}
-	case proto.KindState:
-		msg, err := proto.Parse[proto.State](frm)
-		if err == nil {
-			err = cfg.exchange.Take(per, msg)
-		}
-		if err != nil {
-			cfg.metrics.Drop("state-not-taken")
-			cfg.log.V(1).Info("entry: state not taken", "peer", per.Name, "error", err.Error())
+func statePeer(con *link.Conn) state.Peer {
+	return state.Peer{Name: con.Peer().Name, Role: con.Peer().Role, Done: con.Done(), Send: con.Send}
+}
+
+// takeReport takes the versions in an agent's report.
+func (cfg *configuration) takeReport(con *link.Conn, rep proto.Report) {
+	cfg.exchange.Heard(statePeer(con), rep.StateVersion)
+	for _, ent := range rep.Entries {
+		cfg.exchange.HeardOf(ent.Name, proto.RoleEntry, ent.Version)
+		if cfg.exchange.Draining(ent.Name, ent.Draining) && ent.Draining {
+			cfg.log.Info("entry: another entry drains", "entry", ent.Name)
 		}
 	}
 }
 
+// onFrame takes state messages.
+func (cfg *configuration) onFrame(con *link.Conn, frm proto.Frame) {
+	if frm.Kind != proto.KindState {
+		return
+	}
+	msg, err := proto.Parse[proto.State](frm)
+	if err == nil {
+		err = cfg.exchange.Take(statePeer(con), msg)
+	}
+	if err != nil {
+		cfg.metrics.Drop("state-not-taken")
+		cfg.log.V(1).Info("entry: state not taken", "peer", con.Peer().Name, "error", err.Error())
+	}
+}
+
 // follow reads the config stream until ctx ends.
 func (cfg *configuration) follow(ctx context.Context) {
 	scan := int64(1)
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -11,8 +11,8 @@
 
 // onFrame takes in the frames that belong to a connection rather than to a call.
 func (ent *Entry) onFrame(con *link.Conn, frm proto.Frame) {
-	ent.config.onFrame(con, frm)
 	if frm.Kind != proto.KindReport {
+		ent.config.onFrame(con, frm)
 		return
 	}
 	rep, err := proto.Parse[proto.Report](frm)
@@ -20,6 +20,7 @@
 		ent.metrics.Drop("malformed-report")
 		return
 	}
+	ent.config.takeReport(con, rep)
 	if ent.config.takeCrashes(con, rep) {
 		ent.spread()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,9 +27,7 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-const (
-	redialDelay = 500 * time.Millisecond
-)
+const redialDelay = 500 * time.Millisecond
 
 // Entry dispatches calls to agents.
 type Entry struct {
