Serve the users' platform through a front

A new role, the front, follows configuration and replicas in the platform's store and forwards calls to replicas itself.

--- a/cmd/tarragonwheel/main.go
+++ b/cmd/tarragonwheel/main.go
@@ -27,6 +27,7 @@
 type command struct {
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry, which serves callers"`
 	Agent   *agentCommand   `arg:"subcommand:agent" help:"run an agent, beside an upstream"`
+	Front   *frontCommand   `arg:"subcommand:front" help:"run a front, which serves callers on the users' platform"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file"`
 	Sim     *simCommand     `arg:"subcommand:sim" help:"run a stand-in for an outside system"`
 	Plan    *planCommand    `arg:"subcommand:plan" help:"show what a declaration would change; changes nothing"`
--- /dev/null
+++ b/fleet/replica.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// Group holds the replicas of one service. It is safe for concurrent use.
+type Group struct {
+	clock   *timer.Service
+	mu      sync.Mutex
+	members []*Replica // ordered by hash, which is the same order at all processes
+	byHash  map[uint32]*Replica
+	works   uint32 // last ID of a work
+	demand  demand
+}
+
+func (grp *Group) add(rep *Replica) {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	rep.works = make(map[uint32]*Work)
+	rep.remote = make(map[string]map[uint32]*Work)
+	grp.members = append(grp.members, rep)
+	slices.SortFunc(grp.members, func(one, two *Replica) int {
+		return int(int64(one.hash) - int64(two.hash))
+	})
+	grp.byHash[rep.hash] = rep
+}
+
+func (grp *Group) remove(rep *Replica) {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	grp.members = slices.DeleteFunc(grp.members, func(mbr *Replica) bool { return mbr == rep })
+	if grp.byHash[rep.hash] == rep {
+		delete(grp.byHash, rep.hash)
+	}
+}
+
+// Replica is one incarnation of a replica.
+type Replica struct {
+	hash    uint32
+	group   *Group
+	started time.Time // when this process learned of it
+	// The group's lock guards what follows.
+	reg    Registration
+	works  map[uint32]*Work            // of this process
+	remote map[string]map[uint32]*Work // of other processes, by their name
+	health health
+}
+
+// Registration returns the replica's newest registration.
+func (rep *Replica) Registration() Registration {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	return rep.reg
+}
+
+func (rep *Replica) setRegistration(reg Registration) {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	rep.reg = reg
+}
+
+// health is what the answers of a replica tell of its state. Old answers count less.
+type health struct {
+	failures float64
+	answers  float64
+	updated  time.Time
+	pace     float64 // time that it takes per time expected; 0 until known
+}
+
+// Weights of observations.
+const (
+	healthHalfLife = 2500 * time.Millisecond
+	// healthPrior is the number of good answers that a replica is credited with, so that one failure does not condemn
+	// it.
+	healthPrior = 1.0
+	// unreachableWeight is the number of failures that a refused or silent connection counts as.
+	unreachableWeight = 6.0
+	mostObservations  = 12.0
+	paceWeight        = 0.2
+)
+
+func (hea *health) decay(now time.Time) {
+	if hea.updated.IsZero() {
+		hea.updated = now
+		return
+	}
+	factor := math.Exp2(-float64(now.Sub(hea.updated)) / float64(healthHalfLife))
+	hea.failures *= factor
+	hea.answers *= factor
+	hea.updated = now
+}
+
+// risk is the predicted share of calls that fail.
+func (hea *health) risk(now time.Time) float64 {
+	hea.decay(now)
+	return hea.failures / (hea.failures + hea.answers + healthPrior)
+}
+
+// Answered takes in a good answer.
+func (rep *Replica) Answered() { rep.observe(0, 1) }
+
+// Failed takes in a failed call.
+func (rep *Replica) Failed() { rep.observe(1, 0) }
+
+// Unreachable takes in that no connection could be made, or that one broke.
+func (rep *Replica) Unreachable() { rep.observe(unreachableWeight, 0) }
+
+func (rep *Replica) observe(failures, answers float64) {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	rep.health.decay(rep.group.clock.Now())
+	rep.health.failures = min(rep.health.failures+failures, mostObservations)
+	rep.health.answers = min(rep.health.answers+answers, mostObservations)
+}
+
+// Paced takes in the ratio of a time that the replica took to the time predicted.
+func (rep *Replica) Paced(ratio float64) {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	if rep.health.pace == 0 {
+		rep.health.pace = 1
+	}
+	rep.health.pace += paceWeight * (ratio - rep.health.pace)
+}
--- /dev/null
+++ b/fleet/work.go
@@ -0,0 +1,215 @@
+package fleet
+
+import "time"
+
+// Stage is how far a work has got.
+type Stage uint8
+
+// Stages of a work.
+const (
+	Reading Stage = iota // its prompt waits or is being read; for a plain service, it runs
+	Writing              // it produces events
+)
+
+// Work is a call, or a part of one, that a replica is working on.
+type Work struct {
+	ID      uint32
+	Stage   Stage
+	Part    bool          // reads a part of a prompt for another replica
+	Tokens  int           // KV memory that it will use at this replica
+	Read    time.Duration // predicted time to read its prompt
+	Goal    time.Time     // when its first event is due; zero for none
+	GapGoal time.Duration // longest pause between events that is on time; 0 for none
+	Value   float64       // what its being on time is worth
+	Late    bool          // it is late already, so that further delay costs nothing
+	Began   time.Time
+}
+
+// Ticket is a work of this process.
+type Ticket struct {
+	replica *Replica
+	work    *Work
+	onMove  func(rep uint32, wrk Work, ended bool)
+}
+
+// Begin books a work at a replica. The function onMove, if not nil, is told each change of it.
+func (rep *Replica) Begin(wrk Work, onMove func(rep uint32, wrk Work, ended bool)) *Ticket {
+	grp := rep.group
+	grp.mu.Lock()
+	grp.works++
+	wrk.ID = grp.works
+	wrk.Began = grp.clock.Now()
+	rep.works[wrk.ID] = &wrk
+	grp.demand.add(&wrk, wrk.Began)
+	grp.mu.Unlock()
+	tkt := &Ticket{replica: rep, work: &wrk, onMove: onMove}
+	tkt.tell(wrk, false)
+	return tkt
+}
+
+func (tkt *Ticket) tell(wrk Work, ended bool) {
+	if tkt.onMove != nil {
+		tkt.onMove(tkt.replica.hash, wrk, ended)
+	}
+}
+
+// Wrote tells that the first event has come.
+func (tkt *Ticket) Wrote() {
+	tkt.change(func(wrk *Work) { wrk.Stage = Writing })
+}
+
+// Late tells that the call is late, so that its further delay costs nothing.
+func (tkt *Ticket) Late() {
+	tkt.change(func(wrk *Work) { wrk.Late = true })
+}
+
+func (tkt *Ticket) change(fn func(wrk *Work)) {
+	grp := tkt.replica.group
+	grp.mu.Lock()
+	fn(tkt.work)
+	wrk := *tkt.work
+	grp.mu.Unlock()
+	tkt.tell(wrk, false)
+}
+
+// End removes the work.
+func (tkt *Ticket) End() {
+	grp := tkt.replica.group
+	grp.mu.Lock()
+	delete(tkt.replica.works, tkt.work.ID)
+	wrk := *tkt.work
+	grp.mu.Unlock()
+	tkt.tell(wrk, true)
+}
+
+// RemoteWork is a work of another process.
+type RemoteWork struct {
+	Replica uint32 // hash of the replica's ID
+	Work    Work
+	Ended   bool
+}
+
+// Hear takes in changes of the works of another process. With whole set, they are all works that it has.
+func (grp *Group) Hear(peer string, list []RemoteWork, whole bool) {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	if whole {
+		grp.forget(peer)
+	}
+	for _, rem := range list {
+		rep := grp.byHash[rem.Replica]
+		if rep == nil {
+			continue // Not registered with this process yet, or gone.
+		}
+		works := rep.remote[peer]
+		if works == nil {
+			works = make(map[uint32]*Work)
+			rep.remote[peer] = works
+		}
+		if rem.Ended {
+			delete(works, rem.Work.ID)
+			continue
+		}
+		if !whole && works[rem.Work.ID] == nil {
+			grp.demand.add(&rem.Work, grp.clock.Now())
+		}
+		wrk := rem.Work
+		works[wrk.ID] = &wrk
+	}
+}
+
+// Forget drops the works of a process that is gone.
+func (grp *Group) Forget(peer string) {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	grp.forget(peer)
+}
+
+func (grp *Group) forget(peer string) {
+	for _, rep := range grp.members {
+		delete(rep.remote, peer)
+	}
+}
+
+// Works returns all works of this process, for other processes.
+func (grp *Group) Works() []RemoteWork {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	var list []RemoteWork
+	for _, rep := range grp.members {
+		for _, wrk := range rep.works {
+			list = append(list, RemoteWork{Replica: rep.hash, Work: *wrk})
+		}
+	}
+	return list
+}
+
+// View is what is known of one replica at one moment.
+type View struct {
+	Replica    *Replica
+	Rank       int // place in an order that is the same at all processes
+	ID         string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
+	Cold       time.Duration // how much longer it is slow after its start
+	Risk       float64       // predicted share of calls that fail
+	Pace       float64       // time that it takes per time expected, at least 1
+	Works      []Work
+	Tokens     int           // KV memory in use, or promised
+	Context    int           // tokens of the streams that are writing
+	Writers    int           // streams that are writing
+	Unread     time.Duration // predicted time until all prompts there have been read
+}
+
+// Views returns a view of each replica of the service that still takes calls.
+func (grp *Group) Views() []View {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	now := grp.clock.Now()
+	list := make([]View, 0, len(grp.members))
+	for rank, rep := range grp.members {
+		if rep.reg.Draining {
+			continue
+		}
+		list = append(list, rep.view(rank, now))
+	}
+	return list
+}
+
+func (rep *Replica) view(rank int, now time.Time) View {
+	vie := View{
+		Replica: rep, Rank: rank, ID: rep.reg.ID, Address: rep.reg.Address, DataCentre: rep.reg.DataCentre,
+		Slots: rep.reg.Slots, Risk: rep.health.risk(now), Pace: max(rep.health.pace, 1),
+		Cold:  max(rep.reg.ColdLeft-now.Sub(rep.started), 0),
+		Works: make([]Work, 0, len(rep.works)+len(rep.remote)),
+	}
+	oldest := now
+	for _, wrk := range rep.works {
+		oldest = vie.count(wrk, oldest)
+	}
+	for _, works := range rep.remote {
+		for _, wrk := range works {
+			oldest = vie.count(wrk, oldest)
+		}
+	}
+	// The replica has been reading since the oldest unread prompt came.
+	vie.Unread = max(vie.Unread-now.Sub(oldest), vie.Unread/4)
+	return vie
+}
+
+func (vie *View) count(wrk *Work, oldest time.Time) time.Time {
+	vie.Works = append(vie.Works, *wrk)
+	vie.Tokens += wrk.Tokens
+	if wrk.Stage == Writing {
+		vie.Writers++
+		vie.Context += wrk.Tokens
+		return oldest
+	}
+	vie.Unread += wrk.Read
+	if wrk.Began.Before(oldest) {
+		return wrk.Began
+	}
+	return oldest
+}
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,284 @@
+// Package place decides which replicas work on a call. It is pure: given equal views it decides equally, and it neither
+// waits nor sends.
+//
+// For a model engine it predicts when the first event of the call comes and how the call delays the others on the same
+// engines, and takes the choice that loses the least value. Prompts are read in parts by several engines where that
+// loses less than one long read.
+package place
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+)
+
+// Job is a call to be placed.
+type Job struct {
+	Tokens     int           // of the prompt; 0 at plain services
+	Output     int           // predicted output in tokens
+	Goal       time.Duration // until the first event or the answer is due; negative if it is past
+	GapGoal    time.Duration // longest pause between events that is on time; 0 for none
+	TimeLeft   time.Duration // until the client gives up
+	DataCentre string        // of this process
+	Avoid      []string      // IDs of replicas that have failed this call
+}
+
+// Plan is where a call is to run.
+type Plan struct {
+	First    fleet.View
+	Helpers  []Part
+	Read     time.Duration // reading time of each part
+	Expected time.Duration // predicted time to the first event
+	Value    float64
+}
+
+// Part is a share of a prompt that a helper reads.
+type Part struct {
+	View    fleet.View
+	Reserve int // memory in tokens that the part takes at the helper; 0 if the first replica holds it
+}
+
+// Value returns what a call with a prompt of so many tokens is worth, in units of a very short one.
+func Value(tokens int) float64 {
+	return 1 + float64(tokens)/valueTokens
+}
+
+// Weights of the choice, as shares of a call's value unless stated otherwise.
+const (
+	valueTokens = 10000 // tokens that double the value of a very short prompt
+	// lateLoss is the share of its value that a late call loses.
+	lateLoss = 0.75
+	// failLoss is lost when a replica fails the call, which is then tried elsewhere.
+	failLoss = 0.8
+	// farLoss stands for the price of bytes between data centres.
+	farLoss = 0.01
+	// slotLoss is lost for each share of a replica's slots in use, so that equal choices spread.
+	slotLoss = 0.06
+	// longZoneLoss keeps short calls off the replicas that long prompts need.
+	longZoneLoss = 0.25
+	// helperLoss is the risk that each further helper adds.
+	helperLoss = 0.0015
+	// earlyLoss prefers the earlier of two choices that are both on time.
+	earlyLoss = 0.03
+)
+
+// Lateness is predicted with a margin: it begins below the goal and is certain above it.
+const (
+	lateFrom  = 0.7
+	lateUntil = 1.1
+)
+
+// late returns the predicted probability that something that takes so long misses its goal.
+func late(takes, goal time.Duration) float64 {
+	if goal <= 0 {
+		return 1
+	}
+	ratio := float64(takes) / float64(goal)
+	return min(max((ratio-lateFrom)/(lateUntil-lateFrom), 0), 1)
+}
+
+// Engine places a call to a model engine. It returns false if no replica can take it before the client gives up.
+func Engine(job Job, eng *cost.Engine, views []fleet.View, longLoad float64) (Plan, bool) {
+	chc := &choice{job: job, eng: eng, views: usable(job, views), value: Value(job.Tokens)}
+	if len(chc.views) == 0 {
+		return Plan{}, false
+	}
+	chc.measure()
+	chc.shortRanks = shortRanks(chc.views, eng, longLoad)
+	var best Plan
+	least := math.Inf(1)
+	for _, parts := range chc.partCounts() {
+		pln, loss, ok := chc.split(parts)
+		if ok && loss < least {
+			best, least = pln, loss
+		}
+	}
+	if math.IsInf(least, 1) || best.Expected > job.TimeLeft {
+		return Plan{}, false
+	}
+	best.Value = chc.value
+	return best, true
+}
+
+func usable(job Job, views []fleet.View) []fleet.View {
+	return slices.DeleteFunc(views, func(vie fleet.View) bool { return slices.Contains(job.Avoid, vie.ID) })
+}
+
+// shortRanks returns how many replicas, from the first rank on, are meant for short calls while long prompts arrive.
+// The rest is left to long prompts, whose reading would delay the short ones.
+func shortRanks(views []fleet.View, eng *cost.Engine, longLoad float64) int {
+	const (
+		reserve = 1.3  // long prompts do not arrive evenly
+		density = 0.5  // share of the slots that short calls may fill
+		most    = 0.85 // largest share of the replicas left to long prompts
+	)
+	short := 0
+	for idx := range views {
+		for _, wrk := range views[idx].Works {
+			if !wrk.Part && wrk.Read < fleet.LongRead {
+				short++
+			}
+		}
+	}
+	num := len(views)
+	forLong := int(math.Ceil(min(longLoad*reserve, most*float64(num))))
+	forShort := int(math.Ceil(float64(short+1) / (density * float64(max(eng.Slots, 1)))))
+	return min(max(num-forLong, forShort), num)
+}
+
+// choice is the state of one decision.
+type choice struct {
+	job        Job
+	eng        *cost.Engine
+	views      []fleet.View
+	value      float64
+	pass       []time.Duration // of each view, without reading
+	shortRanks int
+}
+
+func (chc *choice) measure() {
+	chc.pass = make([]time.Duration, len(chc.views))
+	for idx := range chc.views {
+		vie := &chc.views[idx]
+		chc.pass[idx] = scale(chc.eng.Pass(vie.Writers, vie.Context), vie.Pace)
+	}
+}
+
+func scale(dur time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(dur) * factor)
+}
+
+// leastPart is the shortest part of a prompt, in tokens, that is worth a helper.
+const leastPart = 5000
+
+// mostParts bounds the number of engines that read one prompt.
+const mostParts = 16
+
+// partCounts returns into how many parts the prompt may be split.
+func (chc *choice) partCounts() []int {
+	list := []int{1}
+	for _, num := range []int{2, 3, 4, 5, 6, 8, 10, 12, 14, mostParts} {
+		if num <= len(chc.views) && chc.job.Tokens/num >= leastPart {
+			list = append(list, num)
+		}
+	}
+	return list
+}
+
+// first returns the predicted time to the first event if the replica reads for so long.
+func (chc *choice) first(idx int, read time.Duration) time.Duration {
+	vie := &chc.views[idx]
+	takes := scale(vie.Unread+read, vie.Pace) + chc.pass[idx]
+	if vie.Writers > 0 {
+		takes += chc.pass[idx] / 2 // The pass in progress is over before the prompt is read.
+	}
+	if over := len(vie.Works) + 1 - vie.Slots; over > 0 {
+		takes += time.Duration(over) * chc.pass[idx] * 2 // A slot has to become free.
+	}
+	return takes
+}
+
+// harm returns the value that the other works on a replica lose if it reads for so long more.
+func (chc *choice) harm(idx int, read time.Duration, ahead bool) float64 {
+	vie := &chc.views[idx]
+	read = scale(read, vie.Pace)
+	before := chc.pass[idx] + scale(vie.Unread, vie.Pace)
+	loss := 0.0
+	for widx := range vie.Works {
+		wrk := &vie.Works[widx]
+		if wrk.Late || wrk.Part {
+			continue
+		}
+		if wrk.Stage == fleet.Writing {
+			if wrk.GapGoal > 0 {
+				loss += wrk.Value * (late(before+read, wrk.GapGoal) - late(before, wrk.GapGoal))
+			}
+			continue
+		}
+		if ahead && !wrk.Goal.IsZero() {
+			left := wrk.Goal.Sub(wrk.Began) // Close enough: works that are being read began a moment ago.
+			loss += wrk.Value * (late(before+read, left) - late(before, left))
+		}
+	}
+	return loss * lateLoss
+}
+
+// option is a replica that may take a part.
+type option struct {
+	idx    int
+	loss   float64 // of the others on the replica, and its risk
+	finish time.Duration
+}
+
+// split plans the prompt in so many parts and returns the value that is lost.
+func (chc *choice) split(parts int) (pln Plan, loss float64, ok bool) {
+	read := chc.eng.Reading(chc.job.Tokens) / time.Duration(parts)
+	opts := chc.options(read, parts)
+	holder := chc.holder(opts, parts)
+	if holder >= 0 {
+		opt := opts[holder]
+		opts = slices.Insert(slices.Delete(opts, holder, holder+1), 0, opt)
+	}
+	if len(opts) < parts {
+		return Plan{}, 0, false
+	}
+	opts = opts[:parts]
+	pln.First = chc.views[opts[0].idx]
+	pln.Read = read
+	for num, opt := range opts {
+		loss += opt.loss
+		pln.Expected = max(pln.Expected, opt.finish)
+		if num > 0 {
+			pln.Helpers = append(pln.Helpers, Part{View: chc.views[opt.idx]})
+		}
+	}
+	if holder < 0 && !chc.reserve(&pln) {
+		return Plan{}, 0, false
+	}
+	loss += chc.value * lateLoss * late(pln.Expected, chc.job.Goal)
+	loss += chc.value * earlyLoss * float64(pln.Expected) / float64(max(chc.job.Goal, pln.Expected))
+	loss += chc.value * helperLoss * float64(parts-1)
+	return pln, loss, true
+}
+
+func (chc *choice) options(read time.Duration, parts int) []option {
+	opts := make([]option, len(chc.views))
+	short := chc.eng.Reading(chc.job.Tokens) < fleet.LongRead
+	for idx := range chc.views {
+		vie := &chc.views[idx]
+		opt := option{idx: idx, finish: chc.first(idx, read)}
+		opt.loss = chc.harm(idx, read, parts > 1) + chc.value*failLoss*vie.Risk
+		opt.loss += slotLoss * float64(len(vie.Works)) / float64(max(vie.Slots, 1))
+		if vie.DataCentre != chc.job.DataCentre {
+			opt.loss += farLoss
+		}
+		if short && vie.Rank >= chc.shortRanks {
+			opt.loss += longZoneLoss
+		}
+		if parts == 1 && chc.job.GapGoal > 0 {
+			opt.loss += chc.value * lateLoss * late(chc.pass[idx]+scale(vie.Unread, vie.Pace), chc.job.GapGoal)
+		}
+		opts[idx] = opt
+	}
+	slices.SortFunc(opts, func(one, two option) int { return sign(chc.rate(one) - chc.rate(two)) })
+	return opts
+}
+
+// rate orders the options: what a replica loses alone, and how late it makes the whole call.
+func (chc *choice) rate(opt option) float64 {
+	return opt.loss + chc.value*(lateLoss*late(opt.finish, chc.job.Goal)+
+		earlyLoss*float64(opt.finish)/float64(max(chc.job.Goal, time.Millisecond)))
+}
+
+func sign(num float64) int {
+	switch {
+	case num < 0:
+		return -1
+	case num > 0:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/relay/memory.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/tarragonwheel/tarragonwheel/call"
+	"github.com/tarragonwheel/tarragonwheel/place"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// Times of reservations. A reservation that nobody renews ends by itself, also if this process is killed or its release
+// is lost.
+const (
+	holdTime     = 3 * time.Second
+	renewTime    = time.Second
+	orderTimeout = 400 * time.Millisecond
+)
+
+// Reservation is memory set aside at a replica.
+type Reservation struct {
+	Replica string // ID
+	Address string
+	Ticket  string
+	Tokens  int
+	Hold    time.Duration // after which it ends unless it is made again
+}
+
+// Orders are the calls to replicas that set memory aside and free it.
+type Orders struct {
+	Reserve func(ctx context.Context, rsv Reservation) error
+	Release func(ctx context.Context, rsv Reservation) error
+}
+
+// Memory reserves memory at replicas for prompts that no replica can hold alone. It is safe for concurrent use.
+type Memory struct {
+	clock  *timer.Service
+	log    logr.Logger
+	orders Orders
+	prefix string // distinguishes the tickets of this process from those of others and of earlier runs
+	count  atomic.Uint64
+}
+
+// NewMemory returns a Memory that uses the given calls.
+func NewMemory(clk *timer.Service, log logr.Logger, ord Orders) *Memory {
+	return &Memory{clock: clk, log: log, orders: ord, prefix: strconv.FormatUint(rand.Uint64(), 36) + "-"}
+}
+
+// reserve sets aside the memory that a plan needs. It returns the helpers for the replica, and a function that frees
+// the memory. If not all of it can be had, none is kept.
+func (mem *Memory) reserve(ctx context.Context, pln *place.Plan) (helpers []call.Helper, release func(), err error) {
+	var held []Reservation
+	for _, hlp := range pln.Helpers {
+		one := call.Helper{Address: hlp.View.Address}
+		if hlp.Reserve > 0 {
+			one.Ticket = mem.prefix + strconv.FormatUint(mem.count.Add(1), 36)
+			held = append(held, Reservation{
+				Replica: hlp.View.ID, Address: hlp.View.Address,
+				Ticket: one.Ticket, Tokens: hlp.Reserve, Hold: holdTime,
+			})
+		}
+		helpers = append(helpers, one)
+	}
+	if len(held) == 0 {
+		return helpers, func() {}, nil
+	}
+	if err := mem.each(ctx, held, mem.orders.Reserve); err != nil {
+		mem.log.Info("relay: memory cannot be reserved", "error", err.Error(), "reservations", len(held))
+		go mem.free(context.WithoutCancel(ctx), held)
+		return nil, nil, fmt.Errorf("relay: reserve memory: %w", err)
+	}
+	sub := mem.clock.Every(renewTime, func() {
+		if err := mem.each(context.WithoutCancel(ctx), held, mem.orders.Reserve); err != nil {
+			mem.log.Info("relay: reservation not renewed", "error", err.Error())
+		}
+	})
+	return helpers, func() {
+		sub.Stop()
+		go mem.free(context.WithoutCancel(ctx), held)
+	}, nil
+}
+
+// each makes a call for all reservations at once.
+func (mem *Memory) each(
+	ctx context.Context, held []Reservation, order func(ctx context.Context, rsv Reservation) error,
+) error {
+	errs := make(chan error, len(held))
+	for _, rsv := range held {
+		go func() {
+			lim, cancel := mem.clock.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			errs <- order(lim, rsv)
+		}()
+	}
+	var all error
+	for range held {
+		all = errors.Join(all, <-errs)
+	}
+	return all
+}
+
+// free releases reservations. A release that is lost is sent again until the reservation has ended by itself.
+func (mem *Memory) free(ctx context.Context, held []Reservation) {
+	for end := mem.clock.Now().Add(holdTime); mem.clock.Now().Before(end); {
+		var rest []Reservation
+		for _, rsv := range held {
+			lim, cancel := mem.clock.WithTimeout(ctx, orderTimeout)
+			if err := mem.orders.Release(lim, rsv); err != nil {
+				mem.log.Info("relay: release not confirmed, trying again", "replica", rsv.Replica, "error", err.Error())
+				rest = append(rest, rsv)
+			}
+			cancel()
+		}
+		if held = rest; len(held) == 0 {
+			return
+		}
+		_ = mem.clock.Sleep(ctx, renewTime/2) // The context has no end.
+	}
+}
--- /dev/null
+++ b/relay/session.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand"
+	"net/http"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/call"
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/place"
+	"github.com/tarragonwheel/tarragonwheel/rules"
+)
+
+// Reasons for answers of this program's own, in logs and metrics.
+const (
+	reasonNoConfig   = "no-configuration"
+	reasonNoRoute    = "no-route"
+	reasonNoAccount  = "unknown-key"
+	reasonDraining   = "draining"
+	reasonTooLarge   = "body-too-large"
+	reasonBodyBroken = "body-incomplete"
+	reasonNoReplica  = "no-replica"
+	reasonNotRun     = "not-run"
+	reasonTimeout    = "time-limit"
+	reasonFailed     = "replica-failed"
+	reasonBroken     = "stream-broken"
+	reasonLeft       = "client-left"
+	reasonBlamed     = "crashes-replicas"
+	reasonDone       = "done"
+)
+
+// Time limits of calls.
+const (
+	defaultTimeLimit = 60 * time.Second
+	// leastTime is the time below which a call is not sent to a replica any more.
+	leastTime = 15 * time.Millisecond
+	// bodyTimeout bounds the wait for a client's body where the operator sets no limit.
+	bodyTimeout = 10 * time.Second
+)
+
+// Bounds of a refused client's return. They are spread, so that refused clients do not return together.
+const (
+	leastRetryAfter  = 100 * time.Millisecond
+	spreadRetryAfter = 400 * time.Millisecond
+)
+
+// maxSends bounds how often one call is sent in all, with the replicas that did not run it.
+const maxSends = 5
+
+// session is one call on its way through the relay.
+type session struct {
+	relay   *Relay
+	opts    *Options
+	rw      http.ResponseWriter
+	ctx     context.Context
+	cal     *call.Call
+	set     *rules.Set
+	rte     *rules.Route
+	service string
+	account string
+	end     time.Time // when the call must have its final answer
+
+	sends   int      // attempts
+	runs    int      // attempts that may have run
+	avoid   []string // replicas that failed the call
+	spare   *answer  // a replica's complete failure, delivered if nothing better comes
+	headers bool     // the head of the answer has been sent
+	events  int      // events delivered
+	last    int64    // ID of the last event delivered
+	resumes bool     // last is set
+
+	lastEventAt time.Time
+	firstEvent  time.Duration // until the first event
+	longestGap  time.Duration // between two events
+}
+
+// answer is a replica's complete answer.
+type answer struct {
+	reply call.Reply
+	body  []byte
+}
+
+// route finds the route and account of the call. It refuses the call and returns false if it may not run.
+func (ses *session) route() bool {
+	if ses.relay.refusing.Load() {
+		ses.rw.Header().Set("Connection", "close")
+		ses.answer(http.StatusServiceUnavailable, reasonDraining, time.Millisecond)
+		return false
+	}
+	return ses.apply()
+}
+
+// apply takes the newest configuration. A call is never handled by an older version than one seen before.
+func (ses *session) apply() bool {
+	set := ses.opts.Rules()
+	if set == nil {
+		ses.answer(http.StatusServiceUnavailable, reasonNoConfig, retryAfter())
+		return false
+	}
+	if set == ses.set {
+		return true
+	}
+	rte := set.Match(ses.cal.Host, pathOf(ses.cal.Target))
+	if rte == nil {
+		ses.answer(http.StatusNotFound, reasonNoRoute, 0)
+		return false
+	}
+	account, ok := set.Account(rte, ses.cal.Key)
+	if !ok {
+		ses.answer(http.StatusUnauthorized, reasonNoAccount, 0)
+		return false
+	}
+	ses.set, ses.rte, ses.account, ses.service = set, rte, account, rte.Target(ses.cal.ID)
+	limit := ses.cal.TimeLeft
+	if limit <= 0 {
+		limit = defaultTimeLimit
+	}
+	if rte.Timeout > 0 {
+		limit = min(limit, rte.Timeout)
+	}
+	ses.end = ses.cal.Arrived.Add(limit)
+	return true
+}
+
+func pathOf(target string) string {
+	for idx := range len(target) {
+		if target[idx] == '?' {
+			return target[:idx]
+		}
+	}
+	return target
+}
+
+func (ses *session) readBody(req *http.Request) bool {
+	limits := ses.set.Limits()
+	most := limits.BodyBytes
+	if most > 0 && req.ContentLength > most {
+		ses.answer(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
+		return false
+	}
+	if req.Body == nil || req.Body == http.NoBody {
+		return true
+	}
+	ctl := http.NewResponseController(ses.rw)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // Without a deadline the server's own limits hold.
+	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
+	body := io.Reader(req.Body)
+	if most > 0 {
+		body = http.MaxBytesReader(ses.rw, req.Body, most)
+	}
+	var err error
+	if req.ContentLength > 0 {
+		ses.cal.Body = make([]byte, req.ContentLength)
+		_, err = io.ReadFull(body, ses.cal.Body)
+	} else {
+		ses.cal.Body, err = io.ReadAll(body)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		ses.answer(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
+		return false
+	case err != nil:
+		ses.rw.Header().Set("Connection", "close")
+		ses.answer(http.StatusBadRequest, reasonBodyBroken, 0)
+		return false
+	}
+	return true
+}
+
+// run sends the call until it has a final answer.
+func (ses *session) run() {
+	ses.last, ses.resumes = ses.cal.LastEvent, ses.cal.Resumes
+	ses.relay.share(ses.service).First()
+	for {
+		if !ses.headers && !ses.apply() {
+			return
+		}
+		pln, reason := ses.plan()
+		if reason != "" {
+			ses.giveUp(reason)
+			return
+		}
+		out := ses.attempt(&pln)
+		ses.opts.Log.V(1).Info("relay: attempt ended", "call", ses.cal.ID, "replica", pln.First.ID,
+			"outcome", out.reason, "error", out.text())
+		if out.final {
+			ses.finish(out.status, out.reason)
+			return
+		}
+		ses.avoid = append(ses.avoid, pln.First.ID)
+		if !ses.mayRepeat(out) {
+			ses.giveUp(out.reason)
+			return
+		}
+		ses.opts.Metrics.Retry(out.reason)
+	}
+}
+
+// mayRepeat tells whether the call may be sent once more after an attempt that ended so.
+func (ses *session) mayRepeat(out outcome) bool {
+	if ses.ctx.Err() != nil || ses.opts.Clock.Now().Add(leastTime).After(ses.end) || ses.sends >= maxSends {
+		return false
+	}
+	if out.mayHaveRun && (!ses.rte.Repeatable() || ses.runs >= ses.rte.Attempts) {
+		return false
+	}
+	if out.unsent {
+		return true // It did not arrive anywhere, so it does not count as a repeat.
+	}
+	return ses.relay.share(ses.service).Take()
+}
+
+// plan chooses where the call runs next, or returns the reason why it cannot.
+func (ses *session) plan() (place.Plan, string) {
+	left := ses.end.Sub(ses.opts.Clock.Now())
+	if left < leastTime {
+		return place.Plan{}, reasonTimeout
+	}
+	if ses.opts.Blame.Blocked(ses.cal, ses.account) {
+		return place.Plan{}, reasonBlamed
+	}
+	grp := ses.opts.Fleet.Group(ses.service)
+	job := ses.job(left)
+	views := grp.Views()
+	if len(views) == len(ses.avoid) {
+		job.Avoid = nil // Each replica has failed it once; none is better than another.
+	}
+	srv := ses.set.Service(ses.service)
+	var pln place.Plan
+	var ok bool
+	if srv == nil || srv.Engine == nil {
+		pln, ok = place.Plain(job, views)
+	} else {
+		pln, ok = place.Engine(job, srv.Engine, views, grp.LongLoad())
+	}
+	if !ok {
+		return place.Plan{}, reasonNoReplica
+	}
+	return pln, ""
+}
+
+func (ses *session) job(left time.Duration) place.Job {
+	prm := ses.cal.Prompt
+	job := place.Job{
+		Tokens: prm.Tokens, Output: prm.MostOutput, GapGoal: ses.rte.GapGoal, TimeLeft: left,
+		DataCentre: ses.opts.DataCentre, Avoid: ses.avoid,
+	}
+	if prm.HintOutput > 0 {
+		job.Output = min(job.Output, 2*prm.HintOutput)
+	}
+	if ses.rte.Goal > 0 {
+		job.Goal = ses.rte.Goal - ses.opts.Clock.Since(ses.cal.Arrived)
+	} else {
+		job.Goal = left
+	}
+	return job
+}
+
+// work is what the call means for a replica.
+func (ses *session) work(pln *place.Plan) fleet.Work {
+	prm := ses.cal.Prompt
+	return fleet.Work{
+		Tokens: prm.Tokens, Read: pln.Read, GapGoal: ses.rte.GapGoal, Value: pln.Value,
+		Goal: ses.cal.Arrived.Add(ses.rte.Goal), Late: ses.late(),
+	}
+}
+
+// late tells whether the call has missed its goals already.
+func (ses *session) late() bool {
+	if ses.rte.GapGoal > 0 && ses.longestGap > ses.rte.GapGoal {
+		return true
+	}
+	waited := ses.firstEvent
+	if ses.events == 0 {
+		waited = ses.opts.Clock.Since(ses.cal.Arrived)
+	}
+	return ses.rte.Goal > 0 && waited > ses.rte.Goal
+}
+
+// giveUp sends the final answer of a call that could not be served.
+func (ses *session) giveUp(reason string) {
+	switch {
+	case ses.ctx.Err() != nil:
+		ses.finish(0, reasonLeft)
+	case ses.headers:
+		ses.finish(0, reasonBroken)
+		panic(http.ErrAbortHandler) // Closes the connection, so that the stream does not look complete.
+	case ses.spare != nil:
+		ses.deliver(ses.spare)
+		ses.finish(ses.spare.reply.Status, reasonFailed)
+	case ses.runs == 0 && reason == reasonBlamed:
+		ses.answer(http.StatusServiceUnavailable, reason, blamedRetryAfter)
+	case ses.runs == 0 && reason == reasonTimeout:
+		ses.answer(http.StatusServiceUnavailable, reason, 0)
+	case ses.runs == 0:
+		ses.answer(http.StatusServiceUnavailable, reason, retryAfter())
+	case reason == reasonTimeout:
+		ses.answer(http.StatusGatewayTimeout, reason, 0)
+	default:
+		ses.answer(http.StatusBadGateway, reason, 0)
+	}
+}
+
+// retryAfter returns when a refused client should come back.
+func retryAfter() time.Duration {
+	return leastRetryAfter + time.Duration(rand.Int63n(int64(spreadRetryAfter)))
+}
+
+// deliver sends a replica's complete answer.
+func (ses *session) deliver(ans *answer) {
+	ses.opts.Wire.WriteReply(ses.rw.Header(), ans.reply)
+	ses.headers = true
+	ses.rw.WriteHeader(ans.reply.Status)
+	_, _ = ses.rw.Write(ans.body) // The client may have left; there is nobody else to tell.
+}
