Exchange load between fronts

Fronts now tell one another their work at replicas by datagrams, changes within 10 ms and everything once a second.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 	mu     sync.Mutex
 	groups map[string]*Group   // by service
 	byID   map[string]*Replica // all replicas that have not gone
+	byHash map[uint32]*Replica // the same, by the hash of their ID
 	lapsed map[string]time.Time
 	// doubted is the end of the time in which missing registrations may have lapsed while the store was away.
 	doubted time.Time
@@ -36,7 +37,8 @@
 	}
 	return &Fleet{
 		clock: clk, log: log, onGone: onGone,
-		groups: make(map[string]*Group), byID: make(map[string]*Replica), lapsed: make(map[string]time.Time),
+		groups: make(map[string]*Group), byID: make(map[string]*Replica),
+		byHash: make(map[uint32]*Replica), lapsed: make(map[string]time.Time),
 	}
 }
 
@@ -50,12 +52,30 @@
 func (flt *Fleet) group(service string) *Group {
 	grp := flt.groups[service]
 	if grp == nil {
-		grp = &Group{clock: flt.clock, byHash: make(map[uint32]*Replica)}
+		grp = &Group{clock: flt.clock}
 		flt.groups[service] = grp
 	}
 	return grp
 }
 
+// all returns the replicas of all services.
+func (flt *Fleet) all() []*Group {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	list := make([]*Group, 0, len(flt.groups))
+	for _, grp := range flt.groups {
+		list = append(list, grp)
+	}
+	return list
+}
+
+// withHash returns the replica whose ID has a hash, or nil.
+func (flt *Fleet) withHash(hash uint32) *Replica {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	return flt.byHash[hash]
+}
+
 // Size returns the number of known replicas.
 func (flt *Fleet) Size() int {
 	flt.mu.Lock()
@@ -94,6 +114,7 @@
 	rep := &Replica{hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, started: flt.clock.Now()}
 	rep.group = flt.group(reg.Service)
 	flt.byID[reg.ID] = rep
+	flt.byHash[rep.hash] = rep
 	rep.group.add(rep)
 	flt.log.V(1).Info("fleet: replica is known", "replica", reg.ID, "service", reg.Service, "address", reg.Address)
 }
@@ -102,6 +123,7 @@
 	reg := rep.Registration()
 	rep.group.remove(rep)
 	delete(flt.byID, reg.ID)
+	delete(flt.byHash, rep.hash)
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onGone(reg.ID)
 }
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -14,8 +14,7 @@
 	clock   *timer.Service
 	mu      sync.Mutex
 	members []*Replica // ordered by hash, which is the same order at all processes
-	byHash  map[uint32]*Replica
-	works   uint32 // last ID of a work
+	works   uint32     // last ID of a work
 	demand  demand
 }
 
@@ -28,16 +27,12 @@
 	slices.SortFunc(grp.members, func(one, two *Replica) int {
 		return int(int64(one.hash) - int64(two.hash))
 	})
-	grp.byHash[rep.hash] = rep
 }
 
 func (grp *Group) remove(rep *Replica) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	grp.members = slices.DeleteFunc(grp.members, func(mbr *Replica) bool { return mbr == rep })
-	if grp.byHash[rep.hash] == rep {
-		delete(grp.byHash, rep.hash)
-	}
 }
 
 // Replica is one incarnation of a replica.
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -89,57 +89,60 @@
 	Ended   bool
 }
 
-// Hear takes in changes of the works of another process. With whole set, they are all works that it has.
-func (grp *Group) Hear(peer string, list []RemoteWork, whole bool) {
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
+// Hear takes in changes of the works of another process. With whole set, the list replaces all that was heard of it.
+func (flt *Fleet) Hear(peer string, list []RemoteWork, whole bool) {
 	if whole {
-		grp.forget(peer)
+		flt.Forget(peer)
 	}
+	now := flt.clock.Now()
 	for _, rem := range list {
-		rep := grp.byHash[rem.Replica]
-		if rep == nil {
-			continue // Not registered with this process yet, or gone.
+		if rep := flt.withHash(rem.Replica); rep != nil { // Else it is not registered here yet, or has gone.
+			rep.hear(peer, rem, whole, now)
 		}
-		works := rep.remote[peer]
-		if works == nil {
-			works = make(map[uint32]*Work)
-			rep.remote[peer] = works
-		}
-		if rem.Ended {
-			delete(works, rem.Work.ID)
-			continue
-		}
-		if !whole && works[rem.Work.ID] == nil {
-			grp.demand.add(&rem.Work, grp.clock.Now())
-		}
-		wrk := rem.Work
-		works[wrk.ID] = &wrk
 	}
 }
 
-// Forget drops the works of a process that is gone.
-func (grp *Group) Forget(peer string) {
+func (rep *Replica) hear(peer string, rem RemoteWork, known bool, now time.Time) {
+	grp := rep.group
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
-	grp.forget(peer)
+	works := rep.remote[peer]
+	if works == nil {
+		works = make(map[uint32]*Work)
+		rep.remote[peer] = works
+	}
+	if rem.Ended {
+		delete(works, rem.Work.ID)
+		return
+	}
+	if !known && works[rem.Work.ID] == nil {
+		grp.demand.add(&rem.Work, now)
+	}
+	works[rem.Work.ID] = &rem.Work
 }
 
-func (grp *Group) forget(peer string) {
-	for _, rep := range grp.members {
-		delete(rep.remote, peer)
+// Forget drops the works of another process.
+func (flt *Fleet) Forget(peer string) {
+	for _, grp := range flt.all() {
+		grp.mu.Lock()
+		for _, rep := range grp.members {
+			delete(rep.remote, peer)
+		}
+		grp.mu.Unlock()
 	}
 }
 
 // Works returns all works of this process, for other processes.
-func (grp *Group) Works() []RemoteWork {
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
+func (flt *Fleet) Works() []RemoteWork {
 	var list []RemoteWork
-	for _, rep := range grp.members {
-		for _, wrk := range rep.works {
-			list = append(list, RemoteWork{Replica: rep.hash, Work: *wrk})
+	for _, grp := range flt.all() {
+		grp.mu.Lock()
+		for _, rep := range grp.members {
+			for _, wrk := range rep.works {
+				list = append(list, RemoteWork{Replica: rep.hash, Work: *wrk})
+			}
 		}
+		grp.mu.Unlock()
 	}
 	return list
 }
--- a/front/front.go
+++ b/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/peers"
 	"github.com/tarragonwheel/tarragonwheel/platform"
 	"github.com/tarragonwheel/tarragonwheel/pool"
 	"github.com/tarragonwheel/tarragonwheel/relay"
@@ -49,6 +50,8 @@
 	relay   *relay.Relay
 	pool    *pool.Pool
 	store   *platform.Store
+	blame   *relay.Blame
+	peers   *peers.Exchange // nil if there is none
 	rules   atomic.Pointer[rules.Set]
 	listed  atomic.Bool // the replicas have been read once
 	leaving atomic.Bool
@@ -64,6 +67,10 @@
 	dialer := pool.Dialer(storeDialTimeout)
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
+	frt.blame = relay.NewBlame(clk, frt.tellCrash)
+	if err := frt.startPeers(); err != nil {
+		return nil, err
+	}
 	frt.relay = relay.New(frt.relayOptions(transport))
 	if err := frt.listen(); err != nil {
 		return nil, err
@@ -88,20 +95,17 @@
 		},
 		Rules: frt.rules.Load, Fleet: frt.fleet, Pool: frt.pool,
 		Memory: relay.NewMemory(frt.clock, frt.log, platform.Orders(&http.Client{Transport: transport})),
-		Blame:  relay.NewBlame(frt.clock, nil),
+		Blame:  frt.blame,
 		Budget: retry.Terms{
 			Ratio: config.FrontRepeatRatio.Of(frt.set), Extra: config.FrontRepeatExtra.Of(frt.set),
 			Window: config.FrontRepeatWindow.Of(frt.set),
 		},
-		Sharers:    func() int { return leastSharers },
+		Sharers:    frt.sharers,
 		DataCentre: config.ProcessDataCentre.Of(frt.set),
-		OnMove:     func(string, uint32, fleet.Work, bool) {},
+		OnMove:     frt.tellMove,
 	}
 }
 
-// leastSharers is the number of fronts assumed to share the budget of repeats while fewer are known.
-const leastSharers = 4
-
 // listen opens the listeners for clients and for the load balancer.
 func (frt *Front) listen() error {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/peers/message.go
@@ -0,0 +1,106 @@
+package peers
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+)
+
+// message is one datagram.
+type message struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string   // of the sending process
+	Whole   bool     // the items replace all that the sender said before
+	Items   []item
+	Crashes []uint64 // fingerprints of calls at whose start replicas broke off
+}
+
+// item is a work at a replica. Times are spans, since clocks of processes differ.
+type item struct {
+	_       struct{} `cbor:",toarray"`
+	Replica uint32
+	ID      uint32
+	Flags   uint8
+	Tokens  int
+	ReadMs  int64
+	GapMs   int64
+	GoalMs  int64 // from the beginning of the work; 0 for none
+	AgeMs   int64 // since the beginning of the work
+	Value   float32
+}
+
+// Flags of an item.
+const (
+	flagWriting = 1 << iota
+	flagPart
+	flagLate
+	flagEnded
+)
+
+func toItem(rem fleet.RemoteWork, now time.Time) item {
+	wrk := &rem.Work
+	itm := item{
+		Replica: rem.Replica, ID: wrk.ID, Tokens: wrk.Tokens, ReadMs: wrk.Read.Milliseconds(),
+		GapMs: wrk.GapGoal.Milliseconds(), AgeMs: now.Sub(wrk.Began).Milliseconds(), Value: float32(wrk.Value),
+	}
+	if !wrk.Goal.IsZero() {
+		itm.GoalMs = wrk.Goal.Sub(wrk.Began).Milliseconds()
+	}
+	for flag, set := range map[uint8]bool{
+		flagWriting: wrk.Stage == fleet.Writing, flagPart: wrk.Part, flagLate: wrk.Late, flagEnded: rem.Ended,
+	} {
+		if set {
+			itm.Flags |= flag
+		}
+	}
+	return itm
+}
+
+func (itm *item) work(now time.Time) fleet.RemoteWork {
+	wrk := fleet.Work{
+		ID: itm.ID, Tokens: itm.Tokens, Read: time.Duration(itm.ReadMs) * time.Millisecond,
+		GapGoal: time.Duration(itm.GapMs) * time.Millisecond, Value: float64(itm.Value),
+		Part: itm.Flags&flagPart != 0, Late: itm.Flags&flagLate != 0,
+		Began: now.Add(-time.Duration(itm.AgeMs) * time.Millisecond),
+	}
+	if itm.Flags&flagWriting != 0 {
+		wrk.Stage = fleet.Writing
+	}
+	if itm.GoalMs != 0 {
+		wrk.Goal = wrk.Began.Add(time.Duration(itm.GoalMs) * time.Millisecond)
+	}
+	return fleet.RemoteWork{Replica: itm.Replica, Work: wrk, Ended: itm.Flags&flagEnded != 0}
+}
+
+// encode returns the datagrams for a list of works. Only the first of several replaces what was said before.
+func encode(name string, list []fleet.RemoteWork, crashes []uint64, whole bool, now time.Time) ([][]byte, error) {
+	var out [][]byte
+	for first := true; first || len(list) > 0; first = false {
+		num := min(len(list), mostItems)
+		msg := message{Name: name, Whole: whole && first}
+		if first {
+			msg.Crashes = crashes
+		}
+		for _, rem := range list[:num] {
+			msg.Items = append(msg.Items, toItem(rem, now))
+		}
+		list = list[num:]
+		raw, err := cbor.Marshal(msg)
+		if err != nil {
+			return nil, fmt.Errorf("peers: encode: %w", err)
+		}
+		out = append(out, raw)
+	}
+	return out, nil
+}
+
+func decode(raw []byte) (message, error) {
+	var msg message
+	if err := cbor.Unmarshal(raw, &msg); err != nil {
+		return message{}, fmt.Errorf("peers: decode: %w", err)
+	}
+	return msg, nil
+}
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,275 @@
+// Package peers exchanges the load that fronts put on replicas, by datagrams.
+//
+// Load is a hint that is out of date within a second, so datagrams may be lost: each process says now and then all
+// that it has at the replicas, and at once what has changed.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// Times and sizes of the exchange.
+const (
+	changeDelay   = 10 * time.Millisecond // in which changes are gathered into one datagram
+	wholeInterval = time.Second
+	silentAfter   = 3 * time.Second // a peer's works are dropped, and it gets no more changes
+	forgetAfter   = 5 * time.Minute // a peer is no longer written to
+	mostItems     = 40              // in a datagram, so that it fits into one packet
+	datagramBytes = 64 << 10
+	crashRepeats  = 3 // whole messages that repeat a crash
+)
+
+// Options configure an Exchange.
+type Options struct {
+	Name    string // of this process
+	Address string // UDP address, which other processes know
+	Clock   *timer.Service
+	Log     logr.Logger
+	Fleet   *fleet.Fleet
+	// OnCrash is told the fingerprint of a call at whose start a replica broke off at another process.
+	OnCrash func(print uint64)
+}
+
+// Exchange is the exchange of load of one process. It is safe for concurrent use.
+type Exchange struct {
+	opts    Options
+	conn    *net.UDPConn
+	mu      sync.Mutex
+	peers   map[string]*peer // by address
+	pending []fleet.RemoteWork
+	crashes []crash
+	flush   bool // a flush is due
+}
+
+type peer struct {
+	addr  *net.UDPAddr
+	name  string    // empty until heard of
+	heard time.Time // zero until heard of
+	known time.Time
+}
+
+type crash struct {
+	print uint64
+	left  int
+}
+
+// Start opens the socket and runs the exchange in grp. It returns a trace.ConnectionProblem error if the socket cannot
+// be opened.
+func Start(grp *group.Group, opts Options) (*Exchange, error) {
+	addr, err := net.ResolveUDPAddr("udp4", opts.Address)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", trace.BadParameter("%s: %v", opts.Address, err))
+	}
+	con, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", trace.ConnectionProblem(err, "%s", opts.Address))
+	}
+	exc := &Exchange{opts: opts, conn: con, peers: make(map[string]*peer)}
+	context.AfterFunc(grp.Context(), func() { _ = con.Close() }) // Ends receive.
+	grp.Go("receive", func(ctx context.Context) error {
+		exc.receive(ctx)
+		return nil
+	})
+	grp.Go("send", func(ctx context.Context) error {
+		for opts.Clock.Sleep(ctx, wholeInterval) == nil {
+			exc.sweep()
+			exc.sendWhole()
+		}
+		return nil
+	})
+	return exc, nil
+}
+
+// Add makes a process known by its address.
+func (exc *Exchange) Add(address string) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		exc.opts.Log.Info("peers: address cannot be used", "address", address, "error", err.Error())
+		return
+	}
+	if address == exc.opts.Address {
+		return
+	}
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.add(addr)
+}
+
+func (exc *Exchange) add(addr *net.UDPAddr) *peer {
+	per := exc.peers[addr.String()]
+	if per == nil {
+		per = &peer{addr: addr, known: exc.opts.Clock.Now()}
+		exc.peers[addr.String()] = per
+	}
+	return per
+}
+
+// Alive returns the number of processes that have been heard of lately, this one included.
+func (exc *Exchange) Alive() int {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	num := 1
+	for _, per := range exc.peers {
+		if exc.alive(per) {
+			num++
+		}
+	}
+	return num
+}
+
+func (exc *Exchange) alive(per *peer) bool {
+	return !per.heard.IsZero() && exc.opts.Clock.Since(per.heard) < silentAfter
+}
+
+// Moved takes in a change of this process's work at a replica. Others are told soon.
+func (exc *Exchange) Moved(replica uint32, wrk fleet.Work, ended bool) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.pending = append(exc.pending, fleet.RemoteWork{Replica: replica, Work: wrk, Ended: ended})
+	if !exc.flush {
+		exc.flush = true
+		exc.opts.Clock.After(changeDelay, exc.sendChanges)
+	}
+}
+
+// Crashed tells others of a call at whose start a replica broke off.
+func (exc *Exchange) Crashed(print uint64) {
+	exc.mu.Lock()
+	exc.crashes = append(exc.crashes, crash{print: print, left: crashRepeats})
+	exc.mu.Unlock()
+	exc.sendWhole()
+}
+
+func (exc *Exchange) sendChanges() {
+	exc.mu.Lock()
+	list := exc.pending
+	exc.pending, exc.flush = nil, false
+	var to []*net.UDPAddr
+	for _, per := range exc.peers {
+		if exc.alive(per) {
+			to = append(to, per.addr)
+		}
+	}
+	exc.mu.Unlock()
+	exc.send(to, newest(list), nil, false)
+}
+
+// newest leaves the last change of each work.
+func newest(list []fleet.RemoteWork) []fleet.RemoteWork {
+	type key struct{ replica, id uint32 }
+	seen := make(map[key]bool, len(list))
+	var out []fleet.RemoteWork
+	for _, rem := range slices.Backward(list) {
+		if one := (key{rem.Replica, rem.Work.ID}); !seen[one] {
+			seen[one] = true
+			out = append(out, rem)
+		}
+	}
+	return out
+}
+
+func (exc *Exchange) sendWhole() {
+	exc.mu.Lock()
+	var to []*net.UDPAddr
+	for _, per := range exc.peers {
+		to = append(to, per.addr)
+	}
+	var prints []uint64
+	for idx := range exc.crashes {
+		prints = append(prints, exc.crashes[idx].print)
+		exc.crashes[idx].left--
+	}
+	exc.crashes = slices.DeleteFunc(exc.crashes, func(crs crash) bool { return crs.left <= 0 })
+	exc.mu.Unlock()
+	exc.send(to, exc.opts.Fleet.Works(), prints, true)
+}
+
+func (exc *Exchange) send(to []*net.UDPAddr, list []fleet.RemoteWork, prints []uint64, whole bool) {
+	if len(to) == 0 {
+		return
+	}
+	raws, err := encode(exc.opts.Name, list, prints, whole, exc.opts.Clock.Now())
+	if err != nil {
+		exc.opts.Log.Error(err, "peers: load not sent")
+		return
+	}
+	for _, addr := range to {
+		for _, raw := range raws {
+			if _, err := exc.conn.WriteToUDP(raw, addr); err != nil {
+				exc.opts.Log.V(1).Info("peers: datagram not sent", "peer", addr.String(), "error", err.Error())
+			}
+		}
+	}
+}
+
+func (exc *Exchange) receive(ctx context.Context) {
+	buf := make([]byte, datagramBytes)
+	for ctx.Err() == nil {
+		num, addr, err := exc.conn.ReadFromUDP(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				exc.opts.Log.V(1).Info("peers: receive", "error", err.Error())
+				_ = exc.opts.Clock.Sleep(ctx, changeDelay) // The loop checks whether ctx has ended.
+			}
+			continue
+		}
+		msg, err := decode(buf[:num])
+		if err != nil {
+			exc.opts.Log.Info("peers: datagram cannot be read", "peer", addr.String(), "error", err.Error())
+			continue
+		}
+		exc.take(addr, &msg)
+	}
+}
+
+func (exc *Exchange) take(addr *net.UDPAddr, msg *message) {
+	now := exc.opts.Clock.Now()
+	exc.mu.Lock()
+	per := exc.add(addr)
+	if per.heard.IsZero() {
+		exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
+	}
+	per.name, per.heard = msg.Name, now
+	exc.mu.Unlock()
+	list := make([]fleet.RemoteWork, 0, len(msg.Items))
+	for idx := range msg.Items {
+		list = append(list, msg.Items[idx].work(now))
+	}
+	exc.opts.Fleet.Hear(addr.String(), list, msg.Whole)
+	for _, print := range msg.Crashes {
+		exc.opts.OnCrash(print)
+	}
+}
+
+// sweep drops the works of peers that have fallen silent.
+func (exc *Exchange) sweep() {
+	now := exc.opts.Clock.Now()
+	var silent []string
+	exc.mu.Lock()
+	for addr, per := range exc.peers {
+		if !per.heard.IsZero() && now.Sub(per.heard) > silentAfter {
+			silent = append(silent, addr)
+			exc.opts.Log.Info("peers: peer has fallen silent", "peer", per.name, "address", addr)
+			per.heard, per.known = time.Time{}, now
+		}
+		if per.heard.IsZero() && now.Sub(per.known) > forgetAfter {
+			delete(exc.peers, addr)
+		}
+	}
+	exc.mu.Unlock()
+	for _, addr := range silent {
+		exc.opts.Fleet.Forget(addr)
+	}
+}
