--- a/place/place.go
+++ b/place/place.go
@@ -33,6 +33,8 @@
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
 	Value    float64
+	// ShortRanks is the number of replicas, from the first rank on, that are meant for short calls.
+	ShortRanks int
 }
 
 // Part is a share of a prompt that a helper reads.
@@ -100,6 +102,7 @@
 		return Plan{}, false
 	}
 	best.Value = chc.value
+	best.ShortRanks = chc.shortRanks
 	return best, true
 }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -63,14 +63,15 @@
 	account string
 	end     time.Time // when the call must have its final answer
 
-	sends   int      // attempts
-	runs    int      // attempts that may have run
-	avoid   []string // replicas that failed the call
-	spare   *answer  // a replica's complete failure, delivered if nothing better comes
-	headers bool     // the head of the answer has been sent
-	events  int      // events delivered
-	last    int64    // ID of the last event delivered
-	resumes bool     // last is set
+	placed  place.Plan // of the last attempt
+	sends   int        // attempts
+	runs    int        // attempts that may have run
+	avoid   []string   // replicas that failed the call
+	spare   *answer    // a replica's complete failure, delivered if nothing better comes
+	headers bool       // the head of the answer has been sent
+	events  int        // events delivered
+	last    int64      // ID of the last event delivered
+	resumes bool       // last is set
 
 	lastEventAt time.Time
 	firstEvent  time.Duration // until the first event
@@ -184,6 +185,7 @@
 			ses.giveUp(reason)
 			return
 		}
+		ses.placed = pln
 		out := ses.attempt(&pln)
 		ses.opts.Log.V(1).Info("relay: attempt ended", "call", ses.cal.ID, "replica", pln.First.ID,
 			"outcome", out.reason, "error", out.text())
