Test the parts of the front against stand-ins

Replicas that break off, forge, refuse or answer late, a store that drops records or refuses, registrations of other writers, and the load patterns that placement answers.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,128 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+func newFleet() (*fleet.Fleet, *timer.Manual, *[]string) {
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	var gone []string
+	flt := fleet.New(clk, logr.Discard(), func(id string) { gone = append(gone, id) })
+	return flt, man, &gone
+}
+
+func registration(id string, born, sequence int64) fleet.Registration {
+	return fleet.Registration{
+		ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "z", Slots: 16, Born: born, Sequence: sequence,
+	}
+}
+
+func usable(flt *fleet.Fleet) int { return len(flt.Group("s").Views()) }
+
+// TestDrainingReplicaGetsNoMoreCalls guards against a late record that puts a draining replica back into use.
+func TestDrainingReplicaGetsNoMoreCalls(t *testing.T) {
+	iis := is.New(t)
+	flt, _, _ := newFleet()
+	flt.Update(registration("i-1", 1, 4))
+	iis.Equal(usable(flt), 1)
+	reg := registration("i-1", 1, 5)
+	reg.Draining = true
+	flt.Update(reg)
+	iis.Equal(usable(flt), 0)
+	flt.Update(registration("i-1", 1, 4)) // written before, read later
+	iis.Equal(usable(flt), 0)
+	flt.Update(registration("i-1", 1, 6)) // says ready again within the same run
+	iis.Equal(usable(flt), 0)
+}
+
+// TestNewIncarnationCountsAnew guards against a replica that is reborn under its ID and ignored for its low sequence.
+func TestNewIncarnationCountsAnew(t *testing.T) {
+	iis := is.New(t)
+	flt, _, gone := newFleet()
+	reg := registration("i-1", 1, 9)
+	reg.Draining = true
+	flt.Update(reg)
+	flt.Update(registration("i-1", 2, 1))
+	iis.Equal(usable(flt), 1)
+	iis.Equal(*gone, []string{"i-1"})      // its connections were dropped
+	flt.Update(registration("i-1", 1, 10)) // of the first run
+	iis.Equal(flt.Group("s").Views()[0].Draining, false)
+}
+
+// TestRemovalTakesEffectAtOnce guards against calls to a replica that has left without draining.
+func TestRemovalTakesEffectAtOnce(t *testing.T) {
+	iis := is.New(t)
+	flt, _, gone := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	flt.Remove("i-1")
+	iis.Equal(usable(flt), 0)
+	iis.Equal(*gone, []string{"i-1"})
+}
+
+// TestLapsedRegistrationMayComeBack guards against a fleet that is empty after an outage of the store in which
+// registrations lapsed.
+func TestLapsedRegistrationMayComeBack(t *testing.T) {
+	iis := is.New(t)
+	flt, man, _ := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	flt.Update(registration("i-2", 1, 1))
+	flt.Doubt()
+	flt.Replace(nil)
+	iis.Equal(usable(flt), 2)
+	man.Advance(time.Second)
+	flt.Update(registration("i-1", 1, 2))
+	man.Advance(time.Second)
+	flt.Sweep()
+	iis.Equal(usable(flt), 1) // i-2 did not come back
+	man.Advance(time.Minute)
+	flt.Sweep()
+	iis.Equal(usable(flt), 1)
+}
+
+// TestListingRemovesWhatIsMissing guards against replicas that left in records that were never read.
+func TestListingRemovesWhatIsMissing(t *testing.T) {
+	iis := is.New(t)
+	flt, _, _ := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	flt.Update(registration("i-2", 1, 1))
+	flt.Replace([]fleet.Registration{registration("i-2", 1, 2)})
+	iis.Equal(usable(flt), 1)
+}
+
+// TestRiskIsForgotten guards against a replica that is condemned for good, or not at all.
+func TestRiskIsForgotten(t *testing.T) {
+	iis := is.New(t)
+	flt, man, _ := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	rep := flt.Group("s").Views()[0].Replica
+	rep.Unreachable()
+	iis.True(flt.Group("s").Views()[0].Risk > 0.8)
+	man.Advance(20 * time.Second)
+	iis.True(flt.Group("s").Views()[0].Risk < 0.1)
+}
+
+// TestRemoteWorksAreReplaced guards against works of other processes that are counted twice or never end.
+func TestRemoteWorksAreReplaced(t *testing.T) {
+	iis := is.New(t)
+	flt, _, _ := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	var hash uint32
+	rep := flt.Group("s").Views()[0].Replica
+	tkt := rep.Begin(fleet.Work{Tokens: 5}, func(rep uint32, _ fleet.Work, _ bool) { hash = rep })
+	rem := fleet.RemoteWork{Replica: hash, Work: fleet.Work{ID: 7, Tokens: 100}}
+	flt.Hear("peer", []fleet.RemoteWork{rem, rem}, false)
+	iis.Equal(flt.Group("s").Views()[0].Tokens, 105)
+	flt.Hear("peer", nil, true)
+	iis.Equal(flt.Group("s").Views()[0].Tokens, 5)
+	flt.Hear("peer", []fleet.RemoteWork{rem}, false)
+	flt.Forget("peer")
+	tkt.End()
+	iis.Equal(flt.Group("s").Views()[0].Tokens, 0)
+}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -16,6 +16,7 @@
 	ID      uint32
 	Stage   Stage
 	Part    bool          // reads a part of a prompt for another replica
+	Ahead   bool          // its prompt is split, and engines read parts before whole prompts
 	Tokens  int           // KV memory that it will use at this replica
 	Read    time.Duration // predicted time to read its prompt
 	Goal    time.Time     // when its first event is due; zero for none
@@ -164,6 +165,7 @@
 	Context    int           // tokens of the streams that are writing
 	Writers    int           // streams that are writing
 	Unread     time.Duration // predicted time until all prompts there have been read
+	Ahead      time.Duration // predicted time until all parts of split prompts there have been read
 }
 
 // Views returns a view of each replica of the service that still takes calls.
@@ -188,31 +190,49 @@
 		Cold:  max(rep.reg.ColdLeft-now.Sub(rep.started), 0),
 		Works: make([]Work, 0, len(rep.works)+len(rep.remote)),
 	}
-	oldest := now
+	all, ahead := reading{oldest: now}, reading{oldest: now}
 	for _, wrk := range rep.works {
-		oldest = vie.count(wrk, oldest)
+		vie.count(wrk, &all, &ahead)
 	}
 	for _, works := range rep.remote {
 		for _, wrk := range works {
-			oldest = vie.count(wrk, oldest)
+			vie.count(wrk, &all, &ahead)
 		}
 	}
-	// The replica has been reading since the oldest unread prompt came.
-	vie.Unread = max(vie.Unread-now.Sub(oldest), vie.Unread/4)
+	vie.Unread = all.left(now)
+	vie.Ahead = min(ahead.left(now), vie.Unread)
 	return vie
 }
 
-func (vie *View) count(wrk *Work, oldest time.Time) time.Time {
+// reading is a sum of prompts that have not been read.
+type reading struct {
+	sum    time.Duration
+	oldest time.Time // when the first of them came
+}
+
+func (rdg *reading) add(wrk *Work) {
+	rdg.sum += wrk.Read
+	if wrk.Began.Before(rdg.oldest) {
+		rdg.oldest = wrk.Began
+	}
+}
+
+// left returns what is left of the sum. The replica has been reading since the first prompt came, but a prediction that
+// is past shows that it is slower.
+func (rdg *reading) left(now time.Time) time.Duration {
+	return max(rdg.sum-now.Sub(rdg.oldest), rdg.sum/4)
+}
+
+func (vie *View) count(wrk *Work, all, ahead *reading) {
 	vie.Works = append(vie.Works, *wrk)
 	vie.Tokens += wrk.Tokens
 	if wrk.Stage == Writing {
 		vie.Writers++
 		vie.Context += wrk.Tokens
-		return oldest
+		return
 	}
-	vie.Unread += wrk.Read
-	if wrk.Began.Before(oldest) {
-		return wrk.Began
+	all.add(wrk)
+	if wrk.Ahead {
+		ahead.add(wrk)
 	}
-	return oldest
 }
--- a/peers/message.go
+++ b/peers/message.go
@@ -38,6 +38,7 @@
 	flagPart
 	flagLate
 	flagEnded
+	flagAhead
 )
 
 func toItem(rem fleet.RemoteWork, now time.Time) item {
@@ -51,6 +52,7 @@
 	}
 	for flag, set := range map[uint8]bool{
 		flagWriting: wrk.Stage == fleet.Writing, flagPart: wrk.Part, flagLate: wrk.Late, flagEnded: rem.Ended,
+		flagAhead: wrk.Ahead,
 	} {
 		if set {
 			itm.Flags |= flag
@@ -64,6 +66,7 @@
 		ID: itm.ID, Tokens: itm.Tokens, Read: time.Duration(itm.ReadMs) * time.Millisecond,
 		GapGoal: time.Duration(itm.GapMs) * time.Millisecond, Value: float64(itm.Value),
 		Part: itm.Flags&flagPart != 0, Late: itm.Flags&flagLate != 0,
+		Ahead: itm.Flags&flagAhead != 0,
 		Began: now.Add(-time.Duration(itm.AgeMs) * time.Millisecond),
 	}
 	if itm.Flags&flagWriting != 0 {
--- a/place/place.go
+++ b/place/place.go
@@ -17,6 +17,7 @@
 
 // Job is a call to be placed.
 type Job struct {
+	Now        time.Time
 	Tokens     int           // of the prompt; 0 at plain services
 	Output     int           // predicted output in tokens
 	Goal       time.Duration // until the first event or the answer is due; negative if it is past
@@ -50,6 +51,9 @@
 
 // Weights of the choice, as shares of a call's value unless stated otherwise.
 const (
+	// PartValue is the share of a call's value that is lost when one of its parts is late.
+	PartValue = 0.4
+
 	valueTokens = 10000 // tokens that double the value of a very short prompt
 	// lateLoss is the share of its value that a late call loses.
 	lateLoss = 0.75
@@ -90,6 +94,7 @@
 	}
 	chc.measure()
 	chc.shortRanks = shortRanks(chc.views, eng, longLoad)
+	chc.aheadLoad = aheadLoad(len(chc.views)-chc.shortRanks, longLoad)
 	var best Plan
 	least := math.Inf(1)
 	for _, parts := range chc.partCounts() {
@@ -140,6 +145,15 @@
 	value      float64
 	pass       []time.Duration // of each view, without reading
 	shortRanks int
+	aheadLoad  float64 // share of the time in which replicas for long prompts read parts, which go before whole prompts
+}
+
+// mostAheadLoad bounds the predicted share of the time that parts take, so that whole prompts are not predicted to wait
+// forever.
+const mostAheadLoad = 0.75
+
+func aheadLoad(replicas int, longLoad float64) float64 {
+	return min(longLoad/float64(max(replicas, 1)), mostAheadLoad)
 }
 
 func (chc *choice) measure() {
@@ -172,9 +186,16 @@
 }
 
 // first returns the predicted time to the first event if the replica reads for so long.
-func (chc *choice) first(idx int, read time.Duration) time.Duration {
+func (chc *choice) first(idx int, read time.Duration, parts int) time.Duration {
 	vie := &chc.views[idx]
-	takes := scale(vie.Unread+read, vie.Pace) + chc.pass[idx]
+	reading := vie.Ahead + read
+	if parts == 1 {
+		reading = vie.Unread + read
+		if vie.Rank >= chc.shortRanks { // Parts that come meanwhile are read first.
+			reading = scale(reading, 1/(1-chc.aheadLoad))
+		}
+	}
+	takes := scale(reading, vie.Pace) + chc.pass[idx]
 	if vie.Writers > 0 {
 		takes += chc.pass[idx] / 2 // The pass in progress is over before the prompt is read.
 	}
@@ -184,27 +205,23 @@
 	return takes
 }
 
-// harm returns the value that the other works on a replica lose if it reads for so long more.
-func (chc *choice) harm(idx int, read time.Duration, ahead bool) float64 {
+// harm returns the value that the other works on a replica lose if it reads for so long more. A part of a split prompt
+// is read beside other parts and before whole prompts, so that it delays both.
+func (chc *choice) harm(idx int, read time.Duration, part bool) float64 {
 	vie := &chc.views[idx]
 	read = scale(read, vie.Pace)
 	before := chc.pass[idx] + scale(vie.Unread, vie.Pace)
 	loss := 0.0
 	for widx := range vie.Works {
 		wrk := &vie.Works[widx]
-		if wrk.Late || wrk.Part {
-			continue
+		goal := wrk.GapGoal
+		if wrk.Stage == fleet.Reading {
+			goal = wrk.Goal.Sub(chc.job.Now)
 		}
-		if wrk.Stage == fleet.Writing {
-			if wrk.GapGoal > 0 {
-				loss += wrk.Value * (late(before+read, wrk.GapGoal) - late(before, wrk.GapGoal))
-			}
+		if wrk.Late || goal <= 0 || (wrk.Ahead && !part) {
 			continue
 		}
-		if ahead && !wrk.Goal.IsZero() {
-			left := wrk.Goal.Sub(wrk.Began) // Close enough: works that are being read began a moment ago.
-			loss += wrk.Value * (late(before+read, left) - late(before, left))
-		}
+		loss += wrk.Value * (late(before+read, goal) - late(before, goal))
 	}
 	return loss * lateLoss
 }
@@ -252,7 +269,7 @@
 	short := chc.eng.Reading(chc.job.Tokens) < fleet.LongRead
 	for idx := range chc.views {
 		vie := &chc.views[idx]
-		opt := option{idx: idx, finish: chc.first(idx, read)}
+		opt := option{idx: idx, finish: chc.first(idx, read, parts)}
 		opt.loss = chc.harm(idx, read, parts > 1) + chc.value*failLoss*vie.Risk
 		opt.loss += slotLoss * float64(len(vie.Works)) / float64(max(vie.Slots, 1))
 		if vie.DataCentre != chc.job.DataCentre {
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,162 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/place"
+)
+
+func engine() *cost.Engine {
+	return &cost.Engine{
+		Slots: 16, MemoryTokens: 315000, Step: 850 * time.Microsecond, StepPerSlot: 4250 * time.Nanosecond,
+		StepPerK: 2850 * time.Nanosecond, ReadPerS: 177000, PerMillion: 184 * time.Microsecond, Chunk: 2048, Stride: 51,
+	}
+}
+
+func views(num int) []fleet.View {
+	list := make([]fleet.View, num)
+	for idx := range list {
+		list[idx] = fleet.View{
+			Rank: idx, ID: fmt.Sprint("i-", idx), Address: fmt.Sprint("10.0.0.", idx, ":80"),
+			DataCentre: "z", Slots: 16, Pace: 1,
+		}
+	}
+	return list
+}
+
+// write adds short streams that are writing to a view.
+func write(vie *fleet.View, num int) {
+	for range num {
+		vie.Works = append(vie.Works, fleet.Work{
+			Stage: fleet.Writing, Tokens: 5000, Read: 30 * time.Millisecond,
+			GapGoal: 250 * time.Millisecond, Value: 1.5,
+		})
+		vie.Writers++
+		vie.Context += 5000
+		vie.Tokens += 5000
+	}
+}
+
+func shortJob() place.Job {
+	return place.Job{
+		Tokens: 5000, Output: 1600, Goal: 300 * time.Millisecond, GapGoal: 250 * time.Millisecond,
+		TimeLeft: 10 * time.Second, DataCentre: "z",
+	}
+}
+
+func longJob(tokens int) place.Job {
+	return place.Job{
+		Tokens: tokens, Output: 800, Goal: 3 * time.Second, GapGoal: time.Second, TimeLeft: 15 * time.Second,
+		DataCentre: "z",
+	}
+}
+
+// TestShortCallAvoidsLongRead answers the pattern of a short call that arrives while a long prompt is read: it must go
+// where it is on time, even if more calls run there.
+func TestShortCallAvoidsLongRead(t *testing.T) {
+	iis := is.New(t)
+	list := views(2)
+	list[0].Unread = 900 * time.Millisecond
+	write(&list[1], 6)
+	pln, ok := place.Engine(shortJob(), engine(), list, 0)
+	iis.True(ok)
+	iis.Equal(pln.First.ID, "i-1")
+}
+
+// TestLongPromptIsReadByMany answers the pattern of a prompt whose reading alone takes longer than its goal.
+func TestLongPromptIsReadByMany(t *testing.T) {
+	iis := is.New(t)
+	pln, ok := place.Engine(longJob(250000), engine(), views(20), 0)
+	iis.True(ok)
+	iis.True(len(pln.Helpers) >= 2)
+	iis.True(pln.Expected < 3*time.Second)
+}
+
+// TestLongPromptSparesShortStreams answers the pattern of long prompts beside short streams: parts go to engines where
+// nobody's pause is exceeded.
+func TestLongPromptSparesShortStreams(t *testing.T) {
+	iis := is.New(t)
+	list := views(16)
+	for idx := range 10 {
+		write(&list[idx], 4)
+	}
+	pln, ok := place.Engine(longJob(154000), engine(), list, 0)
+	iis.True(ok)
+	iis.Equal(pln.First.Writers, 0)
+	for _, hlp := range pln.Helpers {
+		iis.Equal(hlp.View.Writers, 0) // a helper without streams
+	}
+}
+
+// TestPromptLargerThanAnEngine answers the pattern of prompts that no engine can hold: memory is reserved at helpers.
+func TestPromptLargerThanAnEngine(t *testing.T) {
+	iis := is.New(t)
+	pln, ok := place.Engine(longJob(600000), engine(), views(20), 0)
+	iis.True(ok)
+	reserved := 0
+	for _, hlp := range pln.Helpers {
+		iis.True(hlp.Reserve <= 315000)
+		reserved += hlp.Reserve
+	}
+	iis.True(reserved >= 600000-315000)
+}
+
+// TestUnservablePromptIsRefused guards against a prompt that waits in vain because the whole fleet cannot hold it.
+func TestUnservablePromptIsRefused(t *testing.T) {
+	iis := is.New(t)
+	_, ok := place.Engine(longJob(700000), engine(), views(2), 0)
+	iis.True(!ok)
+}
+
+// TestShortCallsLeaveRoomForLongPrompts answers the pattern in which long prompts make up most of the reading: short
+// calls share few replicas, the same at all processes.
+func TestShortCallsLeaveRoomForLongPrompts(t *testing.T) {
+	iis := is.New(t)
+	list := views(20)
+	for range 20 {
+		pln, ok := place.Engine(shortJob(), engine(), append([]fleet.View(nil), list...), 12)
+		iis.True(ok)
+		iis.True(pln.First.Rank < 8)
+		write(&list[pln.First.Rank], 1)
+	}
+}
+
+// TestFailedReplicaIsAvoided guards against a repeat that goes to the replica that has just failed the call.
+func TestFailedReplicaIsAvoided(t *testing.T) {
+	iis := is.New(t)
+	job := shortJob()
+	job.Avoid = []string{"i-0"}
+	pln, ok := place.Engine(job, engine(), views(2), 0)
+	iis.True(ok)
+	iis.Equal(pln.First.ID, "i-1")
+}
+
+// TestRiskyReplicaIsAvoided answers the pattern of a replica that fails part of its calls while others are sound.
+func TestRiskyReplicaIsAvoided(t *testing.T) {
+	iis := is.New(t)
+	list := views(2)
+	list[0].Risk = 0.4
+	write(&list[1], 5)
+	pln, ok := place.Engine(shortJob(), engine(), list, 0)
+	iis.True(ok)
+	iis.Equal(pln.First.ID, "i-1")
+	pln, ok = place.Plain(place.Job{DataCentre: "z"}, list)
+	iis.True(ok)
+	iis.Equal(pln.First.ID, "i-1")
+}
+
+// TestNoReplicaIsNeverAllRisky guards against a fleet that is given up as a whole.
+func TestNoReplicaIsNeverAllRisky(t *testing.T) {
+	iis := is.New(t)
+	list := views(2)
+	list[0].Risk, list[1].Risk = 0.95, 0.99
+	pln, ok := place.Engine(shortJob(), engine(), list, 0)
+	iis.True(ok)
+	iis.Equal(pln.First.ID, "i-0")
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -83,7 +83,10 @@
 	wrk := ses.work(pln)
 	tickets := bookings{pln.First.Replica.Begin(wrk, onMove)}
 	for _, hlp := range pln.Helpers {
-		part := fleet.Work{Part: true, Tokens: hlp.Reserve, Read: pln.Read}
+		part := fleet.Work{
+			Part: true, Ahead: true, Tokens: hlp.Reserve, Read: pln.Read, Goal: wrk.Goal, Late: wrk.Late,
+			Value: wrk.Value * place.PartValue,
+		}
 		tickets = append(tickets, hlp.View.Replica.Begin(part, onMove))
 	}
 	return tickets
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,446 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/platform"
+	"github.com/tarragonwheel/tarragonwheel/pool"
+	"github.com/tarragonwheel/tarragonwheel/relay"
+	"github.com/tarragonwheel/tarragonwheel/retry"
+	"github.com/tarragonwheel/tarragonwheel/rules"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// request is what a stand-in replica has read.
+type request struct {
+	*http.Request
+	body string
+}
+
+// script answers one request on a connection. The connection is closed if it returns false.
+type script func(con net.Conn, req request) (keep bool)
+
+// replica is a stand-in that counts the calls that it runs.
+type replica struct {
+	addr  string
+	calls atomic.Int64
+}
+
+func newReplica(t *testing.T, scr script) *replica {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	rep := &replica{addr: lis.Addr().String()}
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go rep.serve(con, scr)
+		}
+	}()
+	return rep
+}
+
+func (rep *replica) serve(con net.Conn, scr script) {
+	defer func() { _ = con.Close() }()
+	brd := bufio.NewReader(con)
+	for {
+		req, err := http.ReadRequest(brd)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		rep.calls.Add(1)
+		if !scr(con, request{Request: req, body: string(body)}) {
+			return
+		}
+	}
+}
+
+func (req request) id() string { return req.Header.Get("Tarragonwheel-Request-Id") }
+
+// signed returns the headers that every answer of a replica has.
+func signed(req request) string {
+	return fmt.Sprintf("Tarragonwheel-Request-Id: %s\r\nTarragonwheel-Replica-Signature: sig\r\n", req.id())
+}
+
+// reply writes a signed answer with a length.
+func reply(con net.Conn, req request, status int, body string) bool {
+	_, err := fmt.Fprintf(con, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, signed(req), len(body), body)
+	return err == nil
+}
+
+// refuse writes an answer that states that the call did not run.
+func refuse(con net.Conn, req request) bool {
+	_, err := fmt.Fprintf(con, "HTTP/1.1 503 X\r\nTarragonwheel-Request-Id: %s\r\nTarragonwheel-Not-Executed: 1\r\n"+
+		"Content-Length: 0\r\n\r\n", req.id())
+	return err == nil
+}
+
+// stream writes the events from one ID to another as chunks, and the end of the stream if whole is set.
+func stream(con net.Conn, req request, from, until int, whole bool) bool {
+	_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n", signed(req))
+	for num := from; num <= until; num++ {
+		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", num, num)
+		_, _ = fmt.Fprintf(con, "%x\r\n%s\r\n", len(text), text)
+	}
+	if whole {
+		_, _ = io.WriteString(con, "0\r\n\r\n")
+	}
+	return whole
+}
+
+func events(from, until int) string {
+	var out strings.Builder
+	for num := from; num <= until; num++ {
+		fmt.Fprintf(&out, "id: %d\ndata: piece %d\n\n", num, num)
+	}
+	return out.String()
+}
+
+// rig is a relay before stand-in replicas.
+type rig struct {
+	url   string
+	relay *relay.Relay
+	flt   *fleet.Fleet
+	rules atomic.Pointer[rules.Set]
+}
+
+func newRig(t *testing.T, replicas ...*replica) *rig {
+	t.Helper()
+	clk := timer.New()
+	rig := &rig{flt: fleet.New(clk, logr.Discard(), nil)}
+	rig.rules.Store(rules.New(testRules()))
+	for idx, rep := range replicas {
+		rig.flt.Update(fleet.Registration{
+			ID: fmt.Sprint("i-", idx), Service: "s", Address: rep.addr, DataCentre: "z", Slots: 4, Sequence: 1,
+		})
+	}
+	rig.relay = relay.New(relay.Options{
+		Clock: clk, Log: logr.Discard(), Metrics: metric.New(), Rules: rig.rules.Load, Fleet: rig.flt,
+		Pool: pool.New(clk), Memory: relay.NewMemory(clk, logr.Discard(), relay.Orders{}),
+		Blame: relay.NewBlame(clk, nil), DataCentre: "z", Sharers: func() int { return 1 },
+		Budget: retry.Terms{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
+		OnMove: func(string, uint32, fleet.Work, bool) {},
+		Wire: relay.Wire{
+			ReadCall: platform.ReadCall, WriteCall: platform.WriteCall, ReadReply: platform.ReadReply,
+			WriteReply: platform.WriteReply, WriteRefusal: platform.WriteRefusal,
+		},
+	})
+	srv := httptest.NewServer(rig.relay)
+	t.Cleanup(srv.Close)
+	rig.url = srv.URL
+	return rig
+}
+
+func testRules() rules.Spec {
+	to := []rules.Target{{Service: "s", Weight: 1}}
+	return rules.Spec{
+		Version: 1,
+		Routes: []rules.Route{
+			{Name: "unsafe", Host: "127.0.0.1", Prefix: "/unsafe/", Kind: rules.Unsafe, Attempts: 1, Targets: to},
+			{Name: "safe", Host: "127.0.0.1", Prefix: "/safe/", Kind: rules.Safe, Attempts: 2, Targets: to},
+			{
+				Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Kind: rules.Stream, Attempts: 2, Targets: to,
+				Resumable: true,
+			},
+			{
+				Name: "quick", Host: "127.0.0.1", Prefix: "/quick/", Kind: rules.Unsafe, Attempts: 1, Targets: to,
+				Timeout: 200 * time.Millisecond,
+			},
+		},
+		Accounts: []rules.Account{{Name: "n", Keys: []string{"k"}}},
+		Limits:   rules.Limits{BodyBytes: 1 << 20},
+	}
+}
+
+// send makes a call and returns status and body, and the error of reading the body.
+func (rig *rig) send(t *testing.T, path string) (status int, body string, err error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+path, strings.NewReader("asked"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Tarragonwheel-Request-Id", "c1")
+	req.Header.Set("Tarragonwheel-Request-Deadline-Ms", "5000")
+	req.Header.Set("Api-Key", "k")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(raw), err
+}
+
+func TestCallIsForwarded(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool {
+		iis.Equal(req.body, "asked")
+		iis.Equal(req.Header.Get("Tarragonwheel-Tenant"), "n")
+		iis.Equal(req.Header.Get("Tarragonwheel-Target-Replica"), "i-0")
+		iis.Equal(req.Header.Get("Api-Key"), "")
+		return reply(con, req, 201, "whole")
+	}))
+	status, body, err := rig.send(t, "/unsafe/x")
+	iis.NoErr(err)
+	iis.Equal(status, 201)
+	iis.Equal(body, "whole")
+}
+
+// TestUnsafeCallIsNotRepeated guards against a call that runs twice after a replica broke off.
+func TestUnsafeCallIsNotRepeated(t *testing.T) {
+	iis := is.New(t)
+	breaks := func(net.Conn, request) bool { return false }
+	one, two := newReplica(t, breaks), newReplica(t, breaks)
+	status, _, err := newRig(t, one, two).send(t, "/unsafe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusBadGateway) // promises nothing
+	iis.Equal(one.calls.Load()+two.calls.Load(), int64(1))
+}
+
+// TestRefusedCallGoesElsewhere answers a replica that is full: a call that did not run may be sent to another one.
+func TestRefusedCallGoesElsewhere(t *testing.T) {
+	iis := is.New(t)
+	one := newReplica(t, refuse)
+	two := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 200, "ok") })
+	rig := newRig(t, one, two)
+	for range 4 {
+		status, body, err := rig.send(t, "/unsafe/x")
+		iis.NoErr(err)
+		iis.Equal(status, 200)
+		iis.Equal(body, "ok")
+	}
+	iis.True(one.calls.Load() > 0)
+}
+
+// TestRefusalByAllIsAPromise guards against a refusal that clients may not repeat although the call did not run.
+func TestRefusalByAllIsAPromise(t *testing.T) {
+	iis := is.New(t)
+	status, _, err := newRig(t, newReplica(t, refuse), newReplica(t, refuse)).send(t, "/unsafe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusServiceUnavailable)
+}
+
+// TestUnstatedRefusalIsNoPromise guards against a 503 to a client whose call may have run.
+func TestUnstatedRefusalIsNoPromise(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 503, "busy") }))
+	status, _, err := rig.send(t, "/unsafe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusBadGateway)
+}
+
+// TestSafeCallIsRepeatedAfterFailure answers a replica that fails part of its calls while it looks sound.
+func TestSafeCallIsRepeatedAfterFailure(t *testing.T) {
+	iis := is.New(t)
+	one := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 500, "broken") })
+	two := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 200, "ok") })
+	rig := newRig(t, one, two)
+	for range 4 {
+		status, body, err := rig.send(t, "/safe/x")
+		iis.NoErr(err)
+		iis.Equal(status, 200)
+		iis.Equal(body, "ok")
+	}
+}
+
+// TestFailureIsDeliveredWhenNothingBetterComes guards against a replica's answer that is replaced by one of our own.
+func TestFailureIsDeliveredWhenNothingBetterComes(t *testing.T) {
+	iis := is.New(t)
+	fails := func(con net.Conn, req request) bool { return reply(con, req, 500, "broken") }
+	status, body, err := newRig(t, newReplica(t, fails), newReplica(t, fails)).send(t, "/safe/x")
+	iis.NoErr(err)
+	iis.Equal(status, 500)
+	iis.Equal(body, "broken")
+}
+
+// TestForgedAnswersAreNotPassedOn guards against answers that do not come whole from the replica, for calls that may
+// not be repeated.
+func TestForgedAnswersAreNotPassedOn(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTarragonwheel-Request-Id: c1\r\n"
+	signed := head + "Tarragonwheel-Replica-Signature: sig\r\n"
+	cases := map[string]string{
+		"no signature":     head + "Content-Length: 2\r\n\r\nok",
+		"body cut off":     signed + "Content-Length: 20\r\n\r\nok",
+		"encoded":          signed + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+		"no answer":        "\x00\x01\x02 what is this\r\n\r\n",
+		"of another call":  strings.Replace(signed, "c1", "c2", 1) + "Content-Length: 2\r\n\r\nok",
+		"chunk cut off":    signed + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"head cut off":     "HTTP/1.1 200 OK\r\nTarragonwheel-Requ",
+		"nothing":          "",
+		"foreign and none": strings.Replace(signed, "c1", "c2", 1) + "Content-Length: 2\r\n\r\nokHTTP/1.1 2",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			iis := is.New(t)
+			rig := newRig(t, newReplica(t, func(con net.Conn, _ request) bool {
+				_, _ = io.WriteString(con, text)
+				return false
+			}))
+			status, _, err := rig.send(t, "/unsafe/x")
+			iis.NoErr(err)
+			iis.Equal(status, http.StatusBadGateway)
+		})
+	}
+}
+
+func TestStreamIsPassedOn(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool { return stream(con, req, 1, 5, true) }))
+	status, body, err := rig.send(t, "/stream/x")
+	iis.NoErr(err)
+	iis.Equal(status, 200)
+	iis.Equal(body, events(1, 5))
+}
+
+// TestBrokenStreamGoesOn answers a replica that crashes in the middle of a stream, also within an event: no piece is
+// missing or comes twice.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	iis := is.New(t)
+	var second atomic.Bool
+	scr := func(con net.Conn, req request) bool {
+		if second.Swap(true) {
+			iis.Equal(req.Header.Get("Last-Event-Id"), "3")
+			return stream(con, req, 3, 6, true) // It repeats one event that the client has.
+		}
+		stream(con, req, 1, 3, false)
+		text := "id: 4\ndata: pie"
+		_, _ = fmt.Fprintf(con, "%x\r\n%s\r\n", len(text), text)
+		return false
+	}
+	status, body, err := newRig(t, newReplica(t, scr), newReplica(t, scr)).send(t, "/stream/x")
+	iis.NoErr(err)
+	iis.Equal(status, 200)
+	iis.Equal(body, events(1, 6))
+}
+
+// TestStreamThatCannotGoOnLooksBroken guards against half a stream that passes for a whole one.
+func TestStreamThatCannotGoOnLooksBroken(t *testing.T) {
+	iis := is.New(t)
+	scr := func(con net.Conn, req request) bool {
+		from := 1
+		if req.Header.Get("Last-Event-Id") != "" {
+			return false
+		}
+		return stream(con, req, from, 3, false)
+	}
+	_, body, err := newRig(t, newReplica(t, scr), newReplica(t, scr)).send(t, "/stream/x")
+	iis.True(err != nil)
+	iis.True(strings.HasPrefix(events(1, 3), body))
+}
+
+// TestTimeLimitOfTheRouteHolds guards against a call that is held longer than its route allows.
+func TestTimeLimitOfTheRouteHolds(t *testing.T) {
+	iis := is.New(t)
+	closed := make(chan struct{})
+	rig := newRig(t, newReplica(t, func(con net.Conn, _ request) bool {
+		_, _ = con.Read(make([]byte, 1))
+		close(closed)
+		return false
+	}))
+	status, _, err := rig.send(t, "/quick/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusGatewayTimeout)
+	<-closed // The replica is told to stop.
+}
+
+// TestClientThatLeavesStopsTheReplica guards against work for a client that has left.
+func TestClientThatLeavesStopsTheReplica(t *testing.T) {
+	iis := is.New(t)
+	began, closed := make(chan struct{}), make(chan struct{})
+	rig := newRig(t, newReplica(t, func(con net.Conn, _ request) bool {
+		close(began)
+		_, _ = con.Read(make([]byte, 1))
+		close(closed)
+		return false
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, rig.url+"/stream/x", strings.NewReader("asked"))
+	iis.NoErr(err)
+	req.Header.Set("Api-Key", "k")
+	res, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	<-closed
+}
+
+// TestUnknownKeysAndRoutes guards against calls that the configuration does not allow.
+func TestUnknownKeysAndRoutes(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 200, "ok") })
+	rig := newRig(t, rep)
+	status, _, err := rig.send(t, "/none/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusNotFound)
+	spc := testRules()
+	spc.Version, spc.Accounts[0].Keys = 2, []string{"other"}
+	rig.rules.Store(rules.New(spc))
+	status, _, err = rig.send(t, "/safe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusUnauthorized)
+	iis.Equal(rep.calls.Load(), int64(0))
+}
+
+// TestBodyLimit guards against bodies that fill the memory.
+func TestBodyLimit(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 200, "ok") })
+	rig := newRig(t, rep)
+	for _, size := range []int64{-1, 2 << 20} { // chunked, and with a length
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+"/safe/x",
+			io.LimitReader(zeros{}, 2<<20))
+		iis.NoErr(err)
+		req.ContentLength = size
+		req.Header.Set("Api-Key", "k")
+		res, err := http.DefaultClient.Do(req)
+		iis.NoErr(err)
+		_ = res.Body.Close()
+		iis.Equal(res.StatusCode, http.StatusRequestEntityTooLarge)
+	}
+	iis.Equal(rep.calls.Load(), int64(0))
+}
+
+type zeros struct{}
+
+func (zeros) Read(buf []byte) (int, error) { return len(buf), nil }
+
+// TestCrashingCallIsRefused answers a call that crashes each replica that begins it and comes again and again.
+func TestCrashingCallIsRefused(t *testing.T) {
+	iis := is.New(t)
+	crashes := func(net.Conn, request) bool { return false }
+	one, two, three := newReplica(t, crashes), newReplica(t, crashes), newReplica(t, crashes)
+	rig := newRig(t, one, two, three)
+	for range 6 {
+		_, _, err := rig.send(t, "/stream/x")
+		iis.NoErr(err)
+	}
+	iis.Equal(one.calls.Load()+two.calls.Load()+three.calls.Load(), int64(2))
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -186,6 +186,7 @@
 			return
 		}
 		ses.placed = pln
+		ses.logPlan(&pln)
 		out := ses.attempt(&pln)
 		ses.opts.Log.V(1).Info("relay: attempt ended", "call", ses.cal.ID, "replica", pln.First.ID,
 			"outcome", out.reason, "error", out.text())
@@ -202,6 +203,21 @@
 	}
 }
 
+// logPlan logs where a call is sent and on what grounds.
+func (ses *session) logPlan(pln *place.Plan) {
+	if !ses.opts.Log.V(1).Enabled() {
+		return
+	}
+	var helpers []string
+	for _, hlp := range pln.Helpers {
+		helpers = append(helpers, hlp.View.ID)
+	}
+	vie := &pln.First
+	ses.opts.Log.V(1).Info("relay: call placed", "call", ses.cal.ID, "replica", vie.ID, "helpers", helpers,
+		"tokens", ses.cal.Prompt.Tokens, "read", pln.Read, "expected", pln.Expected, "writers", vie.Writers,
+		"unread", vie.Unread, "ahead", vie.Ahead, "memory", vie.Tokens, "works", len(vie.Works), "risk", vie.Risk)
+}
+
 // mayRepeat tells whether the call may be sent once more after an attempt that ended so.
 func (ses *session) mayRepeat(out outcome) bool {
 	if ses.ctx.Err() != nil || ses.opts.Clock.Now().Add(leastTime).After(ses.end) || ses.sends >= maxSends {
@@ -248,12 +264,9 @@
 func (ses *session) job(left time.Duration) place.Job {
 	prm := ses.cal.Prompt
 	job := place.Job{
-		Tokens: prm.Tokens, Output: prm.MostOutput, GapGoal: ses.rte.GapGoal, TimeLeft: left,
+		Now: ses.opts.Clock.Now(), Tokens: prm.Tokens, Output: ses.output(), GapGoal: ses.rte.GapGoal, TimeLeft: left,
 		DataCentre: ses.opts.DataCentre, Avoid: ses.avoid,
 	}
-	if prm.HintOutput > 0 {
-		job.Output = min(job.Output, 2*prm.HintOutput)
-	}
 	if ses.rte.Goal > 0 {
 		job.Goal = ses.rte.Goal - ses.opts.Clock.Since(ses.cal.Arrived)
 	} else {
@@ -262,12 +275,22 @@
 	return job
 }
 
+// output predicts the output in tokens. The client's estimate is often far off, so it is doubled.
+func (ses *session) output() int {
+	prm := ses.cal.Prompt
+	if prm.HintOutput > 0 {
+		return min(prm.MostOutput, 2*prm.HintOutput)
+	}
+	return prm.MostOutput
+}
+
 // work is what the call means for a replica.
 func (ses *session) work(pln *place.Plan) fleet.Work {
 	prm := ses.cal.Prompt
 	return fleet.Work{
-		Tokens: prm.Tokens, Read: pln.Read, GapGoal: ses.rte.GapGoal, Value: pln.Value,
+		Tokens: prm.Tokens + ses.output(), Read: pln.Read, GapGoal: ses.rte.GapGoal, Value: pln.Value,
 		Goal: ses.cal.Arrived.Add(ses.rte.Goal), Late: ses.late(),
+		Ahead: len(pln.Helpers) > 0,
 	}
 }
 
