--- a/place/place.go
+++ b/place/place.go
@@ -68,13 +68,13 @@
 	// helperLoss is the risk that each further helper adds.
 	helperLoss = 0.0015
 	// earlyLoss prefers the earlier of two choices that are both on time.
-	earlyLoss = 0.03
+	earlyLoss = 0.15
 )
 
 // Lateness is predicted with a margin: it begins below the goal and is certain above it.
 const (
-	lateFrom  = 0.7
-	lateUntil = 1.1
+	lateFrom  = 0.5
+	lateUntil = 1.0
 )
 
 // late returns the predicted probability that something that takes so long misses its goal.
