Keep short calls and long prompts on different replicas

Ruled out: wrong reading times (predictions without other reads match within 5 in 100). Change: parts and whole prompts are predicted apart, delays of prompts that are being read count as harm, and short calls share as few replicas as they fill to 0.6 of the slots, the same at all fronts.

--- a/place/place.go
+++ b/place/place.go
@@ -34,7 +34,7 @@
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
 	Value    float64
-	// ShortRanks is the number of replicas, from the first rank on, that are meant for short calls.
+	// ShortRanks is the number of replicas that are meant for short calls.
 	ShortRanks int
 }
 
@@ -64,11 +64,13 @@
 	// slotLoss is lost for each share of a replica's slots in use, so that equal choices spread.
 	slotLoss = 0.06
 	// longZoneLoss keeps short calls off the replicas that long prompts need.
-	longZoneLoss = 0.25
+	longZoneLoss = 0.5
 	// helperLoss is the risk that each further helper adds.
 	helperLoss = 0.0015
 	// earlyLoss prefers the earlier of two choices that are both on time.
 	earlyLoss = 0.15
+	// overdueLoss is lost for each span as long as the goal by which the first event is late.
+	overdueLoss = 0.06
 )
 
 // Lateness is predicted with a margin: it begins below the goal and is certain above it.
@@ -77,6 +79,9 @@
 	lateUntil = 1.0
 )
 
+// shortestGoal bounds the loss of calls whose goal is past.
+const shortestGoal = 100 * time.Millisecond
+
 // late returns the predicted probability that something that takes so long misses its goal.
 func late(takes, goal time.Duration) float64 {
 	if goal <= 0 {
@@ -93,7 +98,7 @@
 		return Plan{}, false
 	}
 	chc.measure()
-	chc.shortRanks = shortRanks(chc.views, eng, longLoad)
+	chc.markShort()
 	chc.aheadLoad = aheadLoad(len(chc.views)-chc.shortRanks, longLoad)
 	var best Plan
 	least := math.Inf(1)
@@ -115,26 +120,31 @@
 	return slices.DeleteFunc(views, func(vie fleet.View) bool { return slices.Contains(job.Avoid, vie.ID) })
 }
 
-// shortRanks returns how many replicas, from the first rank on, are meant for short calls while long prompts arrive.
-// The rest is left to long prompts, whose reading would delay the short ones.
-func shortRanks(views []fleet.View, eng *cost.Engine, longLoad float64) int {
+// markShort marks the replicas that are meant for short calls: the first sound ones in rank, as many as the short calls
+// fill to a share of their slots. The rest is left to long prompts, whose reading would delay the short ones.
+func (chc *choice) markShort() {
 	const (
-		reserve = 1.3  // long prompts do not arrive evenly
-		density = 0.5  // share of the slots that short calls may fill
-		most    = 0.85 // largest share of the replicas left to long prompts
+		density   = 0.6 // share of the slots that short calls may fill
+		soundRisk = 0.25
+		soundPace = 1.6
 	)
-	short := 0
-	for idx := range views {
-		for _, wrk := range views[idx].Works {
+	short := 1
+	for idx := range chc.views {
+		for _, wrk := range chc.views[idx].Works {
 			if !wrk.Part && wrk.Read < fleet.LongRead {
 				short++
 			}
 		}
 	}
-	num := len(views)
-	forLong := int(math.Ceil(min(longLoad*reserve, most*float64(num))))
-	forShort := int(math.Ceil(float64(short+1) / (density * float64(max(eng.Slots, 1)))))
-	return min(max(num-forLong, forShort), num)
+	chc.short = make([]bool, len(chc.views))
+	num := int(math.Ceil(float64(short) / (density * float64(max(chc.eng.Slots, 1)))))
+	for idx := range chc.views {
+		vie := &chc.views[idx]
+		if chc.shortRanks < num && vie.Risk < soundRisk && vie.Pace < soundPace {
+			chc.short[idx] = true
+			chc.shortRanks++
+		}
+	}
 }
 
 // choice is the state of one decision.
@@ -144,8 +154,9 @@
 	views      []fleet.View
 	value      float64
 	pass       []time.Duration // of each view, without reading
-	shortRanks int
-	aheadLoad  float64 // share of the time in which replicas for long prompts read parts, which go before whole prompts
+	short      []bool          // whether each view is meant for short calls
+	shortRanks int             // views meant for short calls
+	aheadLoad  float64         // share of the time in which replicas for long prompts read parts, which go before whole prompts
 }
 
 // mostAheadLoad bounds the predicted share of the time that parts take, so that whole prompts are not predicted to wait
@@ -191,7 +202,7 @@
 	reading := vie.Ahead + read
 	if parts == 1 {
 		reading = vie.Unread + read
-		if vie.Rank >= chc.shortRanks { // Parts that come meanwhile are read first.
+		if !chc.short[idx] { // Parts that come meanwhile are read first.
 			reading = scale(reading, 1/(1-chc.aheadLoad))
 		}
 	}
@@ -259,7 +270,7 @@
 		return Plan{}, 0, false
 	}
 	loss += chc.value * lateLoss * late(pln.Expected, chc.job.Goal)
-	loss += chc.value * earlyLoss * float64(pln.Expected) / float64(max(chc.job.Goal, pln.Expected))
+	loss += chc.value * chc.waiting(pln.Expected)
 	loss += chc.value * helperLoss * float64(parts-1)
 	return pln, loss, true
 }
@@ -275,7 +286,7 @@
 		if vie.DataCentre != chc.job.DataCentre {
 			opt.loss += farLoss
 		}
-		if short && vie.Rank >= chc.shortRanks {
+		if short && !chc.short[idx] {
 			opt.loss += longZoneLoss
 		}
 		if parts == 1 && chc.job.GapGoal > 0 {
@@ -289,8 +300,14 @@
 
 // rate orders the options: what a replica loses alone, and how late it makes the whole call.
 func (chc *choice) rate(opt option) float64 {
-	return opt.loss + chc.value*(lateLoss*late(opt.finish, chc.job.Goal)+
-		earlyLoss*float64(opt.finish)/float64(max(chc.job.Goal, time.Millisecond)))
+	return opt.loss + chc.value*(lateLoss*late(opt.finish, chc.job.Goal)+chc.waiting(opt.finish))
+}
+
+// waiting returns the share of a call's value that is lost by waiting so long for the first event, besides its being
+// late.
+func (chc *choice) waiting(takes time.Duration) float64 {
+	ratio := float64(takes) / float64(max(chc.job.Goal, shortestGoal))
+	return earlyLoss*min(ratio, 1) + overdueLoss*max(ratio-1, 0)
 }
 
 func sign(num float64) int {
