Keep the exchange of load right when datagrams overtake one another

The first datagram of a whole state replaced all that was heard before, and arrived after the others of the same state (five datagrams sent at once, the first one received fourth). Change: datagrams may come in any order; a work that is not repeated for 2.3 s is dropped, and a new run of a process ends the works of the run before. A front that starts is told the load at once instead of within a second.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -108,21 +108,28 @@
 	iis.True(flt.Group("s").Views()[0].Risk < 0.1)
 }
 
-// TestRemoteWorksAreReplaced guards against works of other processes that are counted twice or never end.
-func TestRemoteWorksAreReplaced(t *testing.T) {
+// TestRemoteWorksEnd guards against works of other processes that are counted twice or never end.
+func TestRemoteWorksEnd(t *testing.T) {
 	iis := is.New(t)
-	flt, _, _ := newFleet()
+	flt, man, _ := newFleet()
 	flt.Update(registration("i-1", 1, 1))
 	var hash uint32
 	rep := flt.Group("s").Views()[0].Replica
 	tkt := rep.Begin(fleet.Work{Tokens: 5}, func(rep uint32, _ fleet.Work, _ bool) { hash = rep })
+	tokens := func() int { return flt.Group("s").Views()[0].Tokens }
 	rem := fleet.RemoteWork{Replica: hash, Work: fleet.Work{ID: 7, Tokens: 100}}
-	flt.Hear("peer", []fleet.RemoteWork{rem, rem}, false)
-	iis.Equal(flt.Group("s").Views()[0].Tokens, 105)
-	flt.Hear("peer", nil, true)
-	iis.Equal(flt.Group("s").Views()[0].Tokens, 5)
-	flt.Hear("peer", []fleet.RemoteWork{rem}, false)
+	flt.Hear("peer", []fleet.RemoteWork{rem, rem})
+	iis.Equal(tokens(), 105)
+	flt.Hear("peer", []fleet.RemoteWork{{Replica: hash, Work: fleet.Work{ID: 7}, Ended: true}})
+	iis.Equal(tokens(), 5)
+	flt.Hear("peer", []fleet.RemoteWork{rem})
 	flt.Forget("peer")
+	iis.Equal(tokens(), 5)
+	flt.Hear("peer", []fleet.RemoteWork{rem})
+	man.Advance(2 * time.Second)
+	iis.Equal(tokens(), 105) // the datagram that repeats it may be late
+	man.Advance(time.Second)
+	iis.Equal(tokens(), 5) // the datagram that ends it may be lost
 	tkt.End()
-	iis.Equal(flt.Group("s").Views()[0].Tokens, 0)
+	iis.Equal(tokens(), 0)
 }
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -24,6 +24,7 @@
 	Value   float64       // what its being on time is worth
 	Late    bool          // it is late already, so that further delay costs nothing
 	Began   time.Time
+	heard   time.Time // when another process last said that it has this work
 }
 
 // Ticket is a work of this process.
@@ -90,20 +91,21 @@
 	Ended   bool
 }
 
-// Hear takes in changes of the works of another process. With whole set, the list replaces all that was heard of it.
-func (flt *Fleet) Hear(peer string, list []RemoteWork, whole bool) {
-	if whole {
-		flt.Forget(peer)
-	}
+// staleAfter is the time after which a work of another process is dropped unless it is heard of again. Processes repeat
+// all that they have every second, and datagrams may be lost.
+const staleAfter = 2300 * time.Millisecond
+
+// Hear takes in works of another process, and which of them have ended.
+func (flt *Fleet) Hear(peer string, list []RemoteWork) {
 	now := flt.clock.Now()
 	for _, rem := range list {
 		if rep := flt.withHash(rem.Replica); rep != nil { // Else it is not registered here yet, or has gone.
-			rep.hear(peer, rem, whole, now)
+			rep.hear(peer, rem, now)
 		}
 	}
 }
 
-func (rep *Replica) hear(peer string, rem RemoteWork, known bool, now time.Time) {
+func (rep *Replica) hear(peer string, rem RemoteWork, now time.Time) {
 	grp := rep.group
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
@@ -116,12 +118,24 @@
 		delete(works, rem.Work.ID)
 		return
 	}
-	if !known && works[rem.Work.ID] == nil {
+	if works[rem.Work.ID] == nil && now.Sub(rem.Work.Began) < staleAfter {
 		grp.demand.add(&rem.Work, now)
 	}
+	rem.Work.heard = now
 	works[rem.Work.ID] = &rem.Work
 }
 
+// dropStale removes the works of other processes that have not been heard of for a while.
+func (rep *Replica) dropStale(now time.Time) {
+	for _, works := range rep.remote {
+		for id, wrk := range works {
+			if now.Sub(wrk.heard) > staleAfter {
+				delete(works, id)
+			}
+		}
+	}
+}
+
 // Forget drops the works of another process.
 func (flt *Fleet) Forget(peer string) {
 	for _, grp := range flt.all() {
@@ -190,6 +204,7 @@
 		Cold:  max(rep.reg.ColdLeft-now.Sub(rep.started), 0),
 		Works: make([]Work, 0, len(rep.works)+len(rep.remote)),
 	}
+	rep.dropStale(now)
 	all, ahead := reading{oldest: now}, reading{oldest: now}
 	for _, wrk := range rep.works {
 		vie.count(wrk, &all, &ahead)
--- a/peers/message.go
+++ b/peers/message.go
@@ -13,7 +13,7 @@
 type message struct {
 	_       struct{} `cbor:",toarray"`
 	Name    string   // of the sending process
-	Whole   bool     // the items replace all that the sender said before
+	Run     int64    // differs between runs of a process, whose works end with it
 	Items   []item
 	Crashes []uint64 // fingerprints of calls at whose start replicas broke off
 }
@@ -78,26 +78,30 @@
 	return fleet.RemoteWork{Replica: itm.Replica, Work: wrk, Ended: itm.Flags&flagEnded != 0}
 }
 
-// encode returns the datagrams for a list of works. Only the first of several replaces what was said before.
-func encode(name string, list []fleet.RemoteWork, crashes []uint64, whole bool, now time.Time) ([][]byte, error) {
-	var out [][]byte
+// split returns the messages for a list of works, each small enough for one packet. They may arrive in any order.
+func split(msg message, list []fleet.RemoteWork, now time.Time) []message {
+	var out []message
 	for first := true; first || len(list) > 0; first = false {
 		num := min(len(list), mostItems)
-		msg := message{Name: name, Whole: whole && first}
+		part := message{Name: msg.Name, Run: msg.Run}
 		if first {
-			msg.Crashes = crashes
+			part.Crashes = msg.Crashes
 		}
 		for _, rem := range list[:num] {
-			msg.Items = append(msg.Items, toItem(rem, now))
+			part.Items = append(part.Items, toItem(rem, now))
 		}
 		list = list[num:]
-		raw, err := cbor.Marshal(msg)
-		if err != nil {
-			return nil, fmt.Errorf("peers: encode: %w", err)
-		}
-		out = append(out, raw)
+		out = append(out, part)
+	}
+	return out
+}
+
+func encode(msg *message) ([]byte, error) {
+	raw, err := cbor.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("peers: encode: %w", err)
 	}
-	return out, nil
+	return raw, nil
 }
 
 func decode(raw []byte) (message, error) {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"net"
 	"slices"
 	"sync"
@@ -45,6 +46,7 @@
 // Exchange is the exchange of load of one process. It is safe for concurrent use.
 type Exchange struct {
 	opts    Options
+	run     int64 // distinguishes this run of the process
 	conn    *net.UDPConn
 	mu      sync.Mutex
 	peers   map[string]*peer // by address
@@ -56,6 +58,7 @@
 type peer struct {
 	addr  *net.UDPAddr
 	name  string    // empty until heard of
+	run   int64     // of the process
 	heard time.Time // zero until heard of
 	known time.Time
 }
@@ -76,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: listen: %w", trace.ConnectionProblem(err, "%s", opts.Address))
 	}
-	exc := &Exchange{opts: opts, conn: con, peers: make(map[string]*peer)}
+	exc := &Exchange{opts: opts, run: rand.Int63(), conn: con, peers: make(map[string]*peer)}
 	context.AfterFunc(grp.Context(), func() { _ = con.Close() }) // Ends receive.
 	grp.Go("receive", func(ctx context.Context) error {
 		exc.receive(ctx)
@@ -103,8 +106,9 @@
 		return
 	}
 	exc.mu.Lock()
-	defer exc.mu.Unlock()
 	exc.add(addr)
+	exc.mu.Unlock()
+	exc.send([]*net.UDPAddr{addr}, exc.opts.Fleet.Works(), nil) // It answers with what it has.
 }
 
 func (exc *Exchange) add(addr *net.UDPAddr) *peer {
@@ -163,7 +167,7 @@
 		}
 	}
 	exc.mu.Unlock()
-	exc.send(to, newest(list), nil, false)
+	exc.send(to, newest(list), nil)
 }
 
 // newest leaves the last change of each work.
@@ -193,20 +197,21 @@
 	}
 	exc.crashes = slices.DeleteFunc(exc.crashes, func(crs crash) bool { return crs.left <= 0 })
 	exc.mu.Unlock()
-	exc.send(to, exc.opts.Fleet.Works(), prints, true)
+	exc.send(to, exc.opts.Fleet.Works(), prints)
 }
 
-func (exc *Exchange) send(to []*net.UDPAddr, list []fleet.RemoteWork, prints []uint64, whole bool) {
+func (exc *Exchange) send(to []*net.UDPAddr, list []fleet.RemoteWork, prints []uint64) {
 	if len(to) == 0 {
 		return
 	}
-	raws, err := encode(exc.opts.Name, list, prints, whole, exc.opts.Clock.Now())
-	if err != nil {
-		exc.opts.Log.Error(err, "peers: load not sent")
-		return
-	}
-	for _, addr := range to {
-		for _, raw := range raws {
+	msg := message{Name: exc.opts.Name, Run: exc.run, Crashes: prints}
+	for _, part := range split(msg, list, exc.opts.Clock.Now()) {
+		raw, err := encode(&part)
+		if err != nil {
+			exc.opts.Log.Error(err, "peers: load not sent")
+			return
+		}
+		for _, addr := range to {
 			if _, err := exc.conn.WriteToUDP(raw, addr); err != nil {
 				exc.opts.Log.V(1).Info("peers: datagram not sent", "peer", addr.String(), "error", err.Error())
 			}
@@ -238,16 +243,19 @@
 	now := exc.opts.Clock.Now()
 	exc.mu.Lock()
 	per := exc.add(addr)
-	if per.heard.IsZero() {
+	isNew := per.heard.IsZero() || per.run != msg.Run
+	per.name, per.run, per.heard = msg.Name, msg.Run, now
+	exc.mu.Unlock()
+	if isNew {
 		exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
+		exc.opts.Fleet.Forget(addr.String())
+		exc.send([]*net.UDPAddr{addr}, exc.opts.Fleet.Works(), nil)
 	}
-	per.name, per.heard = msg.Name, now
-	exc.mu.Unlock()
 	list := make([]fleet.RemoteWork, 0, len(msg.Items))
 	for idx := range msg.Items {
 		list = append(list, msg.Items[idx].work(now))
 	}
-	exc.opts.Fleet.Hear(addr.String(), list, msg.Whole)
+	exc.opts.Fleet.Hear(addr.String(), list)
 	for _, print := range msg.Crashes {
 		exc.opts.OnCrash(print)
 	}
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,117 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/peers"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// process is one end of an exchange with the fleet that it knows.
+type process struct {
+	flt     *fleet.Fleet
+	exc     *peers.Exchange
+	addr    string
+	group   *group.Group
+	crashes chan uint64
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	con, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	return con.LocalAddr().String()
+}
+
+func start(t *testing.T, name, addr string) *process {
+	t.Helper()
+	clk := timer.New()
+	prc := &process{
+		flt: fleet.New(clk, logr.Discard(), nil), addr: addr, group: group.New(context.Background(), name),
+		crashes: make(chan uint64, 10),
+	}
+	t.Cleanup(func() { _ = prc.group.Stop() })
+	prc.flt.Update(fleet.Registration{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Sequence: 1})
+	exc, err := peers.Start(prc.group, peers.Options{
+		Name: name, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
+		OnCrash: func(print uint64) { prc.crashes <- print },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	prc.exc = exc
+	return prc
+}
+
+// waitTokens returns when the process knows of so many tokens at the replica.
+func (prc *process) waitTokens(t *testing.T, want int) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		if prc.flt.Group("s").Views()[0].Tokens == want {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestLoadReachesPeers answers the pattern of fronts that all choose the replica which each of them thinks is idle.
+func TestLoadReachesPeers(t *testing.T) {
+	iis := is.New(t)
+	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
+	rep := one.flt.Group("s").Views()[0].Replica
+	before := rep.Begin(fleet.Work{Tokens: 7}, one.exc.Moved) // A peer that comes later hears of it as well.
+	two.exc.Add(one.addr)
+	two.waitTokens(t, 7)
+	during := rep.Begin(fleet.Work{Tokens: 100}, one.exc.Moved)
+	two.waitTokens(t, 107)
+	during.End()
+	two.waitTokens(t, 7)
+	before.End()
+	two.waitTokens(t, 0)
+	iis.Equal(two.exc.Alive(), 2)
+}
+
+// TestRestartEndsWorks guards against works of a killed process that occupy replicas after it has started again.
+func TestRestartEndsWorks(t *testing.T) {
+	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
+	two.exc.Add(one.addr)
+	one.flt.Group("s").Views()[0].Replica.Begin(fleet.Work{Tokens: 50}, one.exc.Moved)
+	two.waitTokens(t, 50)
+	_ = one.group.Stop()
+	again := start(t, "one", one.addr)
+	again.exc.Add(two.addr)
+	two.waitTokens(t, 0)
+}
+
+// TestCrashReachesPeers guards against a call that crashes replicas anew through each front.
+func TestCrashReachesPeers(t *testing.T) {
+	iis := is.New(t)
+	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
+	one.exc.Add(two.addr)
+	one.exc.Crashed(42)
+	iis.Equal(<-two.crashes, uint64(42))
+}
+
+// TestDamagedDatagramsAreDropped guards against a process that stops at a datagram of somebody else.
+func TestDamagedDatagramsAreDropped(t *testing.T) {
+	iis := is.New(t)
+	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
+	con, err := net.Dial("udp4", two.addr)
+	iis.NoErr(err)
+	_, err = con.Write([]byte("\xff\x00damaged"))
+	iis.NoErr(err)
+	two.exc.Add(one.addr)
+	one.flt.Group("s").Views()[0].Replica.Begin(fleet.Work{Tokens: 3}, one.exc.Moved)
+	two.waitTokens(t, 3)
+}
