Try: queue short calls at the front while no replica has a free slot

Change: calls wait at the front, those that can still be on time first.

Conclusion: a slot stays empty until a front hears of it, so fewer calls are served in all.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,7 +39,10 @@
 func (ses *session) attempt(pln *place.Plan) outcome {
 	ses.sends++
 	tickets := ses.book(pln)
-	defer tickets.end()
+	defer func() {
+		tickets.end()
+		ses.relay.queue(ses.service).Wake()
+	}()
 	helpers, release, err := ses.opts.Memory.reserve(ses.ctx, pln)
 	if err != nil {
 		return outcome{unsent: true, reason: "no-memory", err: err}
