--- a/place/place.go
+++ b/place/place.go
@@ -34,7 +34,6 @@
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
 	Value    float64
-	Full     bool // the first replica has no free slot
 	// ShortRanks is the number of replicas that are meant for short calls.
 	ShortRanks int
 }
@@ -113,7 +112,6 @@
 		return Plan{}, false
 	}
 	best.Value = chc.value
-	best.Full = seats(&best.First) >= best.First.Slots
 	best.ShortRanks = chc.shortRanks
 	return best, true
 }
@@ -212,23 +210,12 @@
 	if vie.Writers > 0 {
 		takes += chc.pass[idx] / 2 // The pass in progress is over before the prompt is read.
 	}
-	if over := seats(vie) + 1 - vie.Slots; over > 0 {
+	if over := len(vie.Works) + 1 - vie.Slots; over > 0 {
 		takes += time.Duration(over) * chc.pass[idx] * 2 // A slot has to become free.
 	}
 	return takes
 }
 
-// seats returns the number of slots that are taken.
-func seats(vie *fleet.View) int {
-	num := 0
-	for idx := range vie.Works {
-		if !vie.Works[idx].Part {
-			num++
-		}
-	}
-	return num
-}
-
 // harm returns the value that the other works on a replica lose if it reads for so long more. A part of a split prompt
 // is read beside other parts and before whole prompts, so that it delays both.
 func (chc *choice) harm(idx int, read time.Duration, part bool) float64 {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,10 +39,7 @@
 func (ses *session) attempt(pln *place.Plan) outcome {
 	ses.sends++
 	tickets := ses.book(pln)
-	defer func() {
-		tickets.end()
-		ses.relay.queue(ses.service).Wake()
-	}()
+	defer tickets.end()
 	helpers, release, err := ses.opts.Memory.reserve(ses.ctx, pln)
 	if err != nil {
 		return outcome{unsent: true, reason: "no-memory", err: err}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,6 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/pool"
-	"github.com/tarragonwheel/tarragonwheel/queue"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/rules"
 	"github.com/tarragonwheel/tarragonwheel/timer"
@@ -58,12 +57,11 @@
 	running  sync.WaitGroup
 	mu       sync.Mutex
 	shares   map[string]*retry.Share // by service
-	queues   map[string]*queue.Queue // by service
 }
 
 // New returns a Relay.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, shares: make(map[string]*retry.Share), queues: make(map[string]*queue.Queue)}
+	return &Relay{opts: opts, shares: make(map[string]*retry.Share)}
 }
 
 // CloseConnections makes each answer close its connection, so that clients go elsewhere.
@@ -86,17 +84,6 @@
 	return shr
 }
 
-func (rly *Relay) queue(service string) *queue.Queue {
-	rly.mu.Lock()
-	defer rly.mu.Unlock()
-	que := rly.queues[service]
-	if que == nil {
-		que = queue.New(rly.opts.Clock)
-		rly.queues[service] = que
-	}
-	return que
-}
-
 // ServeHTTP implements http.Handler.
 func (rly *Relay) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	rly.running.Add(1)
@@ -137,6 +124,6 @@
 		"took", ses.opts.Clock.Since(ses.cal.Arrived), "attempts", ses.sends, "events", ses.events,
 		"tokens", ses.cal.Prompt.Tokens, "first", ses.firstEvent, "gap", ses.longestGap,
 		"replica", ses.placed.First.ID, "rank", ses.placed.First.Rank, "parts", len(ses.placed.Helpers)+1,
-		"expected", ses.placed.Expected, "queued", ses.queued, "writers", ses.placed.First.Writers, "unread", ses.placed.First.Unread,
+		"expected", ses.placed.Expected, "writers", ses.placed.First.Writers, "unread", ses.placed.First.Unread,
 		"risk", ses.placed.First.Risk, "short-ranks", ses.placed.ShortRanks)
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -47,9 +47,6 @@
 	spreadRetryAfter = 400 * time.Millisecond
 )
 
-// startMargin is the time that a short call takes from its start to its first event on a busy engine.
-const startMargin = 200 * time.Millisecond
-
 // maxSends bounds how often one call is sent in all, with the replicas that did not run it.
 const maxSends = 5
 
@@ -76,7 +73,6 @@
 	last    int64      // ID of the last event delivered
 	resumes bool       // last is set
 
-	queued      time.Duration // from the arrival until its turn in the queue
 	lastEventAt time.Time
 	firstEvent  time.Duration // until the first event
 	longestGap  time.Duration // between two events
@@ -184,7 +180,7 @@
 		if !ses.headers && !ses.apply() {
 			return
 		}
-		pln, reason := ses.planInTurn()
+		pln, reason := ses.plan()
 		if reason != "" {
 			ses.giveUp(reason)
 			return
@@ -236,26 +232,6 @@
 	return ses.relay.share(ses.service).Take()
 }
 
-// planInTurn chooses where the call runs next. A short call waits in the queue while no replica has a free slot.
-func (ses *session) planInTurn() (place.Plan, string) {
-	que := ses.relay.queue(ses.service)
-	for {
-		pln, reason := ses.plan()
-		if reason != "" || !pln.Full || pln.Read >= fleet.LongRead || ses.headers {
-			return pln, reason
-		}
-		left := ses.end.Sub(ses.opts.Clock.Now())
-		ctx, cancel := ses.opts.Clock.WithTimeout(ses.ctx, left)
-		startBy := ses.cal.Arrived.Add(ses.rte.Goal - startMargin)
-		err := que.Wait(ctx, ses.cal.Arrived, startBy)
-		cancel()
-		if err != nil {
-			return place.Plan{}, reasonTimeout
-		}
-		ses.queued = ses.opts.Clock.Since(ses.cal.Arrived)
-	}
-}
-
 // plan chooses where the call runs next, or returns the reason why it cannot.
 func (ses *session) plan() (place.Plan, string) {
 	left := ses.end.Sub(ses.opts.Clock.Now())
