Give up reserved memory that a call does not use

Change: without a first event by 0.55 of the hold limit, the attempt ends and its memory is released.

--- a/config/keys_front.go
+++ b/config/keys_front.go
@@ -22,6 +22,10 @@
 		section: "front", name: "memory", unit: "MB", fallback: "0",
 		help: "memory that the process may use; 0 for no limit",
 	}, 0, 1_000_000)
+	FrontHoldLimit = durationKey(definition{
+		section: "front", name: "hold-limit", fallback: "9s",
+		help: "time within which reserved memory must be used by its call",
+	}, time.Second, time.Hour)
 	FrontDrainTime = durationKey(definition{
 		section: "front", name: "drain-time", fallback: "2s",
 		help: "time within which a draining replica must get no more calls",
--- a/front/front.go
+++ b/front/front.go
@@ -102,6 +102,7 @@
 		},
 		Sharers:    frt.sharers,
 		DataCentre: config.ProcessDataCentre.Of(frt.set),
+		HoldLimit:  config.FrontHoldLimit.Of(frt.set),
 		OnMove:     frt.tellMove,
 	}
 }
--- a/place/place.go
+++ b/place/place.go
@@ -156,7 +156,8 @@
 	pass       []time.Duration // of each view, without reading
 	short      []bool          // whether each view is meant for short calls
 	shortRanks int             // views meant for short calls
-	aheadLoad  float64         // share of the time in which replicas for long prompts read parts, which go before whole prompts
+	// aheadLoad is the share of the time in which replicas for long prompts read parts, which go before whole prompts.
+	aheadLoad float64
 }
 
 // mostAheadLoad bounds the predicted share of the time that parts take, so that whole prompts are not predicted to wait
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,12 +7,14 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/call"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/pool"
+	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 // maxAnswer bounds the body of an answer that is no stream, in bytes.
@@ -59,6 +61,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() }) // Makes the replica stop, and ends reads here.
 	defer stop()
 	exc := &exchange{ses: ses, con: con, plan: pln, tickets: tickets, ctx: ctx}
+	defer exc.limitHold().Stop()
 	out := exc.run(&call.Attempt{
 		Replica: pln.First.ID, Tenant: ses.account, TimeLeft: ses.end.Sub(ses.opts.Clock.Now()), Helpers: helpers,
 		Urgency: urgency(ses.rte.Goal), LastEvent: ses.last, Resumes: ses.resumes,
@@ -112,8 +115,23 @@
 	plan    *place.Plan
 	tickets bookings
 	ctx     context.Context
-	kept    bool // the connection has gone back to the pool
-	replied bool // the replica has answered in some way
+	kept    bool        // the connection has gone back to the pool
+	replied bool        // the replica has answered in some way
+	began   atomic.Bool // the first event has come
+}
+
+// limitHold ends the attempt if it has reserved memory and its first event does not come in time, because memory that
+// no call uses is lost for others.
+func (exc *exchange) limitHold() *timer.Subscription {
+	if !exc.plan.Reserves() {
+		return &timer.Subscription{}
+	}
+	limit := time.Duration(float64(exc.ses.opts.HoldLimit) * holdShare)
+	return exc.ses.opts.Clock.After(limit, func() {
+		if !exc.began.Load() {
+			_ = exc.con.Close() // Makes the replica stop, and ends the read here.
+		}
+	})
 }
 
 func (exc *exchange) run(att *call.Attempt) outcome {
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -22,6 +22,9 @@
 	holdTime     = 3 * time.Second
 	renewTime    = time.Second
 	orderTimeout = 400 * time.Millisecond
+	// holdShare is the share of the hold limit after which a call gives its reservations up. The rest is left for the
+	// release, which may be lost.
+	holdShare = 0.55
 )
 
 // Reservation is memory set aside at a replica.
--- /dev/null
+++ b/relay/memory_test.go
@@ -0,0 +1,61 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/relay"
+	"github.com/tarragonwheel/tarragonwheel/rules"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// smallEngine cannot hold the prompts of these tests alone.
+func smallEngine() *cost.Engine {
+	return &cost.Engine{
+		Slots: 4, MemoryTokens: 20000, Step: time.Millisecond, ReadPerS: 1e6, Chunk: 2048, Stride: 10,
+	}
+}
+
+// TestUnusedReservationIsGivenUp guards against memory that stays reserved for a call which a replica does not begin.
+func TestUnusedReservationIsGivenUp(t *testing.T) {
+	iis := is.New(t)
+	silent := func(con net.Conn, _ request) bool {
+		_, _ = con.Read(make([]byte, 1))
+		return false
+	}
+	released := make(chan relay.Reservation, 10)
+	clk := timer.New()
+	rig := newRig(t, newReplica(t, silent), newReplica(t, silent))
+	rig.opts.HoldLimit = 100 * time.Millisecond
+	rig.opts.Memory = relay.NewMemory(clk, logr.Discard(), relay.Orders{
+		Reserve: func(context.Context, relay.Reservation) error { return nil },
+		Release: func(_ context.Context, rsv relay.Reservation) error {
+			released <- rsv
+			return nil
+		},
+	})
+	rig.start(t)
+	spc := testRules()
+	spc.Services = []rules.Service{{Name: "s", Engine: smallEngine()}}
+	rig.rules.Store(rules.New(spc))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+"/stream/x",
+		strings.NewReader("asked"))
+	iis.NoErr(err)
+	req.Header.Set("Api-Key", "k")
+	req.Header.Set("Tarragonwheel-Request-Id", "c1")
+	req.Header.Set("Tarragonwheel-Token-Usage", "30000,10")
+	res, err := http.DefaultClient.Do(req)
+	iis.NoErr(err)
+	_ = res.Body.Close()
+	rsv := <-released
+	iis.True(rsv.Tokens > 0)
+	iis.True(res.StatusCode >= 500)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,8 @@
 	Budget     retry.Terms
 	Sharers    func() int // processes that share the budget of repeats
 	DataCentre string
+	// HoldLimit is the time within which reserved memory must be used.
+	HoldLimit time.Duration
 	// OnMove is told each change of the work that calls put on replicas.
 	OnMove func(service string, replica uint32, wrk fleet.Work, ended bool)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -123,7 +123,7 @@
 // rig is a relay before stand-in replicas.
 type rig struct {
 	url   string
-	relay *relay.Relay
+	opts  relay.Options
 	flt   *fleet.Fleet
 	rules atomic.Pointer[rules.Set]
 }
@@ -138,7 +138,7 @@
 			ID: fmt.Sprint("i-", idx), Service: "s", Address: rep.addr, DataCentre: "z", Slots: 4, Sequence: 1,
 		})
 	}
-	rig.relay = relay.New(relay.Options{
+	rig.opts = relay.Options{
 		Clock: clk, Log: logr.Discard(), Metrics: metric.New(), Rules: rig.rules.Load, Fleet: rig.flt,
 		Pool: pool.New(clk), Memory: relay.NewMemory(clk, logr.Discard(), relay.Orders{}),
 		Blame: relay.NewBlame(clk, nil), DataCentre: "z", Sharers: func() int { return 1 },
@@ -148,11 +148,17 @@
 			ReadCall: platform.ReadCall, WriteCall: platform.WriteCall, ReadReply: platform.ReadReply,
 			WriteReply: platform.WriteReply, WriteRefusal: platform.WriteRefusal,
 		},
-	})
-	srv := httptest.NewServer(rig.relay)
+	}
+	rig.start(t)
+	return rig
+}
+
+// start serves a relay with the options of the rig.
+func (rig *rig) start(t *testing.T) {
+	t.Helper()
+	srv := httptest.NewServer(relay.New(rig.opts))
 	t.Cleanup(srv.Close)
 	rig.url = srv.URL
-	return rig
 }
 
 func testRules() rules.Spec {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -71,7 +71,6 @@
 		return outcome{mayHaveRun: true, reason: reasonFailed, err: errors.New(fault)}
 	}
 	evr := &eventReader{src: bufio.NewReader(res.Body)}
-	began := false
 	for {
 		evt, err := evr.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -81,8 +80,7 @@
 			err = fmt.Errorf("relay: read stream: %w", err)
 			return outcome{mayHaveRun: true, reason: exc.brokenReason(), err: err}
 		}
-		if !began {
-			began = true
+		if !exc.began.Swap(true) {
 			exc.tickets.wrote()
 		}
 		if evt.hasID && exc.ses.resumes && evt.id <= exc.ses.last {
