Ask replicas whether reserved memory is used before giving it up

Prompts over 300,000 tokens read for up to 6 s; the limit broke them off and had them read again elsewhere, and their replicas were held to be unreachable. Change: at 0.6 of the limit the front asks the replicas for the state of the reservations and gives up only those that no call uses; the replica is not blamed. Equal choices are parted by a small random loss, since fronts that decide at the same moment took the same replica.

--- a/place/memory.go
+++ b/place/memory.go
@@ -2,16 +2,6 @@
 
 import "github.com/tarragonwheel/tarragonwheel/fleet"
 
-// Reserves tells whether the plan needs reserved memory.
-func (pln *Plan) Reserves() bool {
-	for _, hlp := range pln.Helpers {
-		if hlp.Reserve > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // memoryMargin is the share of an engine's memory that is not promised, since outputs are predicted.
 const memoryMargin = 0.04
 
--- a/place/place.go
+++ b/place/place.go
@@ -25,6 +25,17 @@
 	TimeLeft   time.Duration // until the client gives up
 	DataCentre string        // of this process
 	Avoid      []string      // IDs of replicas that have failed this call
+	// Jitter returns numbers in [0, 1) that part equal choices, so that processes that decide at the same moment do
+	// not all take the same replica; nil for none.
+	Jitter func() float64
+}
+
+// jitter returns a small random loss.
+func (job *Job) jitter() float64 {
+	if job.Jitter == nil {
+		return 0
+	}
+	return jitterLoss * job.Jitter()
 }
 
 // Plan is where a call is to run.
@@ -61,6 +72,8 @@
 	failLoss = 0.8
 	// farLoss stands for the price of bytes between data centres.
 	farLoss = 0.01
+	// jitterLoss is the largest random loss.
+	jitterLoss = 0.08
 	// slotLoss is lost for each share of a replica's slots in use, so that equal choices spread.
 	slotLoss = 0.06
 	// longZoneLoss keeps short calls off the replicas that long prompts need.
@@ -283,7 +296,7 @@
 		vie := &chc.views[idx]
 		opt := option{idx: idx, finish: chc.first(idx, read, parts)}
 		opt.loss = chc.harm(idx, read, parts > 1) + chc.value*failLoss*vie.Risk
-		opt.loss += slotLoss * float64(len(vie.Works)) / float64(max(vie.Slots, 1))
+		opt.loss += slotLoss*float64(len(vie.Works))/float64(max(vie.Slots, 1)) + chc.job.jitter()
 		if vie.DataCentre != chc.job.DataCentre {
 			opt.loss += farLoss
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/pool"
-	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 // maxAnswer bounds the body of an answer that is no stream, in bytes.
@@ -42,11 +41,11 @@
 	ses.sends++
 	tickets := ses.book(pln)
 	defer tickets.end()
-	helpers, release, err := ses.opts.Memory.reserve(ses.ctx, pln)
+	hld, err := ses.opts.Memory.reserve(ses.ctx, pln)
 	if err != nil {
 		return outcome{unsent: true, reason: "no-memory", err: err}
 	}
-	defer release()
+	defer hld.release(ses.ctx)
 	now := ses.opts.Clock.Now()
 	ctx, cancel := ses.opts.Clock.WithTimeout(ses.ctx, ses.end.Sub(now))
 	defer cancel()
@@ -61,9 +60,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() }) // Makes the replica stop, and ends reads here.
 	defer stop()
 	exc := &exchange{ses: ses, con: con, plan: pln, tickets: tickets, ctx: ctx}
-	defer exc.limitHold().Stop()
+	defer hld.watch(ctx, ses.opts.HoldLimit, exc.giveUp).Stop()
 	out := exc.run(&call.Attempt{
-		Replica: pln.First.ID, Tenant: ses.account, TimeLeft: ses.end.Sub(ses.opts.Clock.Now()), Helpers: helpers,
+		Replica: pln.First.ID, Tenant: ses.account, TimeLeft: ses.end.Sub(ses.opts.Clock.Now()), Helpers: hld.helpers,
 		Urgency: urgency(ses.rte.Goal), LastEvent: ses.last, Resumes: ses.resumes,
 	})
 	if out.mayHaveRun {
@@ -118,20 +117,15 @@
 	kept    bool        // the connection has gone back to the pool
 	replied bool        // the replica has answered in some way
 	began   atomic.Bool // the first event has come
+	gaveUp  atomic.Bool // the attempt was ended because its reserved memory was not used
 }
 
-// limitHold ends the attempt if it has reserved memory and its first event does not come in time, because memory that
-// no call uses is lost for others.
-func (exc *exchange) limitHold() *timer.Subscription {
-	if !exc.plan.Reserves() {
-		return &timer.Subscription{}
+// giveUp ends the attempt because its reserved memory is not used, which keeps it from others.
+func (exc *exchange) giveUp() {
+	if !exc.began.Load() {
+		exc.gaveUp.Store(true)
+		_ = exc.con.Close() // Makes the replica stop, and ends the read here.
 	}
-	limit := time.Duration(float64(exc.ses.opts.HoldLimit) * holdShare)
-	return exc.ses.opts.Clock.After(limit, func() {
-		if !exc.began.Load() {
-			_ = exc.con.Close() // Makes the replica stop, and ends the read here.
-		}
-	})
 }
 
 func (exc *exchange) run(att *call.Attempt) outcome {
@@ -166,6 +160,8 @@
 		return reasonLeft
 	case exc.ctx.Err() != nil:
 		return reasonTimeout
+	case exc.gaveUp.Load():
+		return reasonHeld
 	}
 	return reasonBroken
 }
@@ -233,8 +229,8 @@
 	switch {
 	case out.reason == reasonDone, out.reason == reasonNotRun && len(exc.plan.Helpers) > 0:
 		rep.Answered()
-	case out.reason == reasonLeft, out.reason == reasonTimeout:
-		// The time was up or the client left, which does not tell whether the replica is sound.
+	case out.reason == reasonLeft, out.reason == reasonTimeout, out.reason == reasonHeld:
+		// This process ended the call, which does not tell whether the replica is sound.
 	case exc.con.Reused() && !exc.replied:
 		// The replica may have closed the idle connection.
 	case out.reason == reasonBroken && !exc.replied:
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -19,12 +19,12 @@
 // Times of reservations. A reservation that nobody renews ends by itself, also if this process is killed or its release
 // is lost.
 const (
-	holdTime     = 3 * time.Second
-	renewTime    = time.Second
+	holdTime     = 2200 * time.Millisecond
+	renewTime    = 700 * time.Millisecond
 	orderTimeout = 400 * time.Millisecond
-	// holdShare is the share of the hold limit after which a call gives its reservations up. The rest is left for the
-	// release, which may be lost.
-	holdShare = 0.55
+	// holdShare is the share of the hold limit after which reservations that are not used are given up. The rest is
+	// left for the release, which may be lost.
+	holdShare = 0.6
 )
 
 // Reservation is memory set aside at a replica.
@@ -40,6 +40,8 @@
 type Orders struct {
 	Reserve func(ctx context.Context, rsv Reservation) error
 	Release func(ctx context.Context, rsv Reservation) error
+	// InUse tells whether a call uses the memory.
+	InUse func(ctx context.Context, rsv Reservation) (bool, error)
 }
 
 // Memory reserves memory at replicas for prompts that no replica can hold alone. It is safe for concurrent use.
@@ -56,38 +58,72 @@
 	return &Memory{clock: clk, log: log, orders: ord, prefix: strconv.FormatUint(rand.Uint64(), 36) + "-"}
 }
 
-// reserve sets aside the memory that a plan needs. It returns the helpers for the replica, and a function that frees
-// the memory. If not all of it can be had, none is kept.
-func (mem *Memory) reserve(ctx context.Context, pln *place.Plan) (helpers []call.Helper, release func(), err error) {
-	var held []Reservation
+// holding is the memory that is reserved for an attempt.
+type holding struct {
+	mem     *Memory
+	helpers []call.Helper
+	held    []Reservation
+	renewal *timer.Subscription
+}
+
+// reserve sets aside the memory that a plan needs. If not all of it can be had, none is kept.
+func (mem *Memory) reserve(ctx context.Context, pln *place.Plan) (*holding, error) {
+	hld := &holding{mem: mem}
 	for _, hlp := range pln.Helpers {
 		one := call.Helper{Address: hlp.View.Address}
 		if hlp.Reserve > 0 {
 			one.Ticket = mem.prefix + strconv.FormatUint(mem.count.Add(1), 36)
-			held = append(held, Reservation{
+			hld.held = append(hld.held, Reservation{
 				Replica: hlp.View.ID, Address: hlp.View.Address,
 				Ticket: one.Ticket, Tokens: hlp.Reserve, Hold: holdTime,
 			})
 		}
-		helpers = append(helpers, one)
+		hld.helpers = append(hld.helpers, one)
 	}
-	if len(held) == 0 {
-		return helpers, func() {}, nil
+	if len(hld.held) == 0 {
+		return hld, nil
 	}
-	if err := mem.each(ctx, held, mem.orders.Reserve); err != nil {
-		mem.log.Info("relay: memory cannot be reserved", "error", err.Error(), "reservations", len(held))
-		go mem.free(context.WithoutCancel(ctx), held)
-		return nil, nil, fmt.Errorf("relay: reserve memory: %w", err)
+	ctx = context.WithoutCancel(ctx)
+	if err := mem.each(ctx, hld.held, mem.orders.Reserve); err != nil {
+		mem.log.Info("relay: memory cannot be reserved", "error", err.Error(), "reservations", len(hld.held))
+		go mem.free(ctx, hld.held)
+		return nil, fmt.Errorf("relay: reserve memory: %w", err)
 	}
-	sub := mem.clock.Every(renewTime, func() {
-		if err := mem.each(context.WithoutCancel(ctx), held, mem.orders.Reserve); err != nil {
+	hld.renewal = mem.clock.Every(renewTime, func() {
+		if err := mem.each(ctx, hld.held, mem.orders.Reserve); err != nil {
 			mem.log.Info("relay: reservation not renewed", "error", err.Error())
 		}
 	})
-	return helpers, func() {
-		sub.Stop()
-		go mem.free(context.WithoutCancel(ctx), held)
-	}, nil
+	return hld, nil
+}
+
+// release frees the memory.
+func (hld *holding) release(ctx context.Context) {
+	if len(hld.held) == 0 {
+		return
+	}
+	hld.renewal.Stop()
+	go hld.mem.free(context.WithoutCancel(ctx), hld.held)
+}
+
+// watch calls unused if a call has not begun to use all of the memory within a share of the limit.
+func (hld *holding) watch(ctx context.Context, limit time.Duration, unused func()) *timer.Subscription {
+	if len(hld.held) == 0 {
+		return &timer.Subscription{}
+	}
+	return hld.mem.clock.After(time.Duration(float64(limit)*holdShare), func() {
+		err := hld.mem.each(ctx, hld.held, func(ctx context.Context, rsv Reservation) error {
+			used, err := hld.mem.orders.InUse(ctx, rsv)
+			if err == nil && !used {
+				err = errors.New("relay: reserved memory is not used")
+			}
+			return err
+		})
+		if err != nil && ctx.Err() == nil {
+			hld.mem.log.Info("relay: reservation given up", "error", err.Error())
+			unused()
+		}
+	})
 }
 
 // each makes a call for all reservations at once.
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -41,6 +41,7 @@
 			released <- rsv
 			return nil
 		},
+		InUse: func(context.Context, relay.Reservation) (bool, error) { return false, nil },
 	})
 	rig.start(t)
 	spc := testRules()
@@ -58,4 +59,7 @@
 	rsv := <-released
 	iis.True(rsv.Tokens > 0)
 	iis.True(res.StatusCode >= 500)
+	for _, vie := range rig.flt.Group("s").Views() {
+		iis.True(vie.Risk < 0.1) // The replica is not to blame.
+	}
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -27,6 +27,7 @@
 	reasonTimeout    = "time-limit"
 	reasonFailed     = "replica-failed"
 	reasonBroken     = "stream-broken"
+	reasonHeld       = "reservation-unused"
 	reasonLeft       = "client-left"
 	reasonBlamed     = "crashes-replicas"
 	reasonDone       = "done"
@@ -265,7 +266,7 @@
 	prm := ses.cal.Prompt
 	job := place.Job{
 		Now: ses.opts.Clock.Now(), Tokens: prm.Tokens, Output: ses.output(), GapGoal: ses.rte.GapGoal, TimeLeft: left,
-		DataCentre: ses.opts.DataCentre, Avoid: ses.avoid,
+		DataCentre: ses.opts.DataCentre, Avoid: ses.avoid, Jitter: rand.Float64,
 	}
 	if ses.rte.Goal > 0 {
 		job.Goal = ses.rte.Goal - ses.opts.Clock.Since(ses.cal.Arrived)
