Predict the wait for a slot by what streams take, and count no parts as slots

The wait for a slot was predicted from the current pass, which is 0.85 ms while nobody writes, so all fronts sent more calls there; and parts of prompts counted as taken slots elsewhere.

--- a/place/place.go
+++ b/place/place.go
@@ -224,10 +224,34 @@
 	if vie.Writers > 0 {
 		takes += chc.pass[idx] / 2 // The pass in progress is over before the prompt is read.
 	}
-	if over := len(vie.Works) + 1 - vie.Slots; over > 0 {
-		takes += time.Duration(over) * chc.pass[idx] * 2 // A slot has to become free.
+	return takes + chc.slotWait(vie)
+}
+
+// slotWait returns the predicted time until a slot is free for one more call.
+func (chc *choice) slotWait(vie *fleet.View) time.Duration {
+	slots := max(vie.Slots, 1)
+	over := seats(vie) + 1 - slots
+	if over <= 0 {
+		return 0
+	}
+	context := vie.Tokens * slots / (slots + over)
+	passes := max(chc.job.Output, leastOutput) / max(chc.eng.Stride, 1)
+	stream := scale(chc.eng.Pass(slots, context), vie.Pace) * time.Duration(passes)
+	return stream * time.Duration(over) / time.Duration(slots)
+}
+
+// leastOutput is the output in tokens that other streams are taken to have at least.
+const leastOutput = 1000
+
+// seats returns the number of slots that are taken or waited for. Parts of prompts take none.
+func seats(vie *fleet.View) int {
+	num := 0
+	for idx := range vie.Works {
+		if !vie.Works[idx].Part {
+			num++
+		}
 	}
-	return takes
+	return num
 }
 
 // harm returns the value that the other works on a replica lose if it reads for so long more. A part of a split prompt
@@ -296,7 +320,7 @@
 		vie := &chc.views[idx]
 		opt := option{idx: idx, finish: chc.first(idx, read, parts)}
 		opt.loss = chc.harm(idx, read, parts > 1) + chc.value*failLoss*vie.Risk
-		opt.loss += slotLoss*float64(len(vie.Works))/float64(max(vie.Slots, 1)) + chc.job.jitter()
+		opt.loss += slotLoss*float64(seats(vie))/float64(max(vie.Slots, 1)) + chc.job.jitter()
 		if vie.DataCentre != chc.job.DataCentre {
 			opt.loss += farLoss
 		}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -160,3 +160,29 @@
 	iis.True(ok)
 	iis.Equal(pln.First.ID, "i-0")
 }
+
+// TestFullReplicaIsNotIdle answers the pattern of calls that pile up on a replica which reads long prompts and has no
+// stream writing yet: its slots are taken all the same.
+func TestFullReplicaIsNotIdle(t *testing.T) {
+	iis := is.New(t)
+	list := views(2)
+	for range 24 {
+		list[0].Works = append(list[0].Works, fleet.Work{Tokens: 5000, Read: 30 * time.Millisecond})
+	}
+	write(&list[1], 12)
+	pln, ok := place.Engine(shortJob(), engine(), list, 0)
+	iis.True(ok)
+	iis.Equal(pln.First.ID, "i-1")
+}
+
+// TestPartsTakeNoSlots guards against replicas that count as full because they read parts of prompts.
+func TestPartsTakeNoSlots(t *testing.T) {
+	iis := is.New(t)
+	list := views(1)
+	for range 20 {
+		list[0].Works = append(list[0].Works, fleet.Work{Part: true, Ahead: true})
+	}
+	pln, ok := place.Engine(shortJob(), engine(), list, 0)
+	iis.True(ok)
+	iis.True(pln.Expected < 100*time.Millisecond)
+}
