Send less between fronts and to the store

Change: changes of known works are sent as moves of three numbers, names only with whole states, whole states every 2 s, and changes are gathered for 1 ms a peer. Replicas are read three times within the time in which a draining one must get no more calls, instead of four times.

--- a/fleet/work.go
+++ b/fleet/work.go
@@ -89,11 +89,12 @@
 	Replica uint32 // hash of the replica's ID
 	Work    Work
 	Ended   bool
+	Moved   bool // only the stage, lateness and end of the work are known
 }
 
 // staleAfter is the time after which a work of another process is dropped unless it is heard of again. Processes repeat
-// all that they have every second, and datagrams may be lost.
-const staleAfter = 2300 * time.Millisecond
+// all that they have every two seconds, and datagrams may be lost.
+const staleAfter = 4500 * time.Millisecond
 
 // Hear takes in works of another process, and which of them have ended.
 func (flt *Fleet) Hear(peer string, list []RemoteWork) {
@@ -118,11 +119,22 @@
 		delete(works, rem.Work.ID)
 		return
 	}
-	if works[rem.Work.ID] == nil && now.Sub(rem.Work.Began) < staleAfter {
-		grp.demand.add(&rem.Work, now)
+	old := works[rem.Work.ID]
+	switch {
+	case rem.Moved && old == nil:
+		return // Its beginning was lost or comes later; the process repeats it.
+	case rem.Moved:
+		old.Stage, old.Late = rem.Work.Stage, rem.Work.Late
+	case old == nil:
+		if now.Sub(rem.Work.Began) < staleAfter {
+			grp.demand.add(&rem.Work, now)
+		}
+		old = &rem.Work
+		works[rem.Work.ID] = old
+	default:
+		*old = rem.Work
 	}
-	rem.Work.heard = now
-	works[rem.Work.ID] = &rem.Work
+	old.heard = now
 }
 
 // dropStale removes the works of other processes that have not been heard of for a while.
--- a/front/front.go
+++ b/front/front.go
@@ -35,7 +35,7 @@
 	storeTimeout     = 600 * time.Millisecond // for an answer, beyond the wait that was asked for
 	sweepInterval    = 200 * time.Millisecond
 	// drainReads and configReads are the reads within the time in which a change must be in force.
-	drainReads  = 4
+	drainReads  = 3
 	configReads = 1.5
 )
 
--- a/peers/message.go
+++ b/peers/message.go
@@ -9,15 +9,24 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 )
 
-// message is one datagram.
+// message is one datagram. Its size is paid for, so that a change of a known work is sent as a move.
 type message struct {
 	_       struct{} `cbor:",toarray"`
-	Name    string   // of the sending process
-	Run     int64    // differs between runs of a process, whose works end with it
+	Name    string   // of the sending process; empty with changes
+	Run     uint32   // differs between runs of a process, whose works end with it
 	Items   []item
+	Moves   []move
 	Crashes []uint64 // fingerprints of calls at whose start replicas broke off
 }
 
+// move is a change of a work whose item was sent before.
+type move struct {
+	_       struct{} `cbor:",toarray"`
+	Replica uint32
+	ID      uint32
+	Flags   uint8
+}
+
 // item is a work at a replica. Times are spans, since clocks of processes differ.
 type item struct {
 	_       struct{} `cbor:",toarray"`
@@ -29,7 +38,7 @@
 	GapMs   int64
 	GoalMs  int64 // from the beginning of the work; 0 for none
 	AgeMs   int64 // since the beginning of the work
-	Value   float32
+	Tenths  int   // of its value
 }
 
 // Flags of an item.
@@ -44,27 +53,38 @@
 func toItem(rem fleet.RemoteWork, now time.Time) item {
 	wrk := &rem.Work
 	itm := item{
-		Replica: rem.Replica, ID: wrk.ID, Tokens: wrk.Tokens, ReadMs: wrk.Read.Milliseconds(),
-		GapMs: wrk.GapGoal.Milliseconds(), AgeMs: now.Sub(wrk.Began).Milliseconds(), Value: float32(wrk.Value),
+		Replica: rem.Replica, ID: wrk.ID, Flags: flagsOf(rem), Tokens: wrk.Tokens, ReadMs: wrk.Read.Milliseconds(),
+		GapMs: wrk.GapGoal.Milliseconds(), AgeMs: now.Sub(wrk.Began).Milliseconds(), Tenths: int(wrk.Value * 10),
 	}
 	if !wrk.Goal.IsZero() {
 		itm.GoalMs = wrk.Goal.Sub(wrk.Began).Milliseconds()
 	}
-	for flag, set := range map[uint8]bool{
-		flagWriting: wrk.Stage == fleet.Writing, flagPart: wrk.Part, flagLate: wrk.Late, flagEnded: rem.Ended,
-		flagAhead: wrk.Ahead,
+	return itm
+}
+
+func flagsOf(rem fleet.RemoteWork) (flags uint8) {
+	wrk := &rem.Work
+	for _, flg := range []struct {
+		bit uint8
+		set bool
+	}{
+		{flagWriting, wrk.Stage == fleet.Writing},
+		{flagPart, wrk.Part},
+		{flagLate, wrk.Late},
+		{flagEnded, rem.Ended},
+		{flagAhead, wrk.Ahead},
 	} {
-		if set {
-			itm.Flags |= flag
+		if flg.set {
+			flags |= flg.bit
 		}
 	}
-	return itm
+	return flags
 }
 
 func (itm *item) work(now time.Time) fleet.RemoteWork {
 	wrk := fleet.Work{
 		ID: itm.ID, Tokens: itm.Tokens, Read: time.Duration(itm.ReadMs) * time.Millisecond,
-		GapGoal: time.Duration(itm.GapMs) * time.Millisecond, Value: float64(itm.Value),
+		GapGoal: time.Duration(itm.GapMs) * time.Millisecond, Value: float64(itm.Tenths) / 10,
 		Part: itm.Flags&flagPart != 0, Late: itm.Flags&flagLate != 0,
 		Ahead: itm.Flags&flagAhead != 0,
 		Began: now.Add(-time.Duration(itm.AgeMs) * time.Millisecond),
@@ -78,6 +98,16 @@
 	return fleet.RemoteWork{Replica: itm.Replica, Work: wrk, Ended: itm.Flags&flagEnded != 0}
 }
 
+// work returns the work of a move, of which only the stage, lateness and end are known.
+func (mov *move) work() fleet.RemoteWork {
+	rem := fleet.RemoteWork{Replica: mov.Replica, Ended: mov.Flags&flagEnded != 0, Moved: true}
+	rem.Work.ID, rem.Work.Late = mov.ID, mov.Flags&flagLate != 0
+	if mov.Flags&flagWriting != 0 {
+		rem.Work.Stage = fleet.Writing
+	}
+	return rem
+}
+
 // split returns the messages for a list of works, each small enough for one packet. They may arrive in any order.
 func split(msg message, list []fleet.RemoteWork, now time.Time) []message {
 	var out []message
@@ -88,7 +118,11 @@
 			part.Crashes = msg.Crashes
 		}
 		for _, rem := range list[:num] {
-			part.Items = append(part.Items, toItem(rem, now))
+			if rem.Moved {
+				part.Moves = append(part.Moves, move{Replica: rem.Replica, ID: rem.Work.ID, Flags: flagsOf(rem)})
+			} else {
+				part.Items = append(part.Items, toItem(rem, now))
+			}
 		}
 		list = list[num:]
 		out = append(out, part)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -23,11 +23,13 @@
 
 // Times and sizes of the exchange.
 const (
-	changeDelay   = 10 * time.Millisecond // in which changes are gathered into one datagram
-	wholeInterval = time.Second
-	silentAfter   = 3 * time.Second // a peer's works are dropped, and it gets no more changes
-	forgetAfter   = 5 * time.Minute // a peer is no longer written to
-	mostItems     = 40              // in a datagram, so that it fits into one packet
+	leastDelay    = 10 * time.Millisecond // in which changes are gathered into one datagram
+	mostDelay     = 100 * time.Millisecond
+	delayPerPeer  = time.Millisecond
+	wholeInterval = 2 * time.Second
+	silentAfter   = 4500 * time.Millisecond // a peer's works are dropped, and it gets no more changes
+	forgetAfter   = 5 * time.Minute         // a peer is no longer written to
+	mostItems     = 40                      // in a datagram, so that it fits into one packet
 	datagramBytes = 64 << 10
 	crashRepeats  = 3 // whole messages that repeat a crash
 )
@@ -46,7 +48,7 @@
 // Exchange is the exchange of load of one process. It is safe for concurrent use.
 type Exchange struct {
 	opts    Options
-	run     int64 // distinguishes this run of the process
+	run     uint32 // distinguishes this run of the process
 	conn    *net.UDPConn
 	mu      sync.Mutex
 	peers   map[string]*peer // by address
@@ -58,7 +60,7 @@
 type peer struct {
 	addr  *net.UDPAddr
 	name  string    // empty until heard of
-	run   int64     // of the process
+	run   uint32    // of the process
 	heard time.Time // zero until heard of
 	known time.Time
 }
@@ -79,7 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: listen: %w", trace.ConnectionProblem(err, "%s", opts.Address))
 	}
-	exc := &Exchange{opts: opts, run: rand.Int63(), conn: con, peers: make(map[string]*peer)}
+	exc := &Exchange{opts: opts, run: rand.Uint32(), conn: con, peers: make(map[string]*peer)}
 	context.AfterFunc(grp.Context(), func() { _ = con.Close() }) // Ends receive.
 	grp.Go("receive", func(ctx context.Context) error {
 		exc.receive(ctx)
@@ -108,7 +110,7 @@
 	exc.mu.Lock()
 	exc.add(addr)
 	exc.mu.Unlock()
-	exc.send([]*net.UDPAddr{addr}, exc.opts.Fleet.Works(), nil) // It answers with what it has.
+	exc.send([]*net.UDPAddr{addr}, exc.opts.Name, exc.opts.Fleet.Works(), nil) // It answers with what it has.
 }
 
 func (exc *Exchange) add(addr *net.UDPAddr) *peer {
@@ -141,13 +143,20 @@
 func (exc *Exchange) Moved(replica uint32, wrk fleet.Work, ended bool) {
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
-	exc.pending = append(exc.pending, fleet.RemoteWork{Replica: replica, Work: wrk, Ended: ended})
+	begins := !ended && wrk.Stage == fleet.Reading && !wrk.Late
+	exc.pending = append(exc.pending, fleet.RemoteWork{Replica: replica, Work: wrk, Ended: ended, Moved: !begins})
 	if !exc.flush {
 		exc.flush = true
-		exc.opts.Clock.After(changeDelay, exc.sendChanges)
+		exc.opts.Clock.After(exc.delay(), exc.sendChanges)
 	}
 }
 
+// delay returns the time in which changes are gathered into one datagram. It is longer where there are many peers, so
+// that the datagrams that a process receives in a second do not grow with their number.
+func (exc *Exchange) delay() time.Duration {
+	return min(max(time.Duration(len(exc.peers))*delayPerPeer, leastDelay), mostDelay)
+}
+
 // Crashed tells others of a call at whose start a replica broke off.
 func (exc *Exchange) Crashed(print uint64) {
 	exc.mu.Lock()
@@ -167,19 +176,24 @@
 		}
 	}
 	exc.mu.Unlock()
-	exc.send(to, newest(list), nil)
+	exc.send(to, "", newest(list), nil)
 }
 
-// newest leaves the last change of each work.
+// newest leaves the last change of each work. A work that began and moved within the list is sent as a whole.
 func newest(list []fleet.RemoteWork) []fleet.RemoteWork {
 	type key struct{ replica, id uint32 }
-	seen := make(map[key]bool, len(list))
+	place := make(map[key]int, len(list))
 	var out []fleet.RemoteWork
-	for _, rem := range slices.Backward(list) {
-		if one := (key{rem.Replica, rem.Work.ID}); !seen[one] {
-			seen[one] = true
+	for _, rem := range list {
+		one := key{rem.Replica, rem.Work.ID}
+		idx, seen := place[one]
+		if !seen {
+			place[one] = len(out)
 			out = append(out, rem)
+			continue
 		}
+		rem.Moved = out[idx].Moved
+		out[idx] = rem
 	}
 	return out
 }
@@ -197,14 +211,14 @@
 	}
 	exc.crashes = slices.DeleteFunc(exc.crashes, func(crs crash) bool { return crs.left <= 0 })
 	exc.mu.Unlock()
-	exc.send(to, exc.opts.Fleet.Works(), prints)
+	exc.send(to, exc.opts.Name, exc.opts.Fleet.Works(), prints)
 }
 
-func (exc *Exchange) send(to []*net.UDPAddr, list []fleet.RemoteWork, prints []uint64) {
+func (exc *Exchange) send(to []*net.UDPAddr, name string, list []fleet.RemoteWork, prints []uint64) {
 	if len(to) == 0 {
 		return
 	}
-	msg := message{Name: exc.opts.Name, Run: exc.run, Crashes: prints}
+	msg := message{Name: name, Run: exc.run, Crashes: prints}
 	for _, part := range split(msg, list, exc.opts.Clock.Now()) {
 		raw, err := encode(&part)
 		if err != nil {
@@ -226,7 +240,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				exc.opts.Log.V(1).Info("peers: receive", "error", err.Error())
-				_ = exc.opts.Clock.Sleep(ctx, changeDelay) // The loop checks whether ctx has ended.
+				_ = exc.opts.Clock.Sleep(ctx, leastDelay) // The loop checks whether ctx has ended.
 			}
 			continue
 		}
@@ -244,17 +258,23 @@
 	exc.mu.Lock()
 	per := exc.add(addr)
 	isNew := per.heard.IsZero() || per.run != msg.Run
-	per.name, per.run, per.heard = msg.Name, msg.Run, now
+	per.run, per.heard = msg.Run, now
+	if msg.Name != "" {
+		per.name = msg.Name
+	}
 	exc.mu.Unlock()
 	if isNew {
 		exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
 		exc.opts.Fleet.Forget(addr.String())
-		exc.send([]*net.UDPAddr{addr}, exc.opts.Fleet.Works(), nil)
+		exc.send([]*net.UDPAddr{addr}, exc.opts.Name, exc.opts.Fleet.Works(), nil)
 	}
-	list := make([]fleet.RemoteWork, 0, len(msg.Items))
+	list := make([]fleet.RemoteWork, 0, len(msg.Items)+len(msg.Moves))
 	for idx := range msg.Items {
 		list = append(list, msg.Items[idx].work(now))
 	}
+	for idx := range msg.Moves {
+		list = append(list, msg.Moves[idx].work())
+	}
 	exc.opts.Fleet.Hear(addr.String(), list)
 	for _, print := range msg.Crashes {
 		exc.opts.OnCrash(print)
