Let a long prompt wait while streams in its way end

Change: a long prompt whose best choice loses more than half of its value looks again every 60 ms while it can still be on time. Short streams end within about two seconds and new ones keep to the first ranks.

--- a/place/place.go
+++ b/place/place.go
@@ -45,6 +45,8 @@
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
 	Value    float64
+	Loss     float64       // of this and other calls, in units of value
+	Slack    time.Duration // time that a long prompt can wait for a better choice and still be on time
 	// ShortRanks is the number of replicas that are meant for short calls.
 	ShortRanks int
 }
@@ -82,6 +84,8 @@
 	helperLoss = 0.0015
 	// earlyLoss prefers the earlier of two choices that are both on time.
 	earlyLoss = 0.15
+	// deferLoss is the loss above which a long prompt waits for a better choice.
+	deferLoss = 0.5
 	// overdueLoss is lost for each span as long as the goal by which the first event is late.
 	overdueLoss = 0.06
 )
@@ -124,7 +128,7 @@
 	if math.IsInf(least, 1) || best.Expected > job.TimeLeft {
 		return Plan{}, false
 	}
-	best.Value = chc.value
+	best.Value, best.Loss, best.Slack = chc.value, least, chc.slack()
 	best.ShortRanks = chc.shortRanks
 	return best, true
 }
@@ -160,6 +164,25 @@
 	}
 }
 
+// Defer tells whether a long prompt should wait for a better choice: it would do much harm now, or be late, and streams
+// that are in its way end within its slack.
+func (pln *Plan) Defer() bool {
+	return pln.Slack > 0 && pln.Loss > deferLoss*pln.Value
+}
+
+// slack returns how long a long prompt can wait and still be on time, if then many engines read it.
+func (chc *choice) slack() time.Duration {
+	read := chc.eng.Reading(chc.job.Tokens)
+	if read < fleet.LongRead {
+		return 0
+	}
+	parts := min(mostParts, len(chc.views), max(chc.job.Tokens/leastPart, 1))
+	return scale(chc.job.Goal, lateFrom) - read/time.Duration(parts) - slackMargin
+}
+
+// slackMargin is the time that a prompt takes besides its reading, on engines with streams.
+const slackMargin = 150 * time.Millisecond
+
 // choice is the state of one decision.
 type choice struct {
 	job        Job
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -186,3 +186,24 @@
 	iis.True(ok)
 	iis.True(pln.Expected < 100*time.Millisecond)
 }
+
+// TestLongPromptWaitsForStreamsToEnd answers the pattern in which long prompts follow a burst of short calls: every
+// engine has short streams that end within a second or two, and reading now would make all of them late.
+func TestLongPromptWaitsForStreamsToEnd(t *testing.T) {
+	iis := is.New(t)
+	list := views(20)
+	for idx := range list {
+		write(&list[idx], 8)
+	}
+	job := longJob(300000)
+	pln, ok := place.Engine(job, engine(), append([]fleet.View(nil), list...), 0)
+	iis.True(ok)
+	iis.True(pln.Defer())
+	job.Goal = 500 * time.Millisecond // Waiting would make it late.
+	pln, ok = place.Engine(job, engine(), list, 0)
+	iis.True(ok)
+	iis.True(!pln.Defer())
+	pln, ok = place.Engine(longJob(300000), engine(), views(20), 0)
+	iis.True(ok)
+	iis.True(!pln.Defer()) // nobody is in its way
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -181,7 +181,7 @@
 		if !ses.headers && !ses.apply() {
 			return
 		}
-		pln, reason := ses.plan()
+		pln, reason := ses.planDeferred()
 		if reason != "" {
 			ses.giveUp(reason)
 			return
@@ -233,6 +233,24 @@
 	return ses.relay.share(ses.service).Take()
 }
 
+// deferInterval is the time between two looks for a better choice.
+const deferInterval = 60 * time.Millisecond
+
+// planDeferred chooses where the call runs next. A long prompt that would do much harm now waits while it can still be
+// on time.
+func (ses *session) planDeferred() (place.Plan, string) {
+	for {
+		pln, reason := ses.plan()
+		if reason != "" || !pln.Defer() {
+			return pln, reason
+		}
+		ses.opts.Metrics.Event("long-prompt-deferred")
+		if ses.opts.Clock.Sleep(ses.ctx, deferInterval) != nil {
+			return place.Plan{}, reasonLeft
+		}
+	}
+}
+
 // plan chooses where the call runs next, or returns the reason why it cannot.
 func (ses *session) plan() (place.Plan, string) {
 	left := ses.end.Sub(ses.opts.Clock.Now())
