Reload settings, never block on logs, and measure the first event

SIGHUP and a settings file that changes without a signal are taken in by the front; a file with faults is not. Log lines that cannot be written are dropped and counted.

--- a/cmd/tarragonwheel/front.go
+++ b/cmd/tarragonwheel/front.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonwheel/tarragonwheel/front"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/logs"
+	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -27,16 +28,19 @@
 		return err
 	}
 	limitMemory(config.FrontMemory.Of(set))
-	log := logs.New(std.err, config.ProcessDebug.Of(set)).WithValues("process", config.ProcessName.Of(set))
 	grp := group.New(context.WithoutCancel(ctx), "front") // The signal starts the drain; the group stops after it.
-	frt, err := front.New(grp, set, timer.New(), log)
+	mts := metric.New()
+	out := logs.NewBounded(grp, std.err, func() { mts.Event("log-line-dropped") })
+	log := logs.New(out, config.ProcessDebug.Of(set)).WithValues("process", config.ProcessName.Of(set))
+	frt, err := front.New(grp, set, timer.New(), log, mts)
 	if err != nil {
 		_ = grp.Stop()
 		return fmt.Errorf("start front: %w", err)
 	}
-	if err := serveMetrics(grp, set, frt.Metrics(), frt.Ready, log); err != nil {
+	if err := serveMetrics(grp, set, mts, frt.Ready, log); err != nil {
 		return err
 	}
+	frt.WatchSettings(cmd.Settings, hup)
 	log.Info("front: listening", "address", frt.Address())
 	return untilDrained(ctx, grp, frt.Drain)
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -66,6 +66,7 @@
 	listed  bool
 	lastGot time.Time // when the store last answered
 	lost    bool
+	lostAt  time.Time // when a call failed first
 }
 
 // Start returns a Follower that runs in grp.
@@ -132,7 +133,7 @@
 	now := flw.opts.Clock.Now()
 	if flw.lost {
 		flw.lost = false
-		outage := now.Sub(flw.lastGot)
+		outage := now.Sub(flw.lostAt)
 		flw.opts.Log.Info("follow: store answers again", "topic", flw.opts.Name, "outage", outage)
 		if flw.opts.Regained != nil {
 			flw.opts.Regained(outage)
@@ -145,7 +146,7 @@
 	if flw.lost {
 		return
 	}
-	flw.lost = true
+	flw.lost, flw.lostAt = true, flw.opts.Clock.Now()
 	flw.opts.Log.Info("follow: store does not answer, keeping what is known", "topic", flw.opts.Name,
 		"age", flw.opts.Clock.Since(flw.lastGot), "error", err.Error())
 }
--- a/front/drain.go
+++ b/front/drain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/tarragonwheel/tarragonwheel/config"
 )
 
 // Times of a planned stop.
@@ -18,7 +16,7 @@
 // Drain ends the front without breaking off calls: it leaves the load balancer's rotation, serves what still comes,
 // then refuses new calls and waits for those in flight until the grace time is over.
 func (frt *Front) Drain(ctx context.Context) {
-	grace := config.ProcessGrace.Of(frt.set)
+	grace := frt.Grace()
 	frt.log.Info("front: draining", "grace", grace)
 	lim, cancel := frt.clock.WithTimeout(ctx, grace-stopMargin)
 	defer cancel()
--- a/front/front.go
+++ b/front/front.go
@@ -24,7 +24,6 @@
 	"github.com/tarragonwheel/tarragonwheel/platform"
 	"github.com/tarragonwheel/tarragonwheel/pool"
 	"github.com/tarragonwheel/tarragonwheel/relay"
-	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/rules"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -41,27 +40,31 @@
 
 // Front is a running front.
 type Front struct {
-	group   *group.Group
-	clock   *timer.Service
-	log     logr.Logger
-	set     *config.Settings
-	metrics *metric.Set
-	fleet   *fleet.Fleet
-	relay   *relay.Relay
-	pool    *pool.Pool
-	store   *platform.Store
-	blame   *relay.Blame
-	peers   *peers.Exchange // nil if there is none
-	rules   atomic.Pointer[rules.Set]
-	listed  atomic.Bool // the replicas have been read once
-	leaving atomic.Bool
-	clients *clients
-	ready   *httpd.Server
+	group    *group.Group
+	clock    *timer.Service
+	log      logr.Logger
+	set      *config.Settings                // at the start of the process
+	settings atomic.Pointer[config.Settings] // the newest ones
+	metrics  *metric.Set
+	fleet    *fleet.Fleet
+	relay    *relay.Relay
+	pool     *pool.Pool
+	store    *platform.Store
+	blame    *relay.Blame
+	peers    *peers.Exchange // nil if there is none
+	rules    atomic.Pointer[rules.Set]
+	listed   atomic.Bool // the replicas have been read once
+	leaving  atomic.Bool
+	clients  *clients
+	ready    *httpd.Server
 }
 
 // New starts a front in grp. It returns a trace.ConnectionProblem error if a listener cannot be opened.
-func New(grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger) (*Front, error) {
-	frt := &Front{group: grp, clock: clk, log: log, set: set, metrics: metric.New()}
+func New(
+	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, mts *metric.Set,
+) (*Front, error) {
+	frt := &Front{group: grp, clock: clk, log: log, set: set, metrics: mts}
+	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
 	frt.fleet = fleet.New(clk, log, frt.pool.Drop)
 	dialer := pool.Dialer(storeDialTimeout)
@@ -94,12 +97,9 @@
 			WriteReply: platform.WriteReply, WriteRefusal: platform.WriteRefusal,
 		},
 		Rules: frt.rules.Load, Fleet: frt.fleet, Pool: frt.pool,
-		Memory: relay.NewMemory(frt.clock, frt.log, platform.Orders(&http.Client{Transport: transport})),
-		Blame:  frt.blame,
-		Budget: retry.Terms{
-			Ratio: config.FrontRepeatRatio.Of(frt.set), Extra: config.FrontRepeatExtra.Of(frt.set),
-			Window: config.FrontRepeatWindow.Of(frt.set),
-		},
+		Memory:     relay.NewMemory(frt.clock, frt.log, platform.Orders(&http.Client{Transport: transport})),
+		Blame:      frt.blame,
+		Budget:     frt.terms,
 		Sharers:    frt.sharers,
 		DataCentre: config.ProcessDataCentre.Of(frt.set),
 		HoldLimit:  config.FrontHoldLimit.Of(frt.set),
@@ -207,8 +207,5 @@
 	return !frt.leaving.Load() && frt.rules.Load() != nil && frt.listed.Load()
 }
 
-// Metrics returns the metrics of the front.
-func (frt *Front) Metrics() *metric.Set { return frt.metrics }
-
 // Address returns the address for clients.
 func (frt *Front) Address() string { return frt.clients.address() }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -9,9 +9,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +24,7 @@
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/front"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -91,6 +95,7 @@
 
 // rig is a front with its stand-ins.
 type rig struct {
+	text    string // its settings
 	str     *store
 	frt     *front.Front
 	replica *httptest.Server
@@ -109,13 +114,14 @@
 	t.Cleanup(srv.Close)
 	text := fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = 1s\n"+
 		"[front]\nready = 127.0.0.1:0\nstore = %s\ndrain-time = 300ms\nconfig-time = 300ms\n", host(srv))
+	rig.text = text
 	set, err := config.Parse(text, "front")
 	if err != nil {
 		t.Fatal(err)
 	}
 	grp := group.New(context.Background(), "front")
 	t.Cleanup(func() { _ = grp.Stop() })
-	rig.frt, err = front.New(grp, set, timer.New(), logr.Discard())
+	rig.frt, err = front.New(grp, set, timer.New(), logr.Discard(), metric.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -210,3 +216,22 @@
 	iis.Equal(rig.call(t), http.StatusOK)
 	<-done
 }
+
+// TestSettingsAreReloaded guards against settings that change without a signal, or with a fault.
+func TestSettingsAreReloaded(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t)
+	file := filepath.Join(t.TempDir(), "front.ini")
+	write := func(text string) { iis.NoErr(os.WriteFile(file, []byte(text), 0o600)) }
+	write(rig.text)
+	hup := make(chan os.Signal, 1)
+	rig.frt.WatchSettings(file, hup)
+	iis.Equal(rig.frt.Grace(), time.Second)
+	write("[process]\nno-such-key = 1\n")
+	hup <- syscall.SIGHUP
+	write(strings.Replace(rig.text, "grace = 1s", "grace = 3s", 1))
+	until(t, func() bool { return rig.frt.Grace() == 3*time.Second }) // without a signal
+	write(strings.Replace(rig.text, "grace = 1s", "grace = 4s", 1))
+	hup <- syscall.SIGHUP
+	until(t, func() bool { return rig.frt.Grace() == 4*time.Second })
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,8 +42,8 @@
 	Pool       *pool.Pool
 	Memory     *Memory
 	Blame      *Blame
-	Budget     retry.Terms
-	Sharers    func() int // processes that share the budget of repeats
+	Budget     func() retry.Terms // limits on repeats
+	Sharers    func() int         // processes that share the budget of repeats
 	DataCentre string
 	// HoldLimit is the time within which reserved memory must be used.
 	HoldLimit time.Duration
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/tarragonwheel/tarragonwheel/call"
+	"github.com/tarragonwheel/tarragonwheel/cost"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -119,6 +120,7 @@
 	wasLate := ses.events > 0 && ses.late()
 	if ses.events == 0 {
 		ses.firstEvent = now.Sub(ses.cal.Arrived)
+		ses.opts.Metrics.FirstToken(cost.Class(ses.cal.Prompt.Tokens), ses.firstEvent.Seconds())
 	} else {
 		ses.longestGap = max(ses.longestGap, now.Sub(ses.lastEventAt))
 	}
--- a/retry/share.go
+++ b/retry/share.go
@@ -21,15 +21,16 @@
 // because each uses only its own part. It is safe for concurrent use.
 type Share struct {
 	clock   *timer.Service
-	terms   Terms
+	terms   func() Terms
 	sharers func() int
 	mu      sync.Mutex
 	left    float64
 	updated time.Time
 }
 
-// NewShare returns a full Share. The function sharers returns how many processes share the budget.
-func NewShare(clk *timer.Service, trm Terms, sharers func() int) *Share {
+// NewShare returns a full Share. The function trm returns the limits, which may change, and sharers returns how many
+// processes share the budget.
+func NewShare(clk *timer.Service, trm func() Terms, sharers func() int) *Share {
 	shr := &Share{clock: clk, terms: trm, sharers: sharers, updated: clk.Now()}
 	shr.left = shr.most()
 	return shr
@@ -38,14 +39,14 @@
 // most is the largest number of repeats that may be saved up. It is half of the process's part, because a window can
 // see both what was saved up and what is refilled meanwhile.
 func (shr *Share) most() float64 {
-	return max(shr.terms.Extra/float64(2*max(shr.sharers(), 1)), 1)
+	return max(shr.terms().Extra/float64(2*max(shr.sharers(), 1)), 1)
 }
 
 func (shr *Share) refill() {
 	now := shr.clock.Now()
 	most := shr.most()
-	if shr.terms.Window > 0 {
-		shr.left += most * float64(now.Sub(shr.updated)) / float64(shr.terms.Window)
+	if shr.terms().Window > 0 {
+		shr.left += most * float64(now.Sub(shr.updated)) / float64(shr.terms().Window)
 	}
 	shr.left = min(shr.left, most)
 	shr.updated = now
@@ -56,7 +57,7 @@
 	shr.mu.Lock()
 	defer shr.mu.Unlock()
 	shr.refill()
-	shr.left = min(shr.left+shr.terms.Ratio*ratioMargin, shr.most())
+	shr.left = min(shr.left+shr.terms().Ratio*ratioMargin, shr.most())
 }
 
 // Take takes a repeat from the share, or returns false if none is left.
