Refuse a prompt only if no choice serves it in time

The choice that did the least harm, one engine reading for 13 s, exceeded the time left, and the call was refused although eight engines would have served it. Change: choices that take more than 0.8 of the time left are not considered.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -85,7 +85,8 @@
 
 func operatorConfig(version int, service string) string {
 	return fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r","Host":"127.0.0.1","PathPrefix":"/a/","Kind":"safe",
-	 "Service":%q,"MaxAttempts":2}],"Services":[{"Name":%q}],"Limits":{"MaxBodyBytes":1000}}`, version, service, service)
+	 "Service":%q,"MaxAttempts":2}],"Services":[{"Name":%q}],"Limits":{"MaxBodyBytes":1000}}`,
+		version, service, service)
 }
 
 func registration(service, addr, state string, sequence int) string {
--- a/front/reload.go
+++ b/front/reload.go
@@ -17,7 +17,7 @@
 // WatchSettings takes in the settings file whenever it changes, and at once when a signal comes. Addresses and the name
 // of the process keep their values until it starts again.
 func (frt *Front) WatchSettings(file string, signals <-chan os.Signal) {
-	last, err := os.ReadFile(file)
+	last, err := os.ReadFile(file) //nolint:gosec // The path is the process's own argument.
 	if err != nil {
 		frt.log.Error(err, "front: settings cannot be read")
 	}
@@ -46,7 +46,7 @@
 // reload takes in the file if its content differs from the last one, and returns the content. Settings with a fault are
 // not taken in.
 func (frt *Front) reload(file string, last []byte) []byte {
-	text, err := os.ReadFile(file)
+	text, err := os.ReadFile(file) //nolint:gosec // The path is the process's own argument.
 	if err != nil {
 		frt.log.Error(err, "front: settings cannot be read, keeping the old ones")
 		return last
--- a/place/place.go
+++ b/place/place.go
@@ -108,6 +108,10 @@
 	return min(max((ratio-lateFrom)/(lateUntil-lateFrom), 0), 1)
 }
 
+// startShare is the share of the time left within which the first event must be predicted. The rest is left for the
+// other events.
+const startShare = 0.8
+
 // Engine places a call to a model engine. It returns false if no replica can take it before the client gives up.
 func Engine(job Job, eng *cost.Engine, views []fleet.View, longLoad float64) (Plan, bool) {
 	chc := &choice{job: job, eng: eng, views: usable(job, views), value: Value(job.Tokens)}
@@ -121,11 +125,11 @@
 	least := math.Inf(1)
 	for _, parts := range chc.partCounts() {
 		pln, loss, ok := chc.split(parts)
-		if ok && loss < least {
+		if ok && loss < least && pln.Expected <= scale(job.TimeLeft, startShare) {
 			best, least = pln, loss
 		}
 	}
-	if math.IsInf(least, 1) || best.Expected > job.TimeLeft {
+	if math.IsInf(least, 1) {
 		return Plan{}, false
 	}
 	best.Value, best.Loss, best.Slack = chc.value, least, chc.slack()
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -207,3 +207,19 @@
 	iis.True(ok)
 	iis.True(!pln.Defer()) // nobody is in its way
 }
+
+// TestPromptIsNotRefusedWhileAnyChoiceServesIt guards against a refusal because the choice that does the least harm
+// would take too long, while another one would not.
+func TestPromptIsNotRefusedWhileAnyChoiceServesIt(t *testing.T) {
+	iis := is.New(t)
+	list := views(16)
+	for idx := range list {
+		write(&list[idx], 12)
+	}
+	job := longJob(290000)
+	job.Goal = 2 * time.Second
+	job.TimeLeft = 6 * time.Second
+	pln, ok := place.Engine(job, engine(), list, 0)
+	iis.True(ok)
+	iis.True(pln.Expected < job.TimeLeft)
+}
