--- a/place/place.go
+++ b/place/place.go
@@ -70,8 +70,6 @@
 	valueTokens = 10000 // tokens that double the value of a very short prompt
 	// lateLoss is the share of its value that a late call loses.
 	lateLoss = 0.75
-	// abandonLoss is what is left of the value of a late call, and lost when its client leaves.
-	abandonLoss = 1 - lateLoss
 	// failLoss is lost when a replica fails the call, which is then tried elsewhere.
 	failLoss = 0.8
 	// farLoss stands for the price of bytes between data centres.
@@ -292,34 +290,18 @@
 	loss := 0.0
 	for widx := range vie.Works {
 		wrk := &vie.Works[widx]
-		if wrk.Stage == fleet.Reading && wrk.Ahead && !part {
+		goal := wrk.GapGoal
+		if wrk.Stage == fleet.Reading {
+			goal = wrk.Goal.Sub(chc.job.Now)
+		}
+		if wrk.Late || goal <= 0 || (wrk.Ahead && !part) {
 			continue
 		}
-		loss += wrk.Value * chc.delayLoss(wrk, before, before+read)
-	}
-	return loss
-}
-
-// delayLoss returns the share of a work's value that is lost if its next event comes after the second time instead of
-// the first one.
-func (chc *choice) delayLoss(wrk *fleet.Work, before, after time.Duration) float64 {
-	goal, patience := wrk.GapGoal, max(leastPatience, patienceGaps*wrk.GapGoal)
-	if wrk.Stage == fleet.Reading {
-		goal = wrk.Goal.Sub(chc.job.Now)
+		loss += wrk.Value * (late(before+read, goal) - late(before, goal))
 	}
-	loss := abandonLoss * (late(after, patience) - late(before, patience))
-	if !wrk.Late && goal > 0 {
-		loss += lateLoss * (late(after, goal) - late(before, goal))
-	}
-	return loss
+	return loss * lateLoss
 }
 
-// Clients abandon a stream after a pause of several times its goal.
-const (
-	leastPatience = 2 * time.Second
-	patienceGaps  = 8
-)
-
 // option is a replica that may take a part.
 type option struct {
 	idx    int
