--- a/place/place.go
+++ b/place/place.go
@@ -45,7 +45,6 @@
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
 	Value    float64
-	SlotWait time.Duration // predicted wait for a slot, which is part of Expected
 	Loss     float64       // of this and other calls, in units of value
 	Slack    time.Duration // time that a long prompt can wait for a better choice and still be on time
 	// ShortRanks is the number of replicas that are meant for short calls.
@@ -133,7 +132,6 @@
 	if math.IsInf(least, 1) {
 		return Plan{}, false
 	}
-	best.SlotWait = chc.slotWait(&best.First)
 	best.Value, best.Loss, best.Slack = chc.value, least, chc.slack()
 	best.ShortRanks = chc.shortRanks
 	return best, true
@@ -170,12 +168,6 @@
 	}
 }
 
-// Overload tells whether a short call would wait for a slot for longer than its goal at every replica. The queue would
-// make later calls late as well, so it is better to refuse some and let them return when it is shorter.
-func (pln *Plan) Overload(goal time.Duration) bool {
-	return pln.Read < fleet.LongRead && goal > 0 && pln.SlotWait > goal
-}
-
 // Defer tells whether a long prompt should wait for a better choice: it would do much harm now, or be late, and streams
 // that are in its way end within its slack.
 func (pln *Plan) Defer() bool {
--- a/relay/session.go
+++ b/relay/session.go
@@ -30,7 +30,6 @@
 	reasonHeld       = "reservation-unused"
 	reasonLeft       = "client-left"
 	reasonBlamed     = "crashes-replicas"
-	reasonOverload   = "overload"
 	reasonDone       = "done"
 )
 
@@ -183,10 +182,6 @@
 			return
 		}
 		pln, reason := ses.planDeferred()
-		if reason == "" && ses.sends == 0 && !ses.resumes && pln.Overload(ses.rte.Goal) {
-			ses.answer(http.StatusServiceUnavailable, reasonOverload, pln.SlotWait+retryAfter())
-			return
-		}
 		if reason != "" {
 			ses.giveUp(reason)
 			return
