--- a/fleet/work.go
+++ b/fleet/work.go
@@ -17,7 +17,6 @@
 	Stage   Stage
 	Part    bool          // reads a part of a prompt for another replica
 	Ahead   bool          // its prompt is split, and engines read parts before whole prompts
-	Behind  bool          // others may take a slot before it, since it cannot be on time
 	Tokens  int           // KV memory that it will use at this replica
 	Read    time.Duration // predicted time to read its prompt
 	Goal    time.Time     // when its first event is due; zero for none
--- a/peers/message.go
+++ b/peers/message.go
@@ -48,7 +48,6 @@
 	flagLate
 	flagEnded
 	flagAhead
-	flagBehind
 )
 
 func toItem(rem fleet.RemoteWork, now time.Time) item {
@@ -74,7 +73,6 @@
 		{flagLate, wrk.Late},
 		{flagEnded, rem.Ended},
 		{flagAhead, wrk.Ahead},
-		{flagBehind, wrk.Behind},
 	} {
 		if flg.set {
 			flags |= flg.bit
@@ -88,7 +86,7 @@
 		ID: itm.ID, Tokens: itm.Tokens, Read: time.Duration(itm.ReadMs) * time.Millisecond,
 		GapGoal: time.Duration(itm.GapMs) * time.Millisecond, Value: float64(itm.Tenths) / 10,
 		Part: itm.Flags&flagPart != 0, Late: itm.Flags&flagLate != 0,
-		Ahead: itm.Flags&flagAhead != 0, Behind: itm.Flags&flagBehind != 0,
+		Ahead: itm.Flags&flagAhead != 0,
 		Began: now.Add(-time.Duration(itm.AgeMs) * time.Millisecond),
 	}
 	if itm.Flags&flagWriting != 0 {
--- a/place/place.go
+++ b/place/place.go
@@ -45,7 +45,6 @@
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
 	Value    float64
-	Behind   bool          // it cannot be on time, so that others may take a slot before it
 	Loss     float64       // of this and other calls, in units of value
 	Slack    time.Duration // time that a long prompt can wait for a better choice and still be on time
 	// ShortRanks is the number of replicas that are meant for short calls.
@@ -133,7 +132,6 @@
 	if math.IsInf(least, 1) {
 		return Plan{}, false
 	}
-	best.Behind = chc.behind(&best)
 	best.Value, best.Loss, best.Slack = chc.value, least, chc.slack()
 	best.ShortRanks = chc.shortRanks
 	return best, true
@@ -170,15 +168,6 @@
 	}
 }
 
-// behind tells whether a short call cannot be on time where it goes. In an overload, later calls that can then go first,
-// so that most are on time and some are late, instead of all being late.
-func (chc *choice) behind(pln *Plan) bool {
-	return chc.eng.Reading(chc.job.Tokens) < fleet.LongRead && late(pln.Expected, chc.job.Goal) >= behindFrom
-}
-
-// behindFrom is the probability of being late from which a call goes behind others.
-const behindFrom = 0.7
-
 // Defer tells whether a long prompt should wait for a better choice: it would do much harm now, or be late, and streams
 // that are in its way end within its slack.
 func (pln *Plan) Defer() bool {
@@ -262,17 +251,13 @@
 	if vie.Writers > 0 {
 		takes += chc.pass[idx] / 2 // The pass in progress is over before the prompt is read.
 	}
-	return takes + chc.slotWait(vie, false)
+	return takes + chc.slotWait(vie)
 }
 
-// slotWait returns the predicted time until a slot is free for one more call. A call that is behind waits for all
-// others, and other calls do not wait for those that are behind and have no slot yet.
-func (chc *choice) slotWait(vie *fleet.View, behind bool) time.Duration {
+// slotWait returns the predicted time until a slot is free for one more call.
+func (chc *choice) slotWait(vie *fleet.View) time.Duration {
 	slots := max(vie.Slots, 1)
 	over := seats(vie) + 1 - slots
-	if !behind {
-		over -= min(waitingBehind(vie), max(seats(vie)-slots, 0))
-	}
 	if over <= 0 {
 		return 0
 	}
@@ -282,17 +267,6 @@
 	return stream * time.Duration(over) / time.Duration(slots)
 }
 
-// waitingBehind returns the number of calls that others may overtake. Those that write have a slot already.
-func waitingBehind(vie *fleet.View) int {
-	num := 0
-	for idx := range vie.Works {
-		if vie.Works[idx].Behind && vie.Works[idx].Stage == fleet.Reading {
-			num++
-		}
-	}
-	return num
-}
-
 // leastOutput is the output in tokens that other streams are taken to have at least.
 const leastOutput = 1000
 
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -223,23 +223,3 @@
 	iis.True(ok)
 	iis.True(pln.Expected < job.TimeLeft)
 }
-
-// TestNewCallsGoBeforeLateOnes answers the pattern of a burst that exceeds the slots for a while: in order of arrival,
-// every call of the burst would be late.
-func TestNewCallsGoBeforeLateOnes(t *testing.T) {
-	iis := is.New(t)
-	list := views(1)
-	write(&list[0], 16)
-	for range 6 {
-		list[0].Works = append(list[0].Works, fleet.Work{Tokens: 5000, Read: 30 * time.Millisecond})
-	}
-	pln, ok := place.Engine(shortJob(), engine(), append([]fleet.View(nil), list...), 0)
-	iis.True(ok)
-	iis.True(pln.Behind) // Six others have a slot before it.
-	for idx := range list[0].Works {
-		list[0].Works[idx].Behind = list[0].Works[idx].Stage == fleet.Reading
-	}
-	pln, ok = place.Engine(shortJob(), engine(), list, 0)
-	iis.True(ok)
-	iis.True(!pln.Behind) // It overtakes them.
-}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,7 +63,7 @@
 	defer hld.watch(ctx, ses.opts.HoldLimit, exc.giveUp).Stop()
 	out := exc.run(&call.Attempt{
 		Replica: pln.First.ID, Tenant: ses.account, TimeLeft: ses.end.Sub(ses.opts.Clock.Now()), Helpers: hld.helpers,
-		Urgency: ses.urgency(pln), LastEvent: ses.last, Resumes: ses.resumes,
+		Urgency: urgency(ses.rte.Goal), LastEvent: ses.last, Resumes: ses.resumes,
 	})
 	if out.mayHaveRun {
 		ses.runs++
@@ -241,13 +241,9 @@
 	}
 }
 
-// urgency returns how urgent an attempt is, 0 for the most urgent. The engine admits more urgent ones first: those of
-// routes with a short goal, and last those that cannot be on time anyway.
-func (ses *session) urgency(pln *place.Plan) int {
-	goal := ses.rte.Goal
+// Urgencies of calls, by the goal of their route. The engine admits more urgent ones first.
+func urgency(goal time.Duration) int {
 	switch {
-	case pln.Behind && !ses.headers:
-		return 8
 	case goal <= 0:
 		return 5
 	case goal <= 500*time.Millisecond:
--- a/relay/session.go
+++ b/relay/session.go
@@ -309,7 +309,7 @@
 	return fleet.Work{
 		Tokens: prm.Tokens + ses.output(), Read: pln.Read, GapGoal: ses.rte.GapGoal, Value: pln.Value,
 		Goal: ses.cal.Arrived.Add(ses.rte.Goal), Late: ses.late(),
-		Ahead: len(pln.Helpers) > 0, Behind: pln.Behind,
+		Ahead: len(pln.Helpers) > 0,
 	}
 }
 
