Find slow replicas by the pauses between events

Cause: the pace of a replica was part of every prediction but never observed, so that replicas which work five times slower were taken for sound ones. Change: the median ratio of pauses to predicted pauses, by steps, is the pace; it counts from twice the prediction on and is forgotten after four seconds.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -137,3 +137,26 @@
 	tkt.End()
 	iis.Equal(tokens(), 0)
 }
+
+// TestSlowReplicaIsFound guards against a replica that works several times slower while it fails nothing, and against
+// one that is held to be slow because of single long pauses.
+func TestSlowReplicaIsFound(t *testing.T) {
+	iis := is.New(t)
+	flt, man, _ := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	rep := flt.Group("s").Views()[0].Replica
+	pace := func() float64 { return flt.Group("s").Views()[0].Pace }
+	for num := range 100 {
+		rep.Paced(1.3)
+		if num%8 == 0 {
+			rep.Paced(20) // a long prompt is read
+		}
+	}
+	iis.Equal(pace(), 1.0)
+	for range 40 {
+		rep.Paced(5)
+	}
+	iis.True(pace() > 4)
+	man.Advance(5 * time.Second)
+	iis.Equal(pace(), 1.0) // It is tried again.
+}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -65,7 +65,8 @@
 	failures float64
 	answers  float64
 	updated  time.Time
-	pace     float64 // time that it takes per time expected; 0 until known
+	pace     float64 // median of the time that it takes per time predicted; 0 until known
+	paced    time.Time
 }
 
 // Weights of observations.
@@ -77,7 +78,10 @@
 	// unreachableWeight is the number of failures that a refused or silent connection counts as.
 	unreachableWeight = 6.0
 	mostObservations  = 12.0
-	paceWeight        = 0.2
+	paceStep          = 0.1
+	// slowFrom is well above what prompts that are read between events cause.
+	slowFrom   = 2.0
+	slowMemory = 4 * time.Second
 )
 
 func (hea *health) decay(now time.Time) {
@@ -114,12 +118,25 @@
 	rep.health.answers = min(rep.health.answers+answers, mostObservations)
 }
 
-// Paced takes in the ratio of a time that the replica took to the time predicted.
+// Paced takes in the ratio of a pause between two events to the pause predicted. The estimate moves by a fixed step
+// towards each ratio, so that it follows their median: a long prompt that is read in between makes single pauses many
+// times longer.
 func (rep *Replica) Paced(ratio float64) {
 	rep.group.mu.Lock()
 	defer rep.group.mu.Unlock()
-	if rep.health.pace == 0 {
-		rep.health.pace = 1
+	if ratio > rep.health.pace {
+		rep.health.pace = min(rep.health.pace+paceStep, ratio)
+	} else {
+		rep.health.pace = max(rep.health.pace-paceStep, ratio)
 	}
-	rep.health.pace += paceWeight * (ratio - rep.health.pace)
+	rep.health.paced = rep.group.clock.Now()
+}
+
+// slowness returns the time that the replica takes per time predicted, or 1 if it is not clearly slow or nothing has
+// been seen of it for a while.
+func (hea *health) slowness(now time.Time) float64 {
+	if hea.pace < slowFrom || now.Sub(hea.paced) > slowMemory {
+		return 1
+	}
+	return hea.pace
 }
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -212,7 +212,7 @@
 func (rep *Replica) view(rank int, now time.Time) View {
 	vie := View{
 		Replica: rep, Rank: rank, ID: rep.reg.ID, Address: rep.reg.Address, DataCentre: rep.reg.DataCentre,
-		Slots: rep.reg.Slots, Risk: rep.health.risk(now), Pace: max(rep.health.pace, 1),
+		Slots: rep.reg.Slots, Risk: rep.health.risk(now), Pace: rep.health.slowness(now),
 		Cold:  max(rep.reg.ColdLeft-now.Sub(rep.started), 0),
 		Works: make([]Work, 0, len(rep.works)+len(rep.remote)),
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -44,6 +44,7 @@
 	Helpers  []Part
 	Read     time.Duration // reading time of each part
 	Expected time.Duration // predicted time to the first event
+	Pass     time.Duration // predicted pause between events, if the replica is not slow and reads nothing
 	Value    float64
 	Loss     float64       // of this and other calls, in units of value
 	Slack    time.Duration // time that a long prompt can wait for a better choice and still be on time
@@ -132,6 +133,7 @@
 	if math.IsInf(least, 1) {
 		return Plan{}, false
 	}
+	best.Pass = eng.Pass(best.First.Writers+1, best.First.Context+job.Tokens)
 	best.Value, best.Loss, best.Slack = chc.value, least, chc.slack()
 	best.ShortRanks = chc.shortRanks
 	return best, true
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -109,15 +109,16 @@
 
 // exchange is one call and its answer on a connection.
 type exchange struct {
-	ses     *session
-	con     *pool.Conn
-	plan    *place.Plan
-	tickets bookings
-	ctx     context.Context
-	kept    bool        // the connection has gone back to the pool
-	replied bool        // the replica has answered in some way
-	began   atomic.Bool // the first event has come
-	gaveUp  atomic.Bool // the attempt was ended because its reserved memory was not used
+	ses       *session
+	con       *pool.Conn
+	plan      *place.Plan
+	tickets   bookings
+	ctx       context.Context
+	kept      bool        // the connection has gone back to the pool
+	replied   bool        // the replica has answered in some way
+	began     atomic.Bool // the first event has come
+	lastEvent time.Time   // when the last event of this attempt came
+	gaveUp    atomic.Bool // the attempt was ended because its reserved memory was not used
 }
 
 // giveUp ends the attempt because its reserved memory is not used, which keeps it from others.
--- a/relay/session.go
+++ b/relay/session.go
@@ -147,7 +147,7 @@
 		return true
 	}
 	ctl := http.NewResponseController(ses.rw)
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // Without a deadline the server's own limits hold.
+	_ = ctl.SetReadDeadline(ses.opts.Clock.Now().Add(bodyTimeout)) // Without a deadline the server's own limits hold.
 	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
 	body := io.Reader(req.Body)
 	if most > 0 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -104,6 +104,7 @@
 	if _, err := ses.rw.Write(evt.raw); err != nil {
 		return fmt.Errorf("relay: send event: %w", err)
 	}
+	exc.observePause()
 	ses.note(evt, exc.tickets)
 	if !flush {
 		return nil
@@ -114,6 +115,15 @@
 	return nil
 }
 
+// observePause compares the pause before an event with the predicted one. The first event of an attempt has none.
+func (exc *exchange) observePause() {
+	now := exc.ses.opts.Clock.Now()
+	if !exc.lastEvent.IsZero() && exc.plan.Pass > 0 {
+		exc.plan.First.Replica.Paced(float64(now.Sub(exc.lastEvent)) / float64(exc.plan.Pass))
+	}
+	exc.lastEvent = now
+}
+
 // note takes an event into account that was passed on.
 func (ses *session) note(evt event, tickets bookings) {
 	now := ses.opts.Clock.Now()
