--- a/follow/follow.go
+++ b/follow/follow.go
@@ -102,9 +102,13 @@
 	if !flw.listed {
 		return flw.list(ctx)
 	}
-	lim, cancel := flw.opts.Clock.WithTimeout(ctx, flw.opts.Wait+flw.opts.Timeout)
+	wait := flw.opts.Wait
+	if flw.lost {
+		wait = 0 // A call into an outage should end soon, so that the next one finds the store again.
+	}
+	lim, cancel := flw.opts.Clock.WithTimeout(ctx, wait+flw.opts.Timeout)
 	defer cancel()
-	list, next, err := flw.opts.Source.Read(lim, flw.next, flw.opts.Wait)
+	list, next, err := flw.opts.Source.Read(lim, flw.next, wait)
 	if err != nil {
 		return err
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -21,6 +21,7 @@
 	lists int
 	reads chan func() ([]follow.Record, int64, error)
 	from  []int64
+	waits []time.Duration
 }
 
 func (scr *script) source() follow.Source {
@@ -31,9 +32,10 @@
 			scr.lists++
 			return []follow.Record{{Key: "listed", Value: []byte("v")}}, int64(10 * scr.lists), nil
 		},
-		Read: func(ctx context.Context, from int64, _ time.Duration) ([]follow.Record, int64, error) {
+		Read: func(ctx context.Context, from int64, wait time.Duration) ([]follow.Record, int64, error) {
 			scr.mu.Lock()
 			scr.from = append(scr.from, from)
+			scr.waits = append(scr.waits, wait)
 			scr.mu.Unlock()
 			select {
 			case answer := <-scr.reads:
@@ -117,3 +119,19 @@
 	defer scr.mu.Unlock()
 	iis.Equal(scr.lists, 1) // nothing was listed anew
 }
+
+// TestReadsDoNotWaitDuringAnOutage guards against a long read that is sent into an outage and hides its end for seconds.
+func TestReadsDoNotWaitDuringAnOutage(t *testing.T) {
+	iis := is.New(t)
+	scr := &script{reads: make(chan func() ([]follow.Record, int64, error))}
+	seen := start(t, scr, nil)
+	iis.Equal(<-seen, "replace")
+	scr.reads <- failure(errors.New("down"))
+	scr.reads <- records(11, "f")
+	iis.Equal(<-seen, "f")
+	scr.reads <- records(12, "g")
+	iis.Equal(<-seen, "g")
+	scr.mu.Lock()
+	defer scr.mu.Unlock()
+	iis.Equal(scr.waits[:3], []time.Duration{time.Minute, 0, time.Minute})
+}
