Split placement by concern, and suspect no call for replicas that leave

Replicas that drain or have gone make no suspects now. Weights, predictions and choices of placement stand in files of their own; a deferred prompt takes up a newer configuration before it looks again.

--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -32,6 +32,7 @@
 func (grp *Group) remove(rep *Replica) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
+	rep.gone = true
 	grp.members = slices.DeleteFunc(grp.members, func(mbr *Replica) bool { return mbr == rep })
 }
 
@@ -45,6 +46,14 @@
 	works  map[uint32]*Work            // of this process
 	remote map[string]map[uint32]*Work // of other processes, by their name
 	health health
+	gone   bool // it is not registered any more
+}
+
+// Leaving tells whether the replica drains or has gone, so that it may break off its calls without having crashed.
+func (rep *Replica) Leaving() bool {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	return rep.gone || rep.reg.Draining
 }
 
 // Registration returns the replica's newest registration.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -120,7 +120,8 @@
 	iis.Equal(scr.lists, 1) // nothing was listed anew
 }
 
-// TestReadsDoNotWaitDuringAnOutage guards against a long read that is sent into an outage and hides its end for seconds.
+// TestReadsDoNotWaitDuringAnOutage guards against a long read that is sent into an outage and hides its end for
+// seconds.
 func TestReadsDoNotWaitDuringAnOutage(t *testing.T) {
 	iis := is.New(t)
 	scr := &script{reads: make(chan func() ([]follow.Record, int64, error))}
--- /dev/null
+++ b/place/predict.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+)
+
+// mostAheadLoad bounds the predicted share of the time that parts take, so that whole prompts are not predicted to wait
+// forever.
+const mostAheadLoad = 0.75
+
+func aheadLoad(replicas int, longLoad float64) float64 {
+	return min(longLoad/float64(max(replicas, 1)), mostAheadLoad)
+}
+
+func (chc *choice) measure() {
+	chc.pass = make([]time.Duration, len(chc.views))
+	for idx := range chc.views {
+		vie := &chc.views[idx]
+		chc.pass[idx] = scale(chc.eng.Pass(vie.Writers, vie.Context), vie.Pace)
+	}
+}
+
+func scale(dur time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(dur) * factor)
+}
+
+// first returns the predicted time to the first event if the replica reads for so long.
+func (chc *choice) first(idx int, read time.Duration, parts int) time.Duration {
+	vie := &chc.views[idx]
+	reading := vie.Ahead + read
+	if parts == 1 {
+		reading = vie.Unread + read
+		if !chc.short[idx] { // Parts that come meanwhile are read first.
+			reading = scale(reading, 1/(1-chc.aheadLoad))
+		}
+	}
+	takes := scale(reading, vie.Pace) + chc.pass[idx]
+	if vie.Writers > 0 {
+		takes += chc.pass[idx] / 2 // The pass in progress is over before the prompt is read.
+	}
+	return takes + chc.slotWait(vie)
+}
+
+// slotWait returns the predicted time until a slot is free for one more call.
+func (chc *choice) slotWait(vie *fleet.View) time.Duration {
+	slots := max(vie.Slots, 1)
+	over := seats(vie) + 1 - slots
+	if over <= 0 {
+		return 0
+	}
+	context := vie.Tokens * slots / (slots + over)
+	passes := max(chc.job.Output, leastOutput) / max(chc.eng.Stride, 1)
+	stream := scale(chc.eng.Pass(slots, context), vie.Pace) * time.Duration(passes)
+	return stream * time.Duration(over) / time.Duration(slots)
+}
+
+// leastOutput is the output in tokens that other streams are taken to have at least.
+const leastOutput = 1000
+
+// seats returns the number of slots that are taken or waited for. Parts of prompts take none.
+func seats(vie *fleet.View) int {
+	num := 0
+	for idx := range vie.Works {
+		if !vie.Works[idx].Part {
+			num++
+		}
+	}
+	return num
+}
+
+// harm returns the value that the other works on a replica lose if it reads for so long more. A part of a split prompt
+// is read beside other parts and before whole prompts, so that it delays both.
+func (chc *choice) harm(idx int, read time.Duration, part bool) float64 {
+	vie := &chc.views[idx]
+	read = scale(read, vie.Pace)
+	before := chc.pass[idx] + scale(vie.Unread, vie.Pace)
+	loss := 0.0
+	for widx := range vie.Works {
+		wrk := &vie.Works[widx]
+		goal := wrk.GapGoal
+		if wrk.Stage == fleet.Reading {
+			goal = wrk.Goal.Sub(chc.job.Now)
+		}
+		if wrk.Late || goal <= 0 || (wrk.Ahead && !part) {
+			continue
+		}
+		loss += wrk.Value * (late(before+read, goal) - late(before, goal))
+	}
+	return loss * lateLoss
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -236,6 +236,9 @@
 		// The replica may have closed the idle connection.
 	case out.reason == reasonBroken && !exc.replied:
 		rep.Unreachable()
+		if rep.Leaving() {
+			return // It ends, and every call on it breaks off.
+		}
 		exc.ses.opts.Blame.Crashed(exc.ses.cal, exc.ses.account, exc.plan.First.ID)
 	default:
 		rep.Failed()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -450,3 +450,27 @@
 	}
 	iis.Equal(one.calls.Load()+two.calls.Load()+three.calls.Load(), int64(2))
 }
+
+// TestCallOnLeavingReplicasIsNoSuspect guards against calls that are refused because replicas that were being replaced
+// broke them off.
+func TestCallOnLeavingReplicasIsNoSuspect(t *testing.T) {
+	iis := is.New(t)
+	var rig *rig // Set below, before the first call.
+	leaves := func(_ net.Conn, req request) bool {
+		rig.flt.Remove(req.Header.Get("Tarragonwheel-Target-Replica"))
+		return false
+	}
+	rig = newRig(t, newReplica(t, leaves), newReplica(t, leaves))
+	for range 2 {
+		_, _, err := rig.send(t, "/stream/x")
+		iis.NoErr(err)
+	}
+	last := newReplica(t, func(con net.Conn, req request) bool { return stream(con, req, 1, 2, true) })
+	rig.flt.Update(fleet.Registration{
+		ID: "i-9", Service: "s", Address: last.addr, DataCentre: "z", Slots: 4, Sequence: 1,
+	})
+	status, body, err := rig.send(t, "/stream/x")
+	iis.NoErr(err)
+	iis.Equal(status, 200)
+	iis.Equal(body, events(1, 2))
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/call"
-	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/rules"
 )
@@ -181,7 +180,10 @@
 		if !ses.headers && !ses.apply() {
 			return
 		}
-		pln, reason := ses.planDeferred()
+		pln, reason := ses.plan()
+		if reason == "" && pln.Defer() && ses.wait() {
+			continue // Under the newest configuration, with a newer view of the replicas.
+		}
 		if reason != "" {
 			ses.giveUp(reason)
 			return
@@ -204,21 +206,6 @@
 	}
 }
 
-// logPlan logs where a call is sent and on what grounds.
-func (ses *session) logPlan(pln *place.Plan) {
-	if !ses.opts.Log.V(1).Enabled() {
-		return
-	}
-	var helpers []string
-	for _, hlp := range pln.Helpers {
-		helpers = append(helpers, hlp.View.ID)
-	}
-	vie := &pln.First
-	ses.opts.Log.V(1).Info("relay: call placed", "call", ses.cal.ID, "replica", vie.ID, "helpers", helpers,
-		"tokens", ses.cal.Prompt.Tokens, "read", pln.Read, "expected", pln.Expected, "writers", vie.Writers,
-		"unread", vie.Unread, "ahead", vie.Ahead, "memory", vie.Tokens, "works", len(vie.Works), "risk", vie.Risk)
-}
-
 // mayRepeat tells whether the call may be sent once more after an attempt that ended so.
 func (ses *session) mayRepeat(out outcome) bool {
 	if ses.ctx.Err() != nil || ses.opts.Clock.Now().Add(leastTime).After(ses.end) || ses.sends >= maxSends {
@@ -233,86 +220,6 @@
 	return ses.relay.share(ses.service).Take()
 }
 
-// deferInterval is the time between two looks for a better choice.
-const deferInterval = 60 * time.Millisecond
-
-// planDeferred chooses where the call runs next. A long prompt that would do much harm now waits while it can still be
-// on time.
-func (ses *session) planDeferred() (place.Plan, string) {
-	for {
-		pln, reason := ses.plan()
-		if reason != "" || !pln.Defer() {
-			return pln, reason
-		}
-		ses.opts.Metrics.Event("long-prompt-deferred")
-		if ses.opts.Clock.Sleep(ses.ctx, deferInterval) != nil {
-			return place.Plan{}, reasonLeft
-		}
-	}
-}
-
-// plan chooses where the call runs next, or returns the reason why it cannot.
-func (ses *session) plan() (place.Plan, string) {
-	left := ses.end.Sub(ses.opts.Clock.Now())
-	if left < leastTime {
-		return place.Plan{}, reasonTimeout
-	}
-	if ses.opts.Blame.Blocked(ses.cal, ses.account) {
-		return place.Plan{}, reasonBlamed
-	}
-	grp := ses.opts.Fleet.Group(ses.service)
-	job := ses.job(left)
-	views := grp.Views()
-	if len(views) == len(ses.avoid) {
-		job.Avoid = nil // Each replica has failed it once; none is better than another.
-	}
-	srv := ses.set.Service(ses.service)
-	var pln place.Plan
-	var ok bool
-	if srv == nil || srv.Engine == nil {
-		pln, ok = place.Plain(job, views)
-	} else {
-		pln, ok = place.Engine(job, srv.Engine, views, grp.LongLoad())
-	}
-	if !ok {
-		return place.Plan{}, reasonNoReplica
-	}
-	return pln, ""
-}
-
-func (ses *session) job(left time.Duration) place.Job {
-	prm := ses.cal.Prompt
-	job := place.Job{
-		Now: ses.opts.Clock.Now(), Tokens: prm.Tokens, Output: ses.output(), GapGoal: ses.rte.GapGoal, TimeLeft: left,
-		DataCentre: ses.opts.DataCentre, Avoid: ses.avoid, Jitter: rand.Float64,
-	}
-	if ses.rte.Goal > 0 {
-		job.Goal = ses.rte.Goal - ses.opts.Clock.Since(ses.cal.Arrived)
-	} else {
-		job.Goal = left
-	}
-	return job
-}
-
-// output predicts the output in tokens. The client's estimate is often far off, so it is doubled.
-func (ses *session) output() int {
-	prm := ses.cal.Prompt
-	if prm.HintOutput > 0 {
-		return min(prm.MostOutput, 2*prm.HintOutput)
-	}
-	return prm.MostOutput
-}
-
-// work is what the call means for a replica.
-func (ses *session) work(pln *place.Plan) fleet.Work {
-	prm := ses.cal.Prompt
-	return fleet.Work{
-		Tokens: prm.Tokens + ses.output(), Read: pln.Read, GapGoal: ses.rte.GapGoal, Value: pln.Value,
-		Goal: ses.cal.Arrived.Add(ses.rte.Goal), Late: ses.late(),
-		Ahead: len(pln.Helpers) > 0,
-	}
-}
-
 // late tells whether the call has missed its goals already.
 func (ses *session) late() bool {
 	if ses.rte.GapGoal > 0 && ses.longestGap > ses.rte.GapGoal {
