--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -43,7 +43,7 @@
 	defer tickets.end()
 	hld, err := ses.opts.Memory.reserve(ses.ctx, pln)
 	if err != nil {
-		return outcome{unsent: true, reason: "no-memory", err: err}
+		return outcome{unsent: true, reason: reasonNoMemory, err: err}
 	}
 	defer hld.release(ses.ctx)
 	now := ses.opts.Clock.Now()
@@ -55,7 +55,7 @@
 		if ctx.Err() == nil {
 			rep.Unreachable()
 		}
-		return outcome{unsent: true, reason: "unreachable", err: err}
+		return outcome{unsent: true, reason: reasonUnreached, err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() }) // Makes the replica stop, and ends reads here.
 	defer stop()
@@ -79,17 +79,14 @@
 type bookings []*fleet.Ticket
 
 func (ses *session) book(pln *place.Plan) bookings {
-	onMove := func(replica uint32, wrk fleet.Work, ended bool) {
-		ses.opts.OnMove(ses.service, replica, wrk, ended)
-	}
 	wrk := ses.work(pln)
-	tickets := bookings{pln.First.Replica.Begin(wrk, onMove)}
+	tickets := bookings{pln.First.Replica.Begin(wrk, ses.opts.OnMove)}
 	for _, hlp := range pln.Helpers {
 		part := fleet.Work{
 			Part: true, Ahead: true, Tokens: hlp.Reserve, Read: pln.Read, Goal: wrk.Goal, Late: wrk.Late,
 			Value: wrk.Value * place.PartValue,
 		}
-		tickets = append(tickets, hlp.View.Replica.Begin(part, onMove))
+		tickets = append(tickets, hlp.View.Replica.Begin(part, ses.opts.OnMove))
 	}
 	return tickets
 }
@@ -132,7 +129,7 @@
 func (exc *exchange) run(att *call.Attempt) outcome {
 	ses := exc.ses
 	if err := exc.con.Send(ses.opts.Wire.WriteCall(ses.cal, att)); err != nil {
-		return outcome{mayHaveRun: true, reason: "send-failed", err: err}
+		return outcome{mayHaveRun: true, reason: reasonSendFailed, err: err}
 	}
 	var rep call.Reply
 	isOurs := func(res *http.Response) bool {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -144,7 +144,7 @@
 		Pool: pool.New(clk), Memory: relay.NewMemory(clk, logr.Discard(), relay.Orders{}),
 		Blame: relay.NewBlame(clk, nil), DataCentre: "z", Sharers: func() int { return 1 },
 		Budget: func() retry.Terms { return retry.Terms{Ratio: 0.2, Extra: 100, Window: 10 * time.Second} },
-		OnMove: func(string, uint32, fleet.Work, bool) {},
+		OnMove: func(uint32, fleet.Work, bool) {},
 		Wire: relay.Wire{
 			ReadCall: platform.ReadCall, WriteCall: platform.WriteCall, ReadReply: platform.ReadReply,
 			WriteReply: platform.WriteReply, WriteRefusal: platform.WriteRefusal,
@@ -179,7 +179,7 @@
 			},
 		},
 		Accounts: []rules.Account{{Name: "n", Keys: []string{"k"}}},
-		Limits:   rules.Limits{BodyBytes: 1 << 20},
+		Limits:   rules.Limits{BodyBytes: 1 << 20, HeaderBytes: 8 << 10},
 	}
 }
 
@@ -497,3 +497,19 @@
 	man.Advance(2 * time.Second)
 	iis.True(wait() >= 1)
 }
+
+// TestHeaderLimit guards against headers that are larger than the operator allows.
+func TestHeaderLimit(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, 200, "ok") })
+	rig := newRig(t, rep)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, rig.url+"/safe/x", nil)
+	iis.NoErr(err)
+	req.Header.Set("Api-Key", "k")
+	req.Header.Set("X-Large", strings.Repeat("x", 10<<10))
+	res, err := http.DefaultClient.Do(req)
+	iis.NoErr(err)
+	_ = res.Body.Close()
+	iis.Equal(res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	iis.Equal(rep.calls.Load(), int64(0))
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -13,50 +13,6 @@
 	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
-// Reasons for answers of this program's own, in logs and metrics.
-const (
-	reasonNoConfig   = "no-configuration"
-	reasonNoRoute    = "no-route"
-	reasonNoAccount  = "unknown-key"
-	reasonDraining   = "draining"
-	reasonTooLarge   = "body-too-large"
-	reasonBodyBroken = "body-incomplete"
-	reasonNoReplica  = "no-replica"
-	reasonNotRun     = "not-run"
-	reasonTimeout    = "time-limit"
-	reasonFailed     = "replica-failed"
-	reasonBroken     = "stream-broken"
-	reasonHeld       = "reservation-unused"
-	reasonLeft       = "client-left"
-	reasonBlamed     = "crashes-replicas"
-	reasonDone       = "done"
-)
-
-// Time limits of calls.
-const (
-	defaultTimeLimit = 60 * time.Second
-	// leastTime is the time below which a call is not sent to a replica any more.
-	leastTime = 15 * time.Millisecond
-	// bodyTimeout bounds the wait for a client's body where the operator sets no limit.
-	bodyTimeout = 10 * time.Second
-)
-
-// Bounds of a refused client's return. They are spread, so that refused clients do not return together.
-const (
-	leastRetryAfter  = 100 * time.Millisecond
-	spreadRetryAfter = 400 * time.Millisecond
-)
-
-// Return of clients while the store is away at the start of the process.
-const (
-	startTime    = time.Second
-	leastOutage  = time.Second
-	spreadOutage = 2 * time.Second
-)
-
-// maxSends bounds how often one call is sent in all, with the replicas that did not run it.
-const maxSends = 5
-
 // session is one call on its way through the relay.
 type session struct {
 	relay   *Relay
@@ -98,7 +54,26 @@
 		ses.answer(http.StatusServiceUnavailable, reasonDraining, time.Millisecond)
 		return false
 	}
-	return ses.apply()
+	if !ses.apply() {
+		return false
+	}
+	if most := ses.set.Limits().HeaderBytes; most > 0 && headerBytes(ses.cal) > most {
+		ses.answer(http.StatusRequestHeaderFieldsTooLarge, reasonHeaders, 0)
+		return false
+	}
+	return true
+}
+
+// headerBytes returns the size of a call's headers and target as they stood on the wire.
+func headerBytes(cal *call.Call) int {
+	const perLine = len(": \r\n")
+	size := len(cal.Target)
+	for name, values := range cal.Header {
+		for _, val := range values {
+			size += len(name) + len(val) + perLine
+		}
+	}
+	return size
 }
 
 // apply takes the newest configuration. A call is never handled by an older version than one seen before.
