--- a/config/keys_front.go
+++ b/config/keys_front.go
@@ -26,6 +26,10 @@
 		section: "front", name: "hold-limit", fallback: "9s",
 		help: "time within which reserved memory must be used by its call",
 	}, time.Second, time.Hour)
+	FrontPlacement = choiceKey(definition{
+		section: "front", name: "placement", fallback: "predicted",
+		help: "how calls to engines are placed; the others are baselines for measurements",
+	}, "predicted", "fewest-outstanding", "round-robin")
 	FrontDrainTime = durationKey(definition{
 		section: "front", name: "drain-time", fallback: "2s",
 		help: "time within which a draining replica must get no more calls",
--- a/front/front.go
+++ b/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonwheel/tarragonwheel/httpd"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/peers"
+	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/platform"
 	"github.com/tarragonwheel/tarragonwheel/pool"
 	"github.com/tarragonwheel/tarragonwheel/relay"
@@ -101,6 +102,7 @@
 		Blame:      frt.blame,
 		Budget:     frt.terms,
 		Sharers:    frt.sharers,
+		Place:      place.PolicyFor(config.FrontPlacement.Of(frt.set)),
 		DataCentre: config.ProcessDataCentre.Of(frt.set),
 		HoldLimit:  config.FrontHoldLimit.Of(frt.set),
 		OnMove:     frt.tellMove,
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -38,7 +38,7 @@
 	if srv == nil || srv.Engine == nil {
 		pln, ok = place.Plain(job, views)
 	} else {
-		pln, ok = place.Engine(job, srv.Engine, views, grp.LongLoad())
+		pln, ok = ses.opts.Place(job, srv.Engine, views, grp.LongLoad())
 	}
 	if !ok {
 		return place.Plan{}, reasonNoReplica
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonwheel/tarragonwheel/call"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/metric"
+	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/pool"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/rules"
@@ -44,6 +45,7 @@
 	Blame      *Blame
 	Budget     func() retry.Terms // limits on repeats
 	Sharers    func() int         // processes that share the budget of repeats
+	Place      place.Policy       // places calls to engines
 	DataCentre string
 	// HoldLimit is the time within which reserved memory must be used.
 	HoldLimit time.Duration
