--- a/entry/blame_test.go
+++ b/entry/blame_test.go
@@ -235,7 +235,7 @@
 }
 
 // Guards against copies of a request that are sent through two entries at the same moment and cost more engines than
-// copies sent in turn. Rare interleavings do; see KNOWN-RED.txt.
+// copies sent in turn, because one copy is repeated before the crash of the other is known.
 func TestCopiesAtOnceCostTwoEngines(t *testing.T) {
 	resendEverywhere(t, true, true, 2)
 	resendEverywhere(t, false, true, 2)
