Refuse prompts that take more from others than they earn

A list of calls by replica, drawn from the logs, shows 8 of 18 replicas with all slots writing and the other 10 with one stream or none and up to 20 calls waiting, for 9 s. They were reading parts of one prompt of 681,759 tokens (46 s of reading, six parts) that had been taken just before the phase, and whose client left after 12 s without an event; calls placed behind the parts waited until their clients left after 2 s and came back. Nothing is sent that is predicted to begin later than the client's patience (the pause after which clients leave a stream). The wait for a slot follows the usual output that the operator declares, not the newcomer's own.

--- a/cost/engine.go
+++ b/cost/engine.go
@@ -14,6 +14,7 @@
 	PerMillion   time.Duration // more for each million pairs of a prompt token and an earlier one
 	Chunk        int           // most prompt tokens read in a step
 	Stride       int           // steps of a pass that has streams writing
+	UsualOutput  int           // mean output of a request in tokens; 0 if the operator does not say
 	HelperHop    time.Duration // more for each step of a stream whose context lies on several engines
 }
 
--- a/place/choice.go
+++ b/place/choice.go
@@ -70,6 +70,7 @@
 type option struct {
 	idx    int
 	loss   float64 // of the others on the replica, and its risk
+	harm   float64 // of the others on the replica
 	finish time.Duration
 }
 
@@ -90,6 +91,7 @@
 	pln.Read = read
 	for num, opt := range opts {
 		loss += opt.loss
+		pln.harm += opt.harm
 		pln.Expected = max(pln.Expected, opt.finish)
 		if num > 0 {
 			pln.Helpers = append(pln.Helpers, Part{View: chc.views[opt.idx]})
@@ -110,7 +112,8 @@
 	for idx := range chc.views {
 		vie := &chc.views[idx]
 		opt := option{idx: idx, finish: chc.first(idx, read, parts)}
-		opt.loss = chc.harm(idx, read, parts > 1) + chc.value*failLoss*vie.Risk
+		opt.harm = chc.harm(idx, read, parts > 1)
+		opt.loss = opt.harm + chc.value*failLoss*vie.Risk
 		opt.loss += slotLoss*float64(seats(vie))/float64(max(vie.Slots, 1)) + chc.job.jitter()
 		if vie.DataCentre != chc.job.DataCentre {
 			opt.loss += farLoss
--- a/place/place.go
+++ b/place/place.go
@@ -23,6 +23,7 @@
 	Goal       time.Duration // until the first event or the answer is due; negative if it is past
 	GapGoal    time.Duration // longest pause between events that is on time; 0 for none
 	TimeLeft   time.Duration // until the client gives up
+	Patience   time.Duration // until the client gives up unless an event has come; 0 if it waits to the end
 	DataCentre string        // of this process
 	Avoid      []string      // IDs of replicas that have failed this call
 	// Jitter returns numbers in [0, 1) that part equal choices, so that processes that decide at the same moment do
@@ -47,9 +48,11 @@
 	Pass     time.Duration // predicted pause between events, if the replica is not slow and reads nothing
 	Value    float64
 	Loss     float64       // of this and other calls, in units of value
+	Net      float64       // value that the call is predicted to earn, less what it takes from others
 	Slack    time.Duration // time that a long prompt can wait for a better choice and still be on time
 	// ShortRanks is the number of replicas that are meant for short calls.
 	ShortRanks int
+	harm       float64 // value that others on the same engines lose
 }
 
 // Part is a share of a prompt that a helper reads.
@@ -67,6 +70,10 @@
 // other events.
 const startShare = 0.8
 
+// patienceShare is the share of the client's patience within which the first event must be predicted. The rest is left
+// for errors of the prediction.
+const patienceShare = 0.85
+
 // Engine places a call to a model engine. It returns false if no replica can take it before the client gives up.
 func Engine(job Job, eng *cost.Engine, views []fleet.View, longLoad float64) (Plan, bool) {
 	chc := &choice{job: job, eng: eng, views: usable(job, views), value: Value(job.Tokens)}
@@ -80,7 +87,7 @@
 	least := math.Inf(1)
 	for _, parts := range chc.partCounts() {
 		pln, loss, ok := chc.split(parts)
-		if ok && loss < least && pln.Expected <= scale(job.TimeLeft, startShare) {
+		if ok && loss < least && pln.Expected <= chc.limit() {
 			best, least = pln, loss
 		}
 	}
@@ -90,9 +97,19 @@
 	best.Pass = eng.Pass(best.First.Writers+1, best.First.Context+job.Tokens)
 	best.Value, best.Loss, best.Slack = chc.value, least, chc.slack()
 	best.ShortRanks = chc.shortRanks
+	best.Net = chc.net(&best)
 	return best, true
 }
 
+// limit returns the time within which the first event must be predicted.
+func (chc *choice) limit() time.Duration {
+	limit := scale(chc.job.TimeLeft, startShare)
+	if chc.job.Patience > 0 {
+		limit = min(limit, scale(chc.job.Patience, patienceShare))
+	}
+	return limit
+}
+
 func usable(job Job, views []fleet.View) []fleet.View {
 	return slices.DeleteFunc(views, func(vie fleet.View) bool { return slices.Contains(job.Avoid, vie.ID) })
 }
--- a/place/predict.go
+++ b/place/predict.go
@@ -51,12 +51,21 @@
 		return 0
 	}
 	context := vie.Tokens * slots / (slots + over)
-	passes := max(chc.job.Output, leastOutput) / max(chc.eng.Stride, 1)
+	passes := chc.usualOutput() / max(chc.eng.Stride, 1)
 	stream := scale(chc.eng.Pass(slots, context), vie.Pace) * time.Duration(passes)
 	return stream * time.Duration(over) / time.Duration(slots)
 }
 
-// leastOutput is the output in tokens that other streams are taken to have at least.
+// usualOutput returns the output in tokens that other streams are taken to have.
+func (chc *choice) usualOutput() int {
+	if chc.eng.UsualOutput > 0 {
+		return chc.eng.UsualOutput
+	}
+	return max(chc.job.Output, leastOutput)
+}
+
+// leastOutput is the least output in tokens that other streams are taken to have where the operator does not say what
+// is usual.
 const leastOutput = 1000
 
 // seats returns the number of slots that are taken or waited for. Parts of prompts take none.
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -57,6 +57,9 @@
 	} else {
 		job.Goal = left
 	}
+	if ses.rte.Patience > 0 {
+		job.Patience = ses.rte.Patience - ses.opts.Clock.Since(ses.waitingSince())
+	}
 	return job
 }
 
@@ -93,3 +96,11 @@
 		"tokens", ses.cal.Prompt.Tokens, "read", pln.Read, "expected", pln.Expected, "writers", vie.Writers,
 		"unread", vie.Unread, "ahead", vie.Ahead, "memory", vie.Tokens, "works", len(vie.Works), "risk", vie.Risk)
 }
+
+// waitingSince returns when the client's present wait for an event began.
+func (ses *session) waitingSince() time.Time {
+	if ses.events > 0 {
+		return ses.lastEventAt
+	}
+	return ses.cal.Arrived
+}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -11,6 +11,7 @@
 	reasonTooLarge   = "body-too-large"
 	reasonBodyBroken = "body-incomplete"
 	reasonNoReplica  = "no-replica"
+	reasonOverload   = "overload"
 	reasonNotRun     = "not-run"
 	reasonNoMemory   = "no-memory"
 	reasonUnreached  = "unreachable"
@@ -40,6 +41,12 @@
 	spreadRetryAfter = 400 * time.Millisecond
 )
 
+// Return of clients whose prompt takes too much from others: phases of load last for seconds.
+const (
+	leastOverload  = 2200 * time.Millisecond
+	spreadOverload = 800 * time.Millisecond
+)
+
 // Return of clients while the store is away at the start of the process.
 const (
 	startTime    = time.Second
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/tarragonwheel/tarragonwheel/cost"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/place"
@@ -514,3 +515,31 @@
 	iis.Equal(res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 	iis.Equal(rep.calls.Load(), int64(0))
 }
+
+// TestOverloadSaysWhenToComeBack guards against a refusal for overload that reaches a replica, is held back, or lets
+// the client return at once.
+func TestOverloadSaysWhenToComeBack(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, http.StatusOK, "served") })
+	rig := newRig(t, rep)
+	spc := testRules()
+	spc.Services = []rules.Service{{Name: "s", Engine: &cost.Engine{Slots: 4, ReadPerS: 1000}}}
+	rig.rules.Store(rules.New(spc))
+	rig.opts.Place = func(place.Job, *cost.Engine, []fleet.View, float64) (place.Plan, bool) {
+		return place.Plan{Net: -1}, true
+	}
+	rig.start(t)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+"/stream/", nil)
+	iis.NoErr(err)
+	req.Header.Set("Api-Key", "k")
+	began := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	iis.NoErr(err)
+	iis.NoErr(res.Body.Close())
+	iis.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	iis.NoErr(err)
+	iis.True(wait >= 2)
+	iis.True(time.Since(began) < time.Second)
+	iis.Equal(rep.calls.Load(), int64(0))
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -166,6 +166,9 @@
 		if reason == "" && pln.Defer() && ses.wait() {
 			continue // Under the newest configuration, with a newer view of the replicas.
 		}
+		if reason == "" && pln.Overloads() && ses.events == 0 {
+			reason = reasonOverload
+		}
 		if reason != "" {
 			ses.giveUp(reason)
 			return
@@ -229,6 +232,8 @@
 		ses.answer(http.StatusServiceUnavailable, reason, blamedRetryAfter)
 	case ses.runs == 0 && reason == reasonTimeout:
 		ses.answer(http.StatusServiceUnavailable, reason, 0)
+	case ses.runs == 0 && reason == reasonOverload:
+		ses.answer(http.StatusServiceUnavailable, reason, spread(leastOverload, spreadOverload))
 	case ses.runs == 0:
 		ses.answer(http.StatusServiceUnavailable, reason, retryAfter())
 	case reason == reasonTimeout:
@@ -240,7 +245,12 @@
 
 // retryAfter returns when a refused client should come back.
 func retryAfter() time.Duration {
-	return leastRetryAfter + time.Duration(rand.Int63n(int64(spreadRetryAfter)))
+	return spread(leastRetryAfter, spreadRetryAfter)
+}
+
+// spread returns a random time from least on, so that refused clients do not return together.
+func spread(least, over time.Duration) time.Duration {
+	return least + time.Duration(rand.Int63n(int64(over)))
 }
 
 // startRetryAfter returns when a client should come back to a process that knows no configuration. Soon after its
@@ -249,7 +259,7 @@
 	if rly.opts.Clock.Since(rly.started) < startTime {
 		return retryAfter()
 	}
-	return leastOutage + time.Duration(rand.Int63n(int64(spreadOutage)))
+	return spread(leastOutage, spreadOutage)
 }
 
 // deliver sends a replica's complete answer.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -32,6 +32,7 @@
 	Timeout   time.Duration // longest time to keep a client waiting; 0 for none
 	Goal      time.Duration // time to the answer, or to the first event of a stream, that earns full credit
 	GapGoal   time.Duration // longest pause between events of a stream that earns full credit
+	Patience  time.Duration // pause before an event after which clients leave; 0 if they wait to the end
 	Attempts  int           // most replicas to which one call may be sent
 	Anonymous bool          // needs no API key
 	Resumable bool          // a stream may go on at another replica
