Count works that are heard of before their replica is registered

The debug log shows that its peers told it of all their works 2 ms after its start, 30 ms before it had read the registrations; news of unknown replicas was dropped, and is repeated only after two seconds. Ruled out: lost datagrams (the log shows them heard). Change: such news is kept, in order and bounded, until the replica is registered, the process that sent it restarts or falls silent, or it is stale.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,7 @@
 	byID   map[string]*Replica // all replicas that have not gone
 	byHash map[uint32]*Replica // the same, by the hash of their ID
 	lapsed map[string]time.Time
+	early  early
 	// doubted is the end of the time in which missing registrations may have lapsed while the store was away.
 	doubted time.Time
 }
@@ -69,13 +70,6 @@
 	return list
 }
 
-// withHash returns the replica whose ID has a hash, or nil.
-func (flt *Fleet) withHash(hash uint32) *Replica {
-	flt.mu.Lock()
-	defer flt.mu.Unlock()
-	return flt.byHash[hash]
-}
-
 // Size returns the number of known replicas.
 func (flt *Fleet) Size() int {
 	flt.mu.Lock()
@@ -116,6 +110,9 @@
 	flt.byID[reg.ID] = rep
 	flt.byHash[rep.hash] = rep
 	rep.group.add(rep)
+	for _, one := range flt.early.take(rep.hash, rep.started) {
+		rep.hear(one.peer, one.work, one.heard)
+	}
 	flt.log.V(1).Info("fleet: replica is known", "replica", reg.ID, "service", reg.Service, "address", reg.Address)
 }
 
@@ -180,6 +177,7 @@
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
 	now := flt.clock.Now()
+	flt.early.drop(now)
 	for id, until := range flt.lapsed {
 		if now.Before(until) {
 			continue
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -160,3 +160,26 @@
 	man.Advance(5 * time.Second)
 	iis.Equal(pace(), 1.0) // It is tried again.
 }
+
+// TestEarlyWorksCount answers the pattern in which a process starts while others have much work: they tell it of all
+// of it at once, before it has read the registrations of the replicas.
+func TestEarlyWorksCount(t *testing.T) {
+	iis := is.New(t)
+	clk := timer.New()
+	other := fleet.New(clk, logr.Discard(), nil)
+	reg := fleet.Registration{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Sequence: 1}
+	other.Update(reg)
+	other.Group("s").Views()[0].Replica.Begin(fleet.Work{Tokens: 1000}, nil)
+	other.Group("s").Views()[0].Replica.Begin(fleet.Work{Tokens: 2000}, nil)
+	news := other.Works()
+	flt := fleet.New(clk, logr.Discard(), nil)
+	flt.Hear("gone", news)
+	flt.Forget("gone")
+	flt.Hear("peer", news)
+	ended := news[0]
+	ended.Ended = true
+	flt.Hear("peer", []fleet.RemoteWork{ended})
+	flt.Update(reg)
+	iis.Equal(len(flt.Group("s").Views()[0].Works), 1)
+	iis.Equal(flt.Group("s").Views()[0].Works[0].Tokens, news[1].Work.Tokens)
+}
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -100,12 +100,24 @@
 func (flt *Fleet) Hear(peer string, list []RemoteWork) {
 	now := flt.clock.Now()
 	for _, rem := range list {
-		if rep := flt.withHash(rem.Replica); rep != nil { // Else it is not registered here yet, or has gone.
+		if rep := flt.hearer(peer, rem, now); rep != nil {
 			rep.hear(peer, rem, now)
 		}
 	}
 }
 
+// hearer returns the replica that a work is at. It keeps the work for later and returns nil if the replica is not
+// registered here.
+func (flt *Fleet) hearer(peer string, rem RemoteWork, now time.Time) *Replica {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	rep := flt.byHash[rem.Replica]
+	if rep == nil {
+		flt.early.keep(peer, rem, now)
+	}
+	return rep
+}
+
 func (rep *Replica) hear(peer string, rem RemoteWork, now time.Time) {
 	grp := rep.group
 	grp.mu.Lock()
@@ -150,6 +162,9 @@
 
 // Forget drops the works of another process.
 func (flt *Fleet) Forget(peer string) {
+	flt.mu.Lock()
+	flt.early.forget(peer)
+	flt.mu.Unlock()
 	for _, grp := range flt.all() {
 		grp.mu.Lock()
 		for _, rep := range grp.members {
