Wait for the first configuration, and spread calls after the start

Ruled out: slow reads of the store (30 ms). Change: a call waits for configuration and registrations for an eighth of its client's time, a second at most. For a second after its start, a front means all replicas for short calls.

--- a/front/front.go
+++ b/front/front.go
@@ -56,6 +56,7 @@
 	rules    atomic.Pointer[rules.Set]
 	listed   atomic.Bool // the replicas have been read once
 	leaving  atomic.Bool
+	started  time.Time
 	clients  *clients
 	ready    *httpd.Server
 }
@@ -64,7 +65,7 @@
 func New(
 	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, mts *metric.Set,
 ) (*Front, error) {
-	frt := &Front{group: grp, clock: clk, log: log, set: set, metrics: mts}
+	frt := &Front{group: grp, clock: clk, log: log, set: set, metrics: mts, started: clk.Now()}
 	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
 	frt.fleet = fleet.New(clk, log, frt.pool.Drop)
@@ -97,11 +98,12 @@
 			ReadCall: platform.ReadCall, WriteCall: platform.WriteCall, ReadReply: platform.ReadReply,
 			WriteReply: platform.WriteReply, WriteRefusal: platform.WriteRefusal,
 		},
-		Rules: frt.rules.Load, Fleet: frt.fleet, Pool: frt.pool,
+		Rules: frt.inForce, Fleet: frt.fleet, Pool: frt.pool,
 		Memory:     relay.NewMemory(frt.clock, frt.log, platform.Orders(&http.Client{Transport: transport})),
 		Blame:      frt.blame,
 		Budget:     frt.terms,
 		Sharers:    frt.sharers,
+		Unsure:     frt.unsure,
 		Place:      place.PolicyFor(config.FrontPlacement.Of(frt.set)),
 		DataCentre: config.ProcessDataCentre.Of(frt.set),
 		HoldLimit:  config.FrontHoldLimit.Of(frt.set),
@@ -204,6 +206,14 @@
 	return 0
 }
 
+// inForce returns the configuration, or nil while configuration or replicas are not known.
+func (frt *Front) inForce() *rules.Set {
+	if !frt.listed.Load() {
+		return nil
+	}
+	return frt.rules.Load()
+}
+
 // Ready tells whether the front can serve clients.
 func (frt *Front) Ready() bool {
 	return !frt.leaving.Load() && frt.rules.Load() != nil && frt.listed.Load()
--- a/front/peers.go
+++ b/front/peers.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// loadKnownAfter is the time after the start by which other fronts have told of their works.
+const loadKnownAfter = time.Second
+
+// unsure tells whether other fronts may have works that this one has not heard of.
+func (frt *Front) unsure() bool {
+	return frt.peers != nil && frt.clock.Since(frt.started) < loadKnownAfter
+}
+
 // sharers returns the number of fronts that share the budget of repeats.
 func (frt *Front) sharers() int {
 	if frt.peers == nil {
--- a/place/choice.go
+++ b/place/choice.go
@@ -23,7 +23,8 @@
 }
 
 // markShort marks the replicas that are meant for short calls: the first sound ones in rank, as many as the short calls
-// fill to a share of their slots. The rest is left to long prompts, whose reading would delay the short ones.
+// fill to a share of their slots. The rest is left to long prompts, whose reading would delay the short ones. All are
+// meant for short calls while their number is not known.
 func (chc *choice) markShort() {
 	const (
 		density   = 0.6 // share of the slots that short calls may fill
@@ -39,7 +40,10 @@
 		}
 	}
 	chc.short = make([]bool, len(chc.views))
-	num := int(math.Ceil(float64(short) / (density * float64(max(chc.eng.Slots, 1)))))
+	num := len(chc.views)
+	if !chc.job.Unsure {
+		num = int(math.Ceil(float64(short) / (density * float64(max(chc.eng.Slots, 1)))))
+	}
 	for idx := range chc.views {
 		vie := &chc.views[idx]
 		if chc.shortRanks < num && vie.Risk < soundRisk && vie.Pace < soundPace {
--- a/place/place.go
+++ b/place/place.go
@@ -26,6 +26,8 @@
 	Patience   time.Duration // until the client gives up unless an event has come; 0 if it waits to the end
 	DataCentre string        // of this process
 	Avoid      []string      // IDs of replicas that have failed this call
+	// Unsure tells that the process does not know yet what others have given to the replicas.
+	Unsure bool
 	// Jitter returns numbers in [0, 1) that part equal choices, so that processes that decide at the same moment do
 	// not all take the same replica; nil for none.
 	Jitter func() float64
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -315,3 +316,24 @@
 	}
 	iis.True(expected(3200) > 3*expected(800)/2)
 }
+
+// TestUnsureProcessSpreadsShortCalls answers the pattern in which all processes start again at once: none knows what
+// the others have placed, and all take the first replicas in rank.
+func TestUnsureProcessSpreadsShortCalls(t *testing.T) {
+	iis := is.New(t)
+	taken := func(unsure bool) int {
+		ranks := make(map[int]bool)
+		rnd := rand.New(rand.NewPCG(1, 2))
+		for range 40 {
+			job := shortJob()
+			job.Unsure = unsure
+			job.Jitter = rnd.Float64
+			pln, ok := place.Engine(job, engine(), views(20), 0)
+			iis.True(ok)
+			ranks[pln.First.Rank] = true
+		}
+		return len(ranks)
+	}
+	iis.Equal(taken(false), 1)
+	iis.True(taken(true) >= 12)
+}
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -52,6 +52,9 @@
 		Now: ses.opts.Clock.Now(), Tokens: prm.Tokens, Output: ses.output(), GapGoal: ses.rte.GapGoal, TimeLeft: left,
 		DataCentre: ses.opts.DataCentre, Avoid: ses.avoid, Jitter: rand.Float64,
 	}
+	if ses.opts.Unsure != nil {
+		job.Unsure = ses.opts.Unsure()
+	}
 	if ses.rte.Goal > 0 {
 		job.Goal = ses.rte.Goal - ses.opts.Clock.Since(ses.cal.Arrived)
 	} else {
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -52,6 +52,9 @@
 	startTime    = time.Second
 	leastOutage  = time.Second
 	spreadOutage = 2 * time.Second
+	// rulesShare is the part of a client's time that a call waits for a configuration at most: an eighth.
+	rulesShare    = 8
+	rulesInterval = 10 * time.Millisecond // between two looks for a configuration
 )
 
 // maxSends bounds how often one call is sent in all, with the replicas that did not run it.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,7 @@
 	Memory     *Memory
 	Blame      *Blame
 	Budget     func() retry.Terms // limits on repeats
+	Unsure     func() bool        // whether the load of other processes is not known yet; nil for never
 	Sharers    func() int         // processes that share the budget of repeats
 	Place      place.Policy       // places calls to engines
 	DataCentre string
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -543,3 +543,23 @@
 	iis.True(time.Since(began) < time.Second)
 	iis.Equal(rep.calls.Load(), int64(0))
 }
+
+// TestCallWaitsForTheFirstConfiguration answers the pattern in which all processes start again at once and clients
+// reach them some milliseconds before the configuration does: refused clients come back too late for their goal.
+func TestCallWaitsForTheFirstConfiguration(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, http.StatusOK, "served") })
+	rig := newRig(t, rep)
+	known := rig.rules.Swap(nil)
+	time.AfterFunc(50*time.Millisecond, func() { rig.rules.Store(known) })
+	status, body, err := rig.send(t, "/safe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusOK)
+	iis.Equal(body, "served")
+	rig.rules.Store(nil)
+	began := time.Now()
+	status, _, err = rig.send(t, "/safe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusServiceUnavailable)
+	iis.True(time.Since(began) < 5*time.Second/4) // an eighth of the client's time, and some more
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -78,7 +78,7 @@
 
 // apply takes the newest configuration. A call is never handled by an older version than one seen before.
 func (ses *session) apply() bool {
-	set := ses.opts.Rules()
+	set := ses.awaitRules()
 	if set == nil {
 		ses.answer(http.StatusServiceUnavailable, reasonNoConfig, ses.relay.startRetryAfter())
 		return false
@@ -108,6 +108,21 @@
 	return true
 }
 
+// awaitRules returns the configuration in force. It waits for one for a short while: a process that has just started
+// knows none for some milliseconds. It returns nil if none comes.
+func (ses *session) awaitRules() *rules.Set {
+	most := min(leastOutage, ses.cal.TimeLeft/rulesShare)
+	for until := ses.cal.Arrived.Add(most); ; {
+		set := ses.opts.Rules()
+		if set != nil || !ses.opts.Clock.Now().Before(until) {
+			return set
+		}
+		if ses.opts.Clock.Sleep(ses.ctx, rulesInterval) != nil {
+			return nil
+		}
+	}
+}
+
 func pathOf(target string) string {
 	for idx := range len(target) {
 		if target[idx] == '?' {
