--- a/entry/blame.go
+++ b/entry/blame.go
@@ -32,8 +32,8 @@
 	freeRefusals = 8
 	// crashDelay is the least pause before a repetition outside the budget, doubled up to crashDelayMost. It leaves
 	// time for the news of a crash of another copy elsewhere. On machines with twice as much work as processors, 120 ms
-	// pass until that crash is noticed and 70 ms until all have heard of it; after 50 ms, the repetition crashed a third
-	// engine.
+	// pass until that crash is noticed and 70 ms until all have heard of it; after 50 ms, the repetition could crash a
+	// third engine.
 	crashDelay     = 300 * time.Millisecond
 	crashDelayMost = 500 * time.Millisecond
 	// rankDelay is added for each request that started later on the crashed engine, up to crashDelayMost: the last ones
