--- a/cmd/tarragonwheel/main.go
+++ b/cmd/tarragonwheel/main.go
@@ -43,6 +43,7 @@
 
 	Load *loadCommand `arg:"subcommand:load" help:"offer a reproducible mix of requests and report"`
 	Demo *demoCommand `arg:"subcommand:demo" help:"run the whole path in one process and show a table"`
+	Soak *soakCommand `arg:"subcommand:soak" help:"disturb fronts at random and check the promises to callers"`
 }
 
 // Description implements arg.Described.
--- /dev/null
+++ b/cmd/tarragonwheel/soak.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/soak"
+)
+
+type soakCommand struct {
+	Seed    uint64  `default:"1" help:"seed of the faults"`
+	Minutes float64 `default:"0.5" help:"time during which faults are made"`
+	Fronts  int     `default:"3" help:"processes that are disturbed"`
+	Clients int     `default:"24" help:"clients that send one call after the other"`
+	Dir     string  `help:"folder for settings and logs of the processes; a new one under the system's if empty"`
+}
+
+func (cmd *soakCommand) run(ctx context.Context, std streams) error {
+	if cmd.Minutes <= 0 || cmd.Fronts < 1 || cmd.Clients < 1 {
+		return fmt.Errorf("soak: minutes, fronts and clients must be positive")
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("soak: find this program: %w", err)
+	}
+	dir := cmd.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "tarragonwheel-soak-"); err != nil {
+			return fmt.Errorf("soak: make a folder: %w", err)
+		}
+	}
+	return soak.Run(ctx, soak.Options{
+		Seed: cmd.Seed, Duration: time.Duration(cmd.Minutes * float64(time.Minute)), Fronts: cmd.Fronts,
+		Clients: cmd.Clients, Program: program, Dir: dir, Out: std.out,
+	})
+}
