Ask the replicas of an overdue split prompt how fast they are

A prompt in ten parts mostly has a slow one among them, and a replica that reads parts but writes no streams showed its slowness in no way. Change: when the first event of a split prompt is late by half of its prediction and 0.3 s at least, its replicas are asked for their reports, each at most once in two seconds, and the pace that they report counts for four seconds. Each front asks for itself; what one learns is not told to others.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -183,3 +183,21 @@
 	iis.Equal(len(flt.Group("s").Views()[0].Works), 1)
 	iis.Equal(flt.Group("s").Views()[0].Works[0].Tokens, news[1].Work.Tokens)
 }
+
+// TestReportedPaceCounts answers the pattern in which a slow replica reads parts of prompts but writes no streams, so
+// that nothing but its own report shows that it is slow.
+func TestReportedPaceCounts(t *testing.T) {
+	iis := is.New(t)
+	flt, man, _ := newFleet()
+	flt.Update(registration("i-1", 1, 1))
+	pace := func() float64 { return flt.Group("s").Views()[0].Pace }
+	rep := flt.Group("s").Views()[0].Replica
+	iis.True(rep.AskPace())
+	iis.True(!rep.AskPace()) // It has just been asked.
+	iis.Equal(pace(), 1.0)
+	rep.ReportedPace(4)
+	iis.Equal(pace(), 4.0)
+	man.Advance(5 * time.Second)
+	iis.Equal(pace(), 1.0) // It may have recovered.
+	iis.True(rep.AskPace())
+}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -76,6 +76,10 @@
 	updated  time.Time
 	pace     float64 // median of the time that it takes per time predicted; 0 until known
 	paced    time.Time
+	// reported is the time that it says it takes per time that it should, as of reportedAt.
+	reported   float64
+	reportedAt time.Time
+	askedAt    time.Time
 }
 
 // Weights of observations.
@@ -91,6 +95,8 @@
 	// slowFrom is well above what prompts that are read between events cause.
 	slowFrom   = 2.0
 	slowMemory = 4 * time.Second
+	// askInterval bounds the reports that are asked for, which are paid for.
+	askInterval = 2 * time.Second
 )
 
 func (hea *health) decay(now time.Time) {
@@ -141,11 +147,35 @@
 	rep.health.paced = rep.group.clock.Now()
 }
 
+// AskPace tells whether it is time to ask the replica how fast it is, and takes note that it is asked.
+func (rep *Replica) AskPace() bool {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	now := rep.group.clock.Now()
+	if now.Sub(rep.health.askedAt) < askInterval {
+		return false
+	}
+	rep.health.askedAt = now
+	return true
+}
+
+// ReportedPace takes in what the replica says of its pace.
+func (rep *Replica) ReportedPace(pace float64) {
+	rep.group.mu.Lock()
+	defer rep.group.mu.Unlock()
+	rep.health.reported = pace
+	rep.health.reportedAt = rep.group.clock.Now()
+}
+
 // slowness returns the time that the replica takes per time predicted, or 1 if it is not clearly slow or nothing has
 // been seen of it for a while.
 func (hea *health) slowness(now time.Time) float64 {
-	if hea.pace < slowFrom || now.Sub(hea.paced) > slowMemory {
-		return 1
+	slow := 1.0
+	if hea.pace >= slowFrom && now.Sub(hea.paced) <= slowMemory {
+		slow = hea.pace
+	}
+	if now.Sub(hea.reportedAt) <= slowMemory {
+		slow = max(slow, hea.reported)
 	}
-	return hea.pace
+	return slow
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,6 +61,7 @@
 	defer stop()
 	exc := &exchange{ses: ses, con: con, plan: pln, tickets: tickets, ctx: ctx}
 	defer hld.watch(ctx, ses.opts.HoldLimit, exc.giveUp).Stop()
+	defer exc.watchOverdue().Stop()
 	out := exc.run(&call.Attempt{
 		Replica: pln.First.ID, Tenant: ses.account, TimeLeft: ses.end.Sub(ses.opts.Clock.Now()), Helpers: hld.helpers,
 		Urgency: urgency(ses.rte.Goal), LastEvent: ses.last, Resumes: ses.resumes,
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -42,6 +42,8 @@
 	Release func(ctx context.Context, rsv Reservation) error
 	// InUse tells whether a call uses the memory.
 	InUse func(ctx context.Context, rsv Reservation) (bool, error)
+	// Pace asks the replica at an address for the time that it takes per time that it should.
+	Pace func(ctx context.Context, address string) (float64, error)
 }
 
 // Memory reserves memory at replicas for prompts that no replica can hold alone. It is safe for concurrent use.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -563,3 +563,34 @@
 	iis.Equal(status, http.StatusServiceUnavailable)
 	iis.True(time.Since(began) < 5*time.Second/4) // an eighth of the client's time, and some more
 }
+
+// TestOverdueSplitPromptAsksForPace answers the pattern in which one slow helper holds up every prompt that it reads a
+// part of, and is chosen again and again since it writes no streams.
+func TestOverdueSplitPromptAsksForPace(t *testing.T) {
+	iis := is.New(t)
+	slow := func(con net.Conn, req request) bool {
+		time.Sleep(600 * time.Millisecond)
+		return stream(con, req, 1, 2, true)
+	}
+	rig := newRig(t, newReplica(t, slow), newReplica(t, slow))
+	var asked atomic.Int64
+	rig.opts.Memory = relay.NewMemory(rig.opts.Clock, logr.Discard(), relay.Orders{
+		Pace: func(context.Context, string) (float64, error) { asked.Add(1); return 4, nil },
+	})
+	spc := testRules()
+	spc.Services = []rules.Service{{Name: "s", Engine: &cost.Engine{Slots: 4, ReadPerS: 1000}}}
+	rig.rules.Store(rules.New(spc))
+	rig.opts.Place = func(_ place.Job, _ *cost.Engine, list []fleet.View, _ float64) (place.Plan, bool) {
+		return place.Plan{
+			First: list[0], Helpers: []place.Part{{View: list[1]}}, Expected: 10 * time.Millisecond,
+		}, true
+	}
+	rig.start(t)
+	status, _, err := rig.send(t, "/stream/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusOK)
+	iis.Equal(asked.Load(), int64(2))
+	for _, vie := range rig.flt.Group("s").Views() {
+		iis.Equal(vie.Pace, 4.0)
+	}
+}
