Share the switches of faults between three stand-ins

simlog, simvms and simsvc each parsed values and answered bad ones in the same way. The interface under /sim/ is unchanged; an unknown fault of simsvc is answered with a longer text.

--- a/simlog/log.go
+++ b/simlog/log.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/tarragonwheel/tarragonwheel/logsvc"
+	"github.com/tarragonwheel/tarragonwheel/simsw"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -97,29 +98,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/streams/{stream}", log.handleAppend)
 	mux.HandleFunc("GET /v1/streams/{stream}", log.handleRead)
-	mux.HandleFunc("POST /sim/down", func(rw http.ResponseWriter, req *http.Request) {
-		val, err := strconv.ParseBool(req.FormValue("value"))
-		reply(rw, err, func() { log.SetDown(val) })
-	})
-	mux.HandleFunc("POST /sim/lose-answers", func(rw http.ResponseWriter, req *http.Request) {
-		val, err := strconv.Atoi(req.FormValue("value"))
-		reply(rw, err, func() { log.LoseAnswers(val) })
-	})
-	mux.HandleFunc("POST /sim/delay", func(rw http.ResponseWriter, req *http.Request) {
-		val, err := time.ParseDuration(req.FormValue("value"))
-		reply(rw, err, func() { log.SetDelay(val) })
-	})
+	simsw.Add(mux, "down", strconv.ParseBool, log.SetDown)
+	simsw.Add(mux, "lose-answers", strconv.Atoi, log.LoseAnswers)
+	simsw.Add(mux, "delay", time.ParseDuration, log.SetDelay)
 	return mux
 }
 
-func reply(rw http.ResponseWriter, err error, apply func()) {
-	if err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
-		return
-	}
-	apply()
-}
-
 func (log *Log) faults() (down bool, delay time.Duration) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
--- a/simsvc/service.go
+++ b/simsvc/service.go
@@ -14,6 +14,9 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/simsw"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -117,26 +120,21 @@
 		rw.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(rw).Encode(svc.Executions())
 	})
-	mux.HandleFunc("POST /sim/delay", func(rw http.ResponseWriter, req *http.Request) {
-		val, err := time.ParseDuration(req.FormValue("value"))
-		if err != nil {
-			http.Error(rw, err.Error(), http.StatusBadRequest)
-			return
-		}
-		svc.SetDelay(val)
-	})
+	simsw.Add(mux, "delay", time.ParseDuration, svc.SetDelay)
 	mux.HandleFunc("POST /sim/release", func(http.ResponseWriter, *http.Request) { svc.Release() })
-	mux.HandleFunc("POST /sim/fault", func(rw http.ResponseWriter, req *http.Request) {
-		switch flt := Fault(req.FormValue("value")); flt {
-		case FaultCrashBefore, FaultCrashAfter, FaultLoseAnswer, FaultHang, FaultHold:
-			svc.Inject(flt)
-		default:
-			http.Error(rw, "unknown fault", http.StatusBadRequest)
-		}
-	})
+	simsw.Add(mux, "fault", parseFault, func(flt Fault) { svc.Inject(flt) })
 	return mux
 }
 
+// parseFault returns a trace.BadParameter error for a fault that is not known.
+func parseFault(text string) (Fault, error) {
+	switch flt := Fault(text); flt {
+	case FaultCrashBefore, FaultCrashAfter, FaultLoseAnswer, FaultHang, FaultHold:
+		return flt, nil
+	}
+	return FaultNone, fmt.Errorf("simsvc: %w", trace.BadParameter("unknown fault %q", text))
+}
+
 func (svc *Service) next() (time.Duration, Fault) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
--- a/simvms/list.go
+++ b/simvms/list.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonwheel/tarragonwheel/simsw"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 	"github.com/tarragonwheel/tarragonwheel/vmlist"
 )
@@ -134,14 +135,8 @@
 		}
 		reply(rw, err, func() { lst.Set(mac) })
 	})
-	mux.HandleFunc("POST /sim/lag", func(rw http.ResponseWriter, req *http.Request) {
-		lag, err := time.ParseDuration(req.FormValue("value"))
-		reply(rw, err, func() { lst.SetLag(lag) })
-	})
-	mux.HandleFunc("POST /sim/down", func(rw http.ResponseWriter, req *http.Request) {
-		down, err := strconv.ParseBool(req.FormValue("value"))
-		reply(rw, err, func() { lst.SetDown(down) })
-	})
+	simsw.Add(mux, "lag", time.ParseDuration, lst.SetLag)
+	simsw.Add(mux, "down", strconv.ParseBool, lst.SetDown)
 	mux.HandleFunc("POST /sim/forget", func(http.ResponseWriter, *http.Request) { lst.Forget() })
 	return mux
 }
