--- a/relay/memory.go
+++ b/relay/memory.go
@@ -36,7 +36,7 @@
 	Hold    time.Duration // after which it ends unless it is made again
 }
 
-// Orders are the calls to replicas that set memory aside and free it.
+// Orders are the calls to replicas that a relay makes for itself: they set memory aside, free it, and ask for reports.
 type Orders struct {
 	Reserve func(ctx context.Context, rsv Reservation) error
 	Release func(ctx context.Context, rsv Reservation) error
--- a/relay/overdue.go
+++ b/relay/overdue.go
@@ -46,7 +46,7 @@
 	return list
 }
 
-// askPace asks a replica how fast it is.
+// askPace asks a replica how fast it is. A replica that does not answer keeps its predictions.
 func (mem *Memory) askPace(ctx context.Context, rep *fleet.Replica) {
 	lim, cancel := mem.clock.WithTimeout(ctx, orderTimeout)
 	defer cancel()
