--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -39,9 +39,12 @@
 	return dem.prefillSeconds * math.Ln2 / demandHalfLife.Seconds()
 }
 
-// LongPrefillLoad returns the prefill time of long prompts that arrives for the service, in seconds per second.
-func (set *ReplicaSet) LongPrefillLoad() float64 {
-	set.mu.Lock()
-	defer set.mu.Unlock()
-	return set.demand.rate(set.clock.Now())
+// addDemand counts a task that starts at a replica. The caller holds the lock.
+func (set *ReplicaSet) addDemand(rep *Replica, tsk *Task, now time.Time) {
+	dem := set.demand[rep.reg.DataCentre]
+	if dem == nil {
+		dem = &prefillDemand{}
+		set.demand[rep.reg.DataCentre] = dem
+	}
+	dem.add(tsk, now)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -56,7 +56,7 @@
 func (flt *Fleet) replicaSetLocked(service string) *ReplicaSet {
 	set := flt.replicaSets[service]
 	if set == nil {
-		set = &ReplicaSet{clock: flt.clock}
+		set = newReplicaSet(flt.clock)
 		flt.replicaSets[service] = set
 	}
 	return set
@@ -108,6 +108,27 @@
 	old.setRegistration(reg)
 }
 
+// IsHeartbeat reports whether a registration says no more than that the replica is still there.
+func (flt *Fleet) IsHeartbeat(reg Registration) bool {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	old := flt.byID[reg.ID]
+	if _, isExpired := flt.expired[reg.ID]; old == nil || isExpired {
+		return false
+	}
+	known := old.Registration()
+	reg.Sequence, reg.WarmUpLeft = known.Sequence, known.WarmUpLeft
+	return reg == known
+}
+
+// InGrace reports whether a store outage has ended so recently that registrations may be missing that expired during
+// the outage.
+func (flt *Fleet) InGrace() bool {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	return flt.clock.Now().Before(flt.graceEnd)
+}
+
 // add registers a replica and applies the updates of tasks that arrived before its registration. The caller holds the
 // lock.
 func (flt *Fleet) add(reg Registration) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -119,7 +119,7 @@
 	flt.UpdateRegistration(registration("i-1", 1, 1))
 	var hash uint32
 	rep := flt.ReplicaSet("s").Views()[0].Replica
-	tsk := rep.StartTask(fleet.Task{KVTokens: 5}, func(rep uint32, _ fleet.Task, _ bool) { hash = rep })
+	tsk := rep.StartTask(fleet.Task{KVTokens: 5}, func(chg fleet.TaskChange) { hash = chg.Replica })
 	tokens := func() int { return flt.ReplicaSet("s").Views()[0].KVTokens }
 	rem := fleet.RemoteTask{Replica: hash, Task: fleet.Task{ID: 7, KVTokens: 100}}
 	flt.ApplyRemoteTasks("peer", []fleet.RemoteTask{rem, rem})
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -15,7 +15,13 @@
 	mu         sync.Mutex
 	replicas   []*Replica // ordered by hash; all processes have the same order
 	lastTaskID uint32     // ID of the last task that was started
-	demand     prefillDemand
+	// By data centre:
+	demand        map[string]*prefillDemand
+	perDataCentre map[string]int // number of replicas
+}
+
+func newReplicaSet(clk *timer.Service) *ReplicaSet {
+	return &ReplicaSet{clock: clk, demand: make(map[string]*prefillDemand), perDataCentre: make(map[string]int)}
 }
 
 func (set *ReplicaSet) add(rep *Replica) {
@@ -24,6 +30,7 @@
 	rep.localTasks = make(map[uint32]*Task)
 	rep.remoteTasks = make(map[string]map[uint32]*Task)
 	set.replicas = append(set.replicas, rep)
+	set.perDataCentre[rep.reg.DataCentre]++
 	slices.SortFunc(set.replicas, func(one, two *Replica) int {
 		return int(int64(one.hash) - int64(two.hash))
 	})
@@ -33,6 +40,7 @@
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	rep.removed = true
+	set.perDataCentre[rep.reg.DataCentre]--
 	set.replicas = slices.DeleteFunc(set.replicas, func(one *Replica) bool { return one == rep })
 }
 
@@ -46,7 +54,8 @@
 	localTasks  map[uint32]*Task            // of this process, by ID
 	remoteTasks map[string]map[uint32]*Task // of other processes, by peer and task ID
 	health      health
-	removed     bool // it is not registered any more
+	summary     Summary // of its load, if processes of another cell use it; zero if none was received
+	removed     bool    // it is not registered any more
 }
 
 // Leaving tells whether the replica is draining or has been removed. It may then close connections mid-call without
@@ -67,9 +76,18 @@
 func (rep *Replica) setRegistration(reg Registration) {
 	rep.set.mu.Lock()
 	defer rep.set.mu.Unlock()
+	rep.set.perDataCentre[rep.reg.DataCentre]--
+	rep.set.perDataCentre[reg.DataCentre]++
 	rep.reg = reg
 }
 
+// cell returns the cell of the replica.
+func (rep *Replica) cell() string {
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	return rep.set.cellLocked(rep.reg.DataCentre)
+}
+
 // health holds statistics on the outcomes of calls and on the speed of a replica. The weight of past outcomes decays.
 type health struct {
 	failures      float64
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -25,25 +25,34 @@
 	TargetMissed bool          // it has missed its target already, so that further delay costs nothing
 	StartedAt    time.Time
 	receivedAt   time.Time // when this task of another process was last received; zero for own tasks
+	summarized   bool      // it stands for several tasks that are known only as a Summary
 }
 
 // LocalTask is a task that this process has started.
 type LocalTask struct {
 	replica  *Replica
 	task     *Task
-	onChange func(rep uint32, tsk Task, ended bool)
+	onChange func(chg TaskChange)
+}
+
+// TaskChange is a new state of a task of this process.
+type TaskChange struct {
+	Replica uint32 // hash of the replica's ID
+	Cell    string // of the replica; empty for the common cell
+	Task    Task
+	Ended   bool
 }
 
 // StartTask registers a new task at the replica. The function onChange, if not nil, is called when the task starts,
 // changes or ends.
-func (rep *Replica) StartTask(tsk Task, onChange func(rep uint32, tsk Task, ended bool)) *LocalTask {
+func (rep *Replica) StartTask(tsk Task, onChange func(chg TaskChange)) *LocalTask {
 	set := rep.set
 	set.mu.Lock()
 	set.lastTaskID++
 	tsk.ID = set.lastTaskID
 	tsk.StartedAt = set.clock.Now()
 	rep.localTasks[tsk.ID] = &tsk
-	set.demand.add(&tsk, tsk.StartedAt)
+	set.addDemand(rep, &tsk, tsk.StartedAt)
 	set.mu.Unlock()
 	ltk := &LocalTask{replica: rep, task: &tsk, onChange: onChange}
 	ltk.notify(tsk, false)
@@ -53,7 +62,8 @@
 // notify passes a change of the task to onChange.
 func (ltk *LocalTask) notify(tsk Task, ended bool) {
 	if ltk.onChange != nil {
-		ltk.onChange(ltk.replica.hash, tsk, ended)
+		rep := ltk.replica
+		ltk.onChange(TaskChange{Replica: rep.hash, Cell: rep.cell(), Task: tsk, Ended: ended})
 	}
 }
 
@@ -87,9 +97,10 @@
 	ltk.notify(tsk, true)
 }
 
-// RemoteTask is a task of another process.
+// RemoteTask is a task as one process sends it to another.
 type RemoteTask struct {
 	Replica      uint32 // hash of the replica's ID
+	Cell         string // of the replica, where the task is sent; empty for the common cell
 	Task         Task
 	Ended        bool
 	ProgressOnly bool // only the phase, the missed target and the end of the task are known
@@ -143,7 +154,7 @@
 		old.Phase, old.TargetMissed = rem.Task.Phase, rem.Task.TargetMissed
 	case old == nil:
 		if now.Sub(rem.Task.StartedAt) < remoteTaskTimeout {
-			set.demand.add(&rem.Task, now)
+			set.addDemand(rep, &rem.Task, now)
 		}
 		old = &rem.Task
 		tasks[rem.Task.ID] = old
@@ -185,7 +196,9 @@
 		set.mu.Lock()
 		for _, rep := range set.replicas {
 			for _, tsk := range rep.localTasks {
-				list = append(list, RemoteTask{Replica: rep.hash, Task: *tsk})
+				list = append(list, RemoteTask{
+					Replica: rep.hash, Cell: set.cellLocked(rep.reg.DataCentre), Task: *tsk,
+				})
 			}
 		}
 		set.mu.Unlock()
@@ -200,6 +213,7 @@
 	ID             string
 	Address        string
 	DataCentre     string
+	Cell           string // of the replica; empty for the common cell
 	Slots          int
 	Draining       bool
 	WarmUpLeft     time.Duration // remaining warm-up time, during which it is slow
@@ -211,21 +225,9 @@
 	DecodeStreams  int           // streams that are decoding
 	PrefillBacklog time.Duration // predicted time until all prompts there have been prefilled
 	SplitBacklog   time.Duration // predicted time until all parts of split prompts there have been prefilled
-}
-
-// Views returns a view of each replica of the service that is not draining.
-func (set *ReplicaSet) Views() []View {
-	set.mu.Lock()
-	defer set.mu.Unlock()
-	now := set.clock.Now()
-	list := make([]View, 0, len(set.replicas))
-	for position, rep := range set.replicas {
-		if rep.reg.Draining {
-			continue
-		}
-		list = append(list, rep.view(position, now))
-	}
-	return list
+	// Calls that are known only as a Summary.
+	summarizedCalls      int
+	summarizedShortCalls int
 }
 
 // view returns a snapshot of the replica. The caller holds the lock.
@@ -238,16 +240,25 @@
 	}
 	rep.removeStaleTasks(now)
 	all, split := prefillBacklog{oldestStart: now}, prefillBacklog{oldestStart: now}
+	hasSummary := rep.summary.fresh(now)
+	addTask := func(tsk *Task) {
+		if !hasSummary || !rep.summary.contains(tsk) {
+			vie.addTask(tsk, &all, &split)
+		}
+	}
 	for _, tsk := range rep.localTasks {
-		vie.addTask(tsk, &all, &split)
+		addTask(tsk)
 	}
 	for _, tasks := range rep.remoteTasks {
 		for _, tsk := range tasks {
-			vie.addTask(tsk, &all, &split)
+			addTask(tsk)
 		}
 	}
 	vie.PrefillBacklog = all.remaining(now)
 	vie.SplitBacklog = min(split.remaining(now), vie.PrefillBacklog)
+	if hasSummary {
+		rep.summary.addTo(&vie, now)
+	}
 	return vie
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -40,8 +41,9 @@
 	Clock  *timer.Service
 	Log    logr.Logger
 	Source Source
-	// LongPollTimeout is the longest time that the store holds back the response to a read until there is a record.
-	LongPollTimeout time.Duration
+	// LongPollTimeout returns the longest time that the store holds back the response to a read until there is a
+	// record; nil for none.
+	LongPollTimeout func() time.Duration
 	// ReadInterval is the pause between two reads, which bounds the rate of calls to the store.
 	ReadInterval time.Duration
 	// ResponseTimeout is added to LongPollTimeout to detect an unresponsive connection. A listing gets twice this time.
@@ -50,6 +52,8 @@
 	OnList func(list []Record)
 	// OnChange is called with each record that is read after the listing.
 	OnChange func(rec Record)
+	// Sharing lets several processes read in turn; nil for none.
+	Sharing *Sharing
 	// OnRecovered, if not nil, is called with the length of an outage when the store answers again.
 	OnRecovered func(outage time.Duration)
 }
@@ -63,11 +67,17 @@
 // Follower keeps track of one topic.
 type Follower struct {
 	opts         Options
-	next         int64     // offset of the next read
-	listed       bool      // false until the first listing and after a trim
-	lastResponse time.Time // when the store last answered
+	lastResponse time.Time  // when the store last answered
+	outageStart  time.Time  // time of the first failed call
+	mu           sync.Mutex // guards the fields below
+	next         int64      // offset of the next read
+	listed       bool       // false until the first listing and after a trim
 	inOutage     bool
-	outageStart  time.Time // time of the first failed call
+	asOf         time.Time          // all changes before this time are known
+	readAt       time.Time          // when the next read is due
+	endLongPoll  context.CancelFunc // nil unless a long poll is in progress
+	behind       bool               // the next read must not wait
+	behindSince  time.Time          // when behind was last set
 }
 
 // Start returns a Follower that runs in grp.
@@ -87,10 +97,12 @@
 		switch {
 		case err == nil:
 			backoff = minBackoff
-			_ = flw.opts.Clock.Sleep(ctx, flw.opts.ReadInterval) // The loop checks whether ctx has ended.
+			flw.waitForTurn(ctx)
 		case errors.Is(err, ErrTrimmed):
 			flw.opts.Log.Info("follow: unread records were trimmed, listing again", "topic", flw.opts.Name)
+			flw.mu.Lock()
 			flw.listed = false
+			flw.mu.Unlock()
 		default:
 			flw.recordFailure(err)
 			_ = flw.opts.Clock.Sleep(ctx, backoff+time.Duration(rand.Int63n(int64(backoff))))
@@ -101,41 +113,81 @@
 
 // listOrRead lists the topic if needed, and otherwise reads its next changes.
 func (flw *Follower) listOrRead(ctx context.Context) error {
-	if !flw.listed {
-		return flw.list(ctx)
-	}
-	wait := flw.opts.LongPollTimeout
-	if flw.inOutage {
-		wait = 0 // A long poll that starts during an outage would delay the detection of its end.
-	}
+	flw.mu.Lock()
+	listed, from, wait := flw.listed, flw.next, flw.longPollTimeout()
 	callCtx, cancel := flw.opts.Clock.WithTimeout(ctx, wait+flw.opts.ResponseTimeout)
 	defer cancel()
-	list, next, err := flw.opts.Source.Read(callCtx, flw.next, wait)
+	if wait > 0 {
+		flw.endLongPoll = cancel
+	}
+	flw.behind = false
+	flw.mu.Unlock()
+	if !listed {
+		return flw.list(ctx)
+	}
+	sentAt := flw.opts.Clock.Now()
+	list, next, err := flw.opts.Source.Read(callCtx, from, wait)
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	flw.endLongPoll = nil
 	if err != nil {
+		if flw.behind {
+			return nil // CatchUp has ended the long poll.
+		}
 		return err
 	}
 	flw.recordResponse()
-	flw.next = next
-	for _, rec := range list {
-		flw.opts.OnChange(rec)
+	if next < flw.next {
+		return nil // A digest of another process, received meanwhile, is newer.
 	}
+	flw.next = next
+	flw.scheduleRead(sentAt)
+	flw.applyAndShare(list, Digest{From: from, To: next, Age: flw.opts.Clock.Since(sentAt)})
 	return nil
 }
 
+// longPollTimeout returns the time that the store may hold back the response to the next read. The caller holds the
+// lock.
+func (flw *Follower) longPollTimeout() time.Duration {
+	if flw.opts.LongPollTimeout == nil || flw.inOutage || flw.behind || !flw.listed {
+		return 0 // A long poll that starts during an outage would delay the detection of its end.
+	}
+	return flw.opts.LongPollTimeout()
+}
+
+// minCatchUpInterval limits the rate of reads to which other processes can lead by CatchUp.
+const minCatchUpInterval = 300 * time.Millisecond
+
+// CatchUp ends a long poll and reads at once, because the store is known to hold a newer record.
+func (flw *Follower) CatchUp() {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	now := flw.opts.Clock.Now()
+	if flw.endLongPoll == nil || now.Sub(flw.behindSince) < minCatchUpInterval {
+		return
+	}
+	flw.behind, flw.behindSince = true, now
+	flw.endLongPoll()
+}
+
 func (flw *Follower) list(ctx context.Context) error {
 	callCtx, cancel := flw.opts.Clock.WithTimeout(ctx, 2*flw.opts.ResponseTimeout)
 	defer cancel()
+	sentAt := flw.opts.Clock.Now()
 	list, next, err := flw.opts.Source.List(callCtx)
 	if err != nil {
 		return err
 	}
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
 	flw.recordResponse()
 	flw.next, flw.listed = next, true
+	flw.scheduleRead(sentAt)
 	flw.opts.OnList(list)
 	return nil
 }
 
-// recordResponse records that the store has answered, and ends an outage.
+// recordResponse records that the store has answered, and ends an outage. The caller holds the lock.
 func (flw *Follower) recordResponse() {
 	now := flw.opts.Clock.Now()
 	if flw.inOutage {
@@ -151,6 +203,8 @@
 
 // recordFailure records a failed call. The first one begins an outage; the further ones are not logged.
 func (flw *Follower) recordFailure(err error) {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
 	if flw.inOutage {
 		return
 	}
--- /dev/null
+++ b/front/follow.go
@@ -0,0 +1,156 @@
+package front
+
+import (
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/follow"
+	"github.com/tarragonwheel/tarragonwheel/platform"
+	"github.com/tarragonwheel/tarragonwheel/rules"
+)
+
+const (
+	// readsPerDrainTime is the number of reads of the replicas within the drain time, after which a draining replica
+	// must get no more calls. With this value one read may fail.
+	readsPerDrainTime = 2.2
+	// maxLongPoll is the longest time that the store is asked to hold back a response.
+	maxLongPoll = 25 * time.Second
+	// pollsPerConfigTime is the number of long polls of near fronts that end within the configuration time. One that
+	// finds a new configuration tells the others, whose connections to the store may be silently dead.
+	pollsPerConfigTime = 4
+)
+
+// followStore keeps the configuration and the list of replicas up to date with the store.
+func (frt *Front) followStore() {
+	frt.configFollower = follow.Start(frt.group, follow.Options{
+		Name: "configuration", Clock: frt.clock, Log: frt.log, Source: frt.store.OperatorRecords(),
+		LongPollTimeout: frt.configPollTimeout,
+		ResponseTimeout: storeTimeout,
+		OnList: func(list []follow.Record) {
+			for _, rec := range list {
+				frt.applyConfig(rec)
+			}
+		},
+		OnChange: frt.applyConfig,
+	})
+	frt.replicaFollower = follow.Start(frt.group, follow.Options{
+		Name: "replicas", Clock: frt.clock, Log: frt.log, Source: frt.store.ReplicaRegistrations(),
+		ReadInterval:    time.Duration(float64(config.FrontDrainTime.Of(frt.startSettings)) / readsPerDrainTime),
+		ResponseTimeout: storeTimeout,
+		OnList:          frt.replaceRegistrations, OnChange: frt.applyRegistration,
+		Sharing:     frt.registrationSharing(),
+		OnRecovered: func(time.Duration) { frt.fleet.StoreOutageEnded() },
+	})
+	close(frt.following)
+}
+
+// configPollTimeout returns how long the store may hold back the configuration until it changes. The store answers at
+// once when it does. The limit bounds the time until a dead connection is noticed.
+func (frt *Front) configPollTimeout() time.Duration {
+	limit := config.FrontConfigTime.Of(frt.startSettings)
+	if frt.peers == nil {
+		return limit
+	}
+	shared := time.Duration(frt.peers.LiveNear()) * limit / pollsPerConfigTime
+	return max(limit, min(shared, maxLongPoll))
+}
+
+// registrationSharing lets near fronts read the registrations in turn. It is nil if there is no exchange with others.
+func (frt *Front) registrationSharing() *follow.Sharing {
+	if frt.peers == nil {
+		return nil
+	}
+	return &follow.Sharing{
+		Send: func(dig follow.Digest) { frt.peers.SendDigest(digestReplicas, dig) },
+		Matters: func(rec follow.Record) bool {
+			reg, err := platform.ReadReplica(rec.Key, rec.Value)
+			return rec.Value == nil || (err == nil && !frt.fleet.IsHeartbeat(reg))
+		},
+		Paused: func() bool { return frt.fleet.InGrace() || frt.peers.LiveNear() == 1 },
+	}
+}
+
+// digestReplicas names the registrations of replicas in the exchange with other fronts.
+const digestReplicas = "replicas"
+
+// applyDigest uses what a peer has read in the store.
+func (frt *Front) applyDigest(topic string, dig follow.Digest) {
+	select {
+	case <-frt.following:
+	default:
+		return // The front has just started, and is going to list the topic itself.
+	}
+	if topic == digestReplicas {
+		frt.replicaFollower.Receive(dig)
+	}
+}
+
+// configVersion returns the version of the active configuration, 0 for none.
+func (frt *Front) configVersion() int64 {
+	if set := frt.rules.Load(); set != nil {
+		return set.Version()
+	}
+	return 0
+}
+
+// catchUpWithPeer reads the configuration at once if a peer has a newer version.
+func (frt *Front) catchUpWithPeer(version int64) {
+	select {
+	case <-frt.following:
+	default:
+		return // The front has just started, and is going to list the topic itself.
+	}
+	if version > frt.configVersion() {
+		frt.configFollower.CatchUp()
+	}
+}
+
+// applyConfig makes a configuration the active one if its version is higher than that of the active one.
+func (frt *Front) applyConfig(rec follow.Record) {
+	if !platform.IsConfig(rec.Key) || rec.Value == nil {
+		return
+	}
+	spc, err := platform.ReadConfig(rec.Value)
+	if err != nil {
+		frt.log.Error(err, "front: cannot decode the configuration, ignoring it")
+		return
+	}
+	old := frt.rules.Load()
+	if old != nil && old.Version() >= spc.Version {
+		return
+	}
+	frt.rules.Store(rules.New(spc))
+	frt.log.Info("front: configuration in force", "version", spc.Version, "routes", len(spc.Routes),
+		"services", len(spc.Services), "accounts", len(spc.Accounts))
+}
+
+// applyRegistration records the registration of a replica, or its removal.
+func (frt *Front) applyRegistration(rec follow.Record) {
+	if rec.Value == nil {
+		frt.fleet.Unregister(rec.Key)
+		return
+	}
+	reg, err := platform.ReadReplica(rec.Key, rec.Value)
+	if err != nil {
+		frt.log.V(1).Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+		return
+	}
+	frt.fleet.UpdateRegistration(reg)
+}
+
+// replaceRegistrations records the full list of registrations. Replicas that are not on it have been removed.
+func (frt *Front) replaceRegistrations(list []follow.Record) {
+	regs := make([]fleet.Registration, 0, len(list))
+	for _, rec := range list {
+		reg, err := platform.ReadReplica(rec.Key, rec.Value)
+		if err != nil {
+			frt.log.Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+			continue
+		}
+		regs = append(regs, reg)
+	}
+	frt.fleet.ReplaceRegistrations(regs)
+	frt.replicasKnown.Store(true)
+	frt.log.Info("front: replicas listed", "replicas", len(regs))
+}
--- a/front/front.go
+++ b/front/front.go
@@ -34,9 +34,6 @@
 	storeDialTimeout = 500 * time.Millisecond
 	storeTimeout     = 600 * time.Millisecond // for a response, on top of the time that a long poll waits
 	sweepInterval    = 200 * time.Millisecond // between removals of expired replicas and of idle connections
-	// readsPerDrainTime is the number of reads of the replicas within the drain time, after which a draining replica
-	// must get no more calls. With this value one read may fail.
-	readsPerDrainTime = 2.2
 )
 
 // Front is a running front.
@@ -53,12 +50,16 @@
 	store         *platform.Store
 	crashes       *relay.CrashTracker
 	peers         *peers.Exchange // nil if no address for the exchange is configured
-	rules         atomic.Pointer[rules.Set]
-	replicasKnown atomic.Bool // the list of replicas has been read at least once
-	draining      atomic.Bool
-	started       time.Time
-	clientServer  *clientServer
-	readyServer   *httpd.Server
+	// following is closed when the followers have been set.
+	following       chan struct{}
+	configFollower  *follow.Follower
+	replicaFollower *follow.Follower
+	rules           atomic.Pointer[rules.Set]
+	replicasKnown   atomic.Bool // the list of replicas has been read at least once
+	draining        atomic.Bool
+	started         time.Time
+	clientServer    *clientServer
+	readyServer     *httpd.Server
 }
 
 // New starts a front in grp. It returns a trace.ConnectionProblem error if a listener cannot be opened.
@@ -66,6 +67,7 @@
 	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, mts *metric.Set,
 ) (*Front, error) {
 	frt := &Front{group: grp, clock: clk, log: log, startSettings: set, metrics: mts, started: clk.Now()}
+	frt.following = make(chan struct{})
 	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
 	frt.fleet = fleet.New(clk, log, frt.pool.CloseIdle)
@@ -133,78 +135,6 @@
 	return nil
 }
 
-// followStore keeps the configuration and the list of replicas up to date with the store.
-func (frt *Front) followStore() {
-	follow.Start(frt.group, follow.Options{
-		Name: "configuration", Clock: frt.clock, Log: frt.log, Source: frt.store.OperatorRecords(),
-		// The store answers at once when a record changes.
-		LongPollTimeout: config.FrontConfigTime.Of(frt.startSettings),
-		ResponseTimeout: storeTimeout,
-		OnList: func(list []follow.Record) {
-			for _, rec := range list {
-				frt.applyConfig(rec)
-			}
-		},
-		OnChange: frt.applyConfig,
-	})
-	follow.Start(frt.group, follow.Options{
-		Name: "replicas", Clock: frt.clock, Log: frt.log, Source: frt.store.ReplicaRegistrations(),
-		ReadInterval:    time.Duration(float64(config.FrontDrainTime.Of(frt.startSettings)) / readsPerDrainTime),
-		ResponseTimeout: storeTimeout,
-		OnList:          frt.replaceRegistrations, OnChange: frt.applyRegistration,
-		OnRecovered: func(time.Duration) { frt.fleet.StoreOutageEnded() },
-	})
-}
-
-// applyConfig makes a configuration the active one if its version is higher than that of the active one.
-func (frt *Front) applyConfig(rec follow.Record) {
-	if !platform.IsConfig(rec.Key) || rec.Value == nil {
-		return
-	}
-	spc, err := platform.ReadConfig(rec.Value)
-	if err != nil {
-		frt.log.Error(err, "front: cannot decode the configuration, ignoring it")
-		return
-	}
-	old := frt.rules.Load()
-	if old != nil && old.Version() >= spc.Version {
-		return
-	}
-	frt.rules.Store(rules.New(spc))
-	frt.log.Info("front: configuration in force", "version", spc.Version, "routes", len(spc.Routes),
-		"services", len(spc.Services), "accounts", len(spc.Accounts))
-}
-
-// applyRegistration records the registration of a replica, or its removal.
-func (frt *Front) applyRegistration(rec follow.Record) {
-	if rec.Value == nil {
-		frt.fleet.Unregister(rec.Key)
-		return
-	}
-	reg, err := platform.ReadReplica(rec.Key, rec.Value)
-	if err != nil {
-		frt.log.V(1).Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
-		return
-	}
-	frt.fleet.UpdateRegistration(reg)
-}
-
-// replaceRegistrations records the full list of registrations. Replicas that are not on it have been removed.
-func (frt *Front) replaceRegistrations(list []follow.Record) {
-	regs := make([]fleet.Registration, 0, len(list))
-	for _, rec := range list {
-		reg, err := platform.ReadReplica(rec.Key, rec.Value)
-		if err != nil {
-			frt.log.Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
-			continue
-		}
-		regs = append(regs, reg)
-	}
-	frt.fleet.ReplaceRegistrations(regs)
-	frt.replicasKnown.Store(true)
-	frt.log.Info("front: replicas listed", "replicas", len(regs))
-}
-
 // idleTimeout returns how long a client connection may be idle, 0 for no limit.
 func (frt *Front) idleTimeout() time.Duration {
 	if set := frt.rules.Load(); set != nil {
--- a/front/peers.go
+++ b/front/peers.go
@@ -16,7 +16,7 @@
 	minBudgetSharers = 4
 	// peerListInterval is the time between two reads of the peers' addresses. It may be long, since a front also learns
 	// of a peer when it receives a datagram from it.
-	peerListInterval      = 20 * time.Second
+	peerListInterval      = time.Minute
 	registerRetryInterval = time.Second
 )
 
@@ -28,8 +28,9 @@
 		return nil
 	}
 	exc, err := peers.Start(frt.group, peers.Options{
-		Name: config.ProcessName.Of(frt.startSettings), Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet,
-		OnCrash: frt.crashes.AddCrash,
+		Name: config.ProcessName.Of(frt.startSettings), DataCentre: config.ProcessDataCentre.Of(frt.startSettings),
+		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddCrash,
+		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer, OnDigest: frt.applyDigest,
 	})
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
@@ -77,10 +78,10 @@
 	}
 }
 
-// sendTaskChange sends the peers a change of a task of this front. The replica is named by the hash of its ID.
-func (frt *Front) sendTaskChange(replica uint32, tsk fleet.Task, ended bool) {
+// sendTaskChange sends the peers a change of a task of this front.
+func (frt *Front) sendTaskChange(chg fleet.TaskChange) {
 	if frt.peers != nil {
-		frt.peers.QueueTaskChange(replica, tsk, ended)
+		frt.peers.QueueTaskChange(chg)
 	}
 }
 
--- a/peers/message.go
+++ b/peers/message.go
@@ -9,15 +9,60 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 )
 
-// message is the content of a datagram. Traffic between processes costs money, so a change of a task that the peers
-// have already received is sent as a progressUpdate, which is smaller than a taskUpdate.
+// message is the content of a datagram. Traffic between processes costs money, so fields that are not used are left
+// out, and a change of a task that the peers have already received is sent as a progressUpdate, which is smaller than a
+// taskUpdate.
 type message struct {
-	_        struct{} `cbor:",toarray"`
-	Name     string   // of the sending process; empty if the message holds only changes
-	RunID    uint32   // random number of the sender's run; the tasks of its earlier runs have ended
-	Tasks    []taskUpdate
-	Progress []progressUpdate
-	Crashes  []uint64 // fingerprints of calls at whose start replicas closed the connection
+	RunID         uint32           `cbor:"1,keyasint"` // random number of the sender's run; earlier runs have ended
+	Name          string           `cbor:"2,keyasint,omitempty"`
+	DataCentre    string           `cbor:"3,keyasint,omitempty"` // of the sender; sent together with the name
+	Tasks         []taskUpdate     `cbor:"4,keyasint,omitempty"`
+	Progress      []progressUpdate `cbor:"5,keyasint,omitempty"`
+	Crashes       []uint64         `cbor:"6,keyasint,omitempty"` // fingerprints of calls that closed connections
+	ConfigVersion int64            `cbor:"7,keyasint,omitempty"` // that is active at the sender
+	Summaries     []replicaSummary `cbor:"8,keyasint,omitempty"` // of replicas in the sender's cell
+	Live          int              `cbor:"9,keyasint,omitempty"` // processes in the sender's data centre
+	Digest        *storeDigest     `cbor:"10,keyasint,omitempty"`
+}
+
+// replicaSummary is a fleet.Summary.
+type replicaSummary struct {
+	_                  struct{} `cbor:",toarray"`
+	Replica            uint32
+	Calls              int
+	ShortCalls         int
+	DecodeStreams      int
+	DecodeTokens       int
+	KVTokens           int
+	PrefillBacklogMs   int64
+	SplitBacklogMs     int64
+	DecodeValueTenths  int
+	GapTargetMs        int64
+	PrefillValueTenths int
+	FirstEventDueInMs  int64
+}
+
+func toReplicaSummary(sum *fleet.Summary) replicaSummary {
+	return replicaSummary{
+		Replica: sum.Replica, Calls: sum.Calls, ShortCalls: sum.ShortCalls, DecodeStreams: sum.DecodeStreams,
+		DecodeTokens: sum.DecodeTokens, KVTokens: sum.KVTokens, PrefillBacklogMs: sum.PrefillBacklog.Milliseconds(),
+		SplitBacklogMs: sum.SplitBacklog.Milliseconds(), DecodeValueTenths: int(sum.DecodeValue * 10),
+		GapTargetMs: sum.GapTarget.Milliseconds(), PrefillValueTenths: int(sum.PrefillValue * 10),
+		FirstEventDueInMs: sum.DueIn.Milliseconds(),
+	}
+}
+
+func (rsm *replicaSummary) toSummary() fleet.Summary {
+	return fleet.Summary{
+		Replica: rsm.Replica, Calls: rsm.Calls, ShortCalls: rsm.ShortCalls, DecodeStreams: rsm.DecodeStreams,
+		DecodeTokens: rsm.DecodeTokens, KVTokens: rsm.KVTokens,
+		PrefillBacklog: time.Duration(rsm.PrefillBacklogMs) * time.Millisecond,
+		SplitBacklog:   time.Duration(rsm.SplitBacklogMs) * time.Millisecond,
+		DecodeValue:    float64(rsm.DecodeValueTenths) / 10,
+		GapTarget:      time.Duration(rsm.GapTargetMs) * time.Millisecond,
+		PrefillValue:   float64(rsm.PrefillValueTenths) / 10,
+		DueIn:          time.Duration(rsm.FirstEventDueInMs) * time.Millisecond,
+	}
 }
 
 // progressUpdate is a change of a task for which a taskUpdate was sent before.
@@ -119,9 +164,9 @@
 	var out []message
 	for first := true; first || len(tasks) > 0; first = false {
 		num := min(len(tasks), maxTasksPerMessage)
-		part := message{Name: msg.Name, RunID: msg.RunID}
-		if first {
-			part.Crashes = msg.Crashes
+		part := msg
+		if !first {
+			part.Crashes = nil
 		}
 		for _, rem := range tasks[:num] {
 			if rem.ProgressOnly {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -10,12 +10,14 @@
 	"math/rand"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -27,6 +29,9 @@
 	maxBatchDelay      = 100 * time.Millisecond
 	batchDelayPerPeer  = time.Millisecond
 	fullUpdateInterval = 2 * time.Second
+	// greetAllRounds is the number of full updates of which one goes to all peers, so that those of other cells do not
+	// remove this process.
+	greetAllRounds = 30
 	// peerTimeout is the time without a datagram after which a peer's tasks are dropped and it gets no more changes.
 	peerTimeout = 4500 * time.Millisecond
 	// removePeerAfter is the time after which nothing is sent any more to a peer that has timed out or never answered.
@@ -38,11 +43,18 @@
 
 // Options configure an Exchange.
 type Options struct {
-	Name    string // of this process
-	Address string // UDP address to listen on, at which other processes reach this one
-	Clock   *timer.Service
-	Log     logr.Logger
-	Fleet   *fleet.Fleet
+	Name       string // of this process
+	DataCentre string // of this process
+	Address    string // UDP address to listen on, at which other processes reach this one
+	Clock      *timer.Service
+	Log        logr.Logger
+	Fleet      *fleet.Fleet
+	// ConfigVersion returns the version of the active configuration; nil for none.
+	ConfigVersion func() int64
+	// OnConfigVersion is called with the version that is active at a peer; nil for none.
+	OnConfigVersion func(version int64)
+	// OnDigest is called with the changes that a peer has read in the store; nil for none.
+	OnDigest func(topic string, dig follow.Digest)
 	// OnCrash is called with the fingerprint of a call at whose start a replica closed the connection to another
 	// process.
 	OnCrash func(fingerprint uint64)
@@ -53,17 +65,20 @@
 	opts           Options
 	runID          uint32 // distinguishes this run of the process
 	conn           *net.UDPConn
+	isCell         atomic.Bool // this process's data centre is a cell
 	mu             sync.Mutex
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
 	crashes        []crashReport
-	flushScheduled bool // sendChanges is going to run
+	cellSizes      map[string]cellSize // by data centre
+	flushScheduled bool                // sendChanges is going to run
 }
 
 // peer is another process.
 type peer struct {
 	addr          *net.UDPAddr
 	name          string    // empty until received
+	dataCentre    string    // empty until received
 	runID         uint32    // of the current run of the process
 	lastReceived  time.Time // when a datagram last came; zero before the first one and after a timeout
 	inactiveSince time.Time // when it was added or timed out
@@ -86,16 +101,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: listen: %w", trace.ConnectionProblem(err, "%s", opts.Address))
 	}
-	exc := &Exchange{opts: opts, runID: rand.Uint32(), conn: con, peers: make(map[string]*peer)}
+	exc := &Exchange{
+		opts: opts, runID: rand.Uint32(), conn: con, peers: make(map[string]*peer),
+		cellSizes: make(map[string]cellSize),
+	}
 	context.AfterFunc(grp.Context(), func() { _ = con.Close() }) // Ends receiveMessages.
 	grp.Go("receive", func(ctx context.Context) error {
 		exc.receiveMessages(ctx)
 		return nil
 	})
 	grp.Go("send", func(ctx context.Context) error {
-		for opts.Clock.Sleep(ctx, fullUpdateInterval) == nil {
+		for round := 1; opts.Clock.Sleep(ctx, fullUpdateInterval) == nil; round++ {
 			exc.expirePeers()
-			exc.sendFullUpdate()
+			exc.sendFullUpdate(round%greetAllRounds == 0)
+		}
+		return nil
+	})
+	grp.Go("summarize", func(ctx context.Context) error {
+		for opts.Clock.Sleep(ctx, summaryInterval) == nil {
+			exc.isCell.Store(opts.Fleet.IsCell(opts.DataCentre))
+			exc.sendSummaries()
 		}
 		return nil
 	})
@@ -116,7 +141,13 @@
 	exc.getOrAddPeer(addr)
 	exc.mu.Unlock()
 	// The peer answers with its own tasks.
-	exc.sendTasks([]*net.UDPAddr{addr}, exc.opts.Name, exc.opts.Fleet.LocalTasks(), nil)
+	exc.sendAllTasks(addr, "")
+}
+
+// sendAllTasks introduces this process to a peer and sends it the tasks that concern it. The data centre of the peer is
+// empty if it is not known.
+func (exc *Exchange) sendAllTasks(addr *net.UDPAddr, dataCentre string) {
+	exc.sendTasks([]*net.UDPAddr{addr}, exc.greeting(nil), exc.tasksFor(dataCentre, exc.opts.Fleet.LocalTasks()))
 }
 
 // getOrAddPeer returns the peer with an address, and adds it if needed. The caller must hold the lock.
@@ -129,13 +160,37 @@
 	return per
 }
 
-// LiveProcesses returns the number of processes that have not timed out, including this one.
+// LiveProcesses returns the number of processes that have not timed out, including this one. Those of other cells are
+// counted by the processes there.
 func (exc *Exchange) LiveProcesses() int {
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
-	num := 1
+	now := exc.opts.Clock.Now()
+	live := make(map[string]int) // by data centre
 	for _, per := range exc.peers {
 		if exc.isLive(per) {
+			live[per.dataCentre]++
+		}
+	}
+	for dataCentre, size := range exc.cellSizes {
+		if now.Sub(size.receivedAt) < peerTimeout {
+			live[dataCentre] = max(live[dataCentre], size.live)
+		}
+	}
+	num := 1
+	for _, count := range live {
+		num += count
+	}
+	return num
+}
+
+// LiveNear returns the number of live processes that place calls on the same replicas first as this one, including it.
+func (exc *Exchange) LiveNear() int {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	num := 1
+	for _, per := range exc.peers {
+		if exc.isLive(per) && exc.isNear(per) {
 			num++
 		}
 	}
@@ -177,14 +232,24 @@
 	isNew := per.lastReceived.IsZero() || per.runID != msg.RunID
 	per.runID, per.lastReceived = msg.RunID, now
 	if msg.Name != "" {
-		per.name = msg.Name
+		per.name, per.dataCentre = msg.Name, msg.DataCentre
 	}
+	dataCentre, isNear := per.dataCentre, exc.isNear(per)
 	exc.mu.Unlock()
 	if isNew {
-		exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
+		if isNear {
+			exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
+		}
 		exc.opts.Fleet.RemovePeer(addr.String())
-		exc.sendTasks([]*net.UDPAddr{addr}, exc.opts.Name, exc.opts.Fleet.LocalTasks(), nil)
+		exc.sendAllTasks(addr, dataCentre)
 	}
+	if exc.opts.OnConfigVersion != nil && msg.ConfigVersion != 0 {
+		exc.opts.OnConfigVersion(msg.ConfigVersion)
+	}
+	if exc.opts.OnDigest != nil && msg.Digest != nil {
+		exc.opts.OnDigest(msg.Digest.Topic, msg.Digest.toDigest())
+	}
+	exc.applySummaries(msg)
 	tasks := make([]fleet.RemoteTask, 0, len(msg.Tasks)+len(msg.Progress))
 	for idx := range msg.Tasks {
 		tasks = append(tasks, msg.Tasks[idx].toRemoteTask(now))
@@ -206,7 +271,9 @@
 	for addr, per := range exc.peers {
 		if !per.lastReceived.IsZero() && now.Sub(per.lastReceived) > peerTimeout {
 			timedOut = append(timedOut, addr)
-			exc.opts.Log.Info("peers: peer timed out", "peer", per.name, "address", addr)
+			if exc.isNear(per) { // The others send little.
+				exc.opts.Log.Info("peers: peer timed out", "peer", per.name, "address", addr)
+			}
 			per.lastReceived, per.inactiveSince = time.Time{}, now
 		}
 		if per.lastReceived.IsZero() && now.Sub(per.inactiveSince) > removePeerAfter {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -37,6 +37,16 @@
 
 // start runs a process whose fleet has one replica of service s.
 func start(t *testing.T, name, addr string) *process {
+	t.Helper()
+	prc := startIn(t, name, "", addr)
+	prc.flt.UpdateRegistration(fleet.Registration{
+		ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Sequence: 1,
+	})
+	return prc
+}
+
+// startIn runs a process in a data centre. Its fleet is empty.
+func startIn(t *testing.T, name, dataCentre, addr string) *process {
 	t.Helper()
 	clk := timer.New()
 	prc := &process{
@@ -44,11 +54,8 @@
 		crashes: make(chan uint64, 10),
 	}
 	t.Cleanup(func() { _ = prc.group.Stop() })
-	prc.flt.UpdateRegistration(fleet.Registration{
-		ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 4, Sequence: 1,
-	})
 	exc, err := peers.Start(prc.group, peers.Options{
-		Name: name, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
+		Name: name, DataCentre: dataCentre, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
 		OnCrash: func(fpr uint64) { prc.crashes <- fpr },
 	})
 	if err != nil {
--- a/peers/send.go
+++ b/peers/send.go
@@ -8,24 +8,31 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 )
 
-// QueueTaskChange queues a change of one of this process's tasks at a replica. It is sent to the live peers after a
-// short delay, during which further changes are collected.
-func (exc *Exchange) QueueTaskChange(replica uint32, tsk fleet.Task, ended bool) {
+// QueueTaskChange queues a change of one of this process's tasks at a replica. It is sent to the peers that place calls
+// on the replica after a short delay, during which further changes are collected.
+func (exc *Exchange) QueueTaskChange(chg fleet.TaskChange) {
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
-	isStart := !ended && tsk.Phase == fleet.Prefill && !tsk.TargetMissed
-	exc.pending = append(exc.pending,
-		fleet.RemoteTask{Replica: replica, Task: tsk, Ended: ended, ProgressOnly: !isStart})
+	isStart := !chg.Ended && chg.Task.Phase == fleet.Prefill && !chg.Task.TargetMissed
+	exc.pending = append(exc.pending, fleet.RemoteTask{
+		Replica: chg.Replica, Cell: chg.Cell, Task: chg.Task, Ended: chg.Ended, ProgressOnly: !isStart,
+	})
 	if !exc.flushScheduled {
 		exc.flushScheduled = true
 		exc.opts.Clock.After(exc.batchDelay(), exc.sendChanges)
 	}
 }
 
-// batchDelay returns the time during which changes are collected into one datagram. It grows with the number of peers,
-// so that the rate of datagrams that a process receives does not.
+// batchDelay returns the time during which changes are collected into one datagram. It grows with the number of peers
+// that get them, so that the rate of datagrams that a process receives does not.
 func (exc *Exchange) batchDelay() time.Duration {
-	return min(max(time.Duration(len(exc.peers))*batchDelayPerPeer, minBatchDelay), maxBatchDelay)
+	num := 0
+	for _, per := range exc.peers {
+		if exc.isNear(per) {
+			num++
+		}
+	}
+	return min(max(time.Duration(num)*batchDelayPerPeer, minBatchDelay), maxBatchDelay)
 }
 
 // SendCrash sends the fingerprint of a call at whose start a replica closed the connection. It is sent at once with a
@@ -34,22 +41,22 @@
 	exc.mu.Lock()
 	exc.crashes = append(exc.crashes, crashReport{fingerprint: fingerprint, sendsLeft: crashReportSends})
 	exc.mu.Unlock()
-	exc.sendFullUpdate()
+	exc.sendFullUpdate(true)
 }
 
-// sendChanges sends the queued changes to all live peers.
+// sendChanges sends the queued changes to the peers that place calls on the replicas concerned.
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
 	changes := exc.pending
 	exc.pending, exc.flushScheduled = nil, false
-	var to []*net.UDPAddr
-	for _, per := range exc.peers {
-		if exc.isLive(per) {
-			to = append(to, per.addr)
+	to := exc.audiences(func(per *peer) bool { return exc.isLive(per) || !exc.isNear(per) })
+	exc.mu.Unlock()
+	changes = latestChanges(changes)
+	for dataCentre, addrs := range to {
+		if tasks := exc.tasksFor(dataCentre, changes); len(tasks) > 0 {
+			exc.sendTasks(addrs, message{}, tasks)
 		}
 	}
-	exc.mu.Unlock()
-	exc.sendTasks(to, "", latestChanges(changes), nil)
 }
 
 // latestChanges returns the last change of each task. If the start of the task is among the changes, the peers do not
@@ -72,13 +79,11 @@
 	return out
 }
 
-// sendFullUpdate sends all tasks of this process, and recent crashes, to all peers.
-func (exc *Exchange) sendFullUpdate() {
+// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. Recent crashes
+// go to all peers. With greetAll, all peers get a message, even one without tasks.
+func (exc *Exchange) sendFullUpdate(greetAll bool) {
 	exc.mu.Lock()
-	var to []*net.UDPAddr
-	for _, per := range exc.peers {
-		to = append(to, per.addr)
-	}
+	to := exc.audiences(func(*peer) bool { return true })
 	var crashes []uint64
 	for idx := range exc.crashes {
 		crashes = append(crashes, exc.crashes[idx].fingerprint)
@@ -86,25 +91,49 @@
 	}
 	exc.crashes = slices.DeleteFunc(exc.crashes, func(crs crashReport) bool { return crs.sendsLeft <= 0 })
 	exc.mu.Unlock()
-	exc.sendTasks(to, exc.opts.Name, exc.opts.Fleet.LocalTasks(), crashes)
+	all := exc.opts.Fleet.LocalTasks()
+	for dataCentre, addrs := range to {
+		tasks := exc.tasksFor(dataCentre, all)
+		if greetAll || len(tasks) > 0 || len(crashes) > 0 || exc.isNearDataCentre(dataCentre) {
+			exc.sendTasks(addrs, exc.greeting(crashes), tasks)
+		}
+	}
 }
 
-// sendTasks sends tasks and the fingerprints of crashes. The name is empty if the tasks are only changes.
-func (exc *Exchange) sendTasks(to []*net.UDPAddr, name string, tasks []fleet.RemoteTask, crashes []uint64) {
+// greeting returns a message that introduces this process.
+func (exc *Exchange) greeting(crashes []uint64) message {
+	return message{Name: exc.opts.Name, DataCentre: exc.opts.DataCentre, Crashes: crashes}
+}
+
+// sendTasks sends a message with the given tasks, in as many datagrams as needed.
+func (exc *Exchange) sendTasks(to []*net.UDPAddr, msg message, tasks []fleet.RemoteTask) {
 	if len(to) == 0 {
 		return
 	}
-	msg := message{Name: name, RunID: exc.runID, Crashes: crashes}
-	for _, part := range splitMessage(msg, tasks, exc.opts.Clock.Now()) {
-		raw, err := encode(&part)
-		if err != nil {
-			exc.opts.Log.Error(err, "peers: load not sent")
-			return
-		}
-		for _, addr := range to {
-			if _, err := exc.conn.WriteToUDP(raw, addr); err != nil {
-				exc.opts.Log.V(1).Info("peers: datagram not sent", "peer", addr.String(), "error", err.Error())
-			}
+	for _, part := range splitMessage(exc.signed(msg), tasks, exc.opts.Clock.Now()) {
+		exc.send(to, &part)
+	}
+}
+
+// signed adds what each message carries.
+func (exc *Exchange) signed(msg message) message {
+	msg.RunID = exc.runID
+	if exc.opts.ConfigVersion != nil {
+		msg.ConfigVersion = exc.opts.ConfigVersion()
+	}
+	return msg
+}
+
+// send sends a message in one datagram to each address.
+func (exc *Exchange) send(to []*net.UDPAddr, msg *message) {
+	raw, err := encode(msg)
+	if err != nil {
+		exc.opts.Log.Error(err, "peers: message not sent")
+		return
+	}
+	for _, addr := range to {
+		if _, err := exc.conn.WriteToUDP(raw, addr); err != nil {
+			exc.opts.Log.V(1).Info("peers: datagram not sent", "peer", addr.String(), "error", err.Error())
 		}
 	}
 }
--- a/place/decision.go
+++ b/place/decision.go
@@ -17,16 +17,23 @@
 	value          float64         // of the call
 	iterationTimes []time.Duration // of each view, if it prefills nothing
 	forShortCalls  []bool          // whether each view is set aside for short calls
-	shortReplicas  int             // number of views set aside for short calls
+	cells          map[string]*cell
+}
+
+// cell holds what is derived from the replicas of one cell.
+type cell struct {
+	replicas      int
+	shortCalls    int // in flight
+	shortReplicas int // replicas set aside for short calls
 	// splitLoad is the share of time that replicas for long prompts spend on parts of split prompts, which engines
 	// prefill before whole prompts.
 	splitLoad float64
 }
 
-// markShortCallReplicas sets replicas aside for short calls: the first healthy ones in hash order, so that all
-// processes choose the same, and as many as the short calls in flight fill to maxOccupancy. The others are left to long
-// prompts, whose prefill would delay short calls. All healthy replicas are set aside while the load of other processes
-// is unknown.
+// markShortCallReplicas sets replicas of each cell aside for short calls: the first healthy ones in hash order, so that
+// all processes choose the same, and as many as the short calls in flight fill to maxOccupancy. The others are left to
+// long prompts, whose prefill would delay short calls. All healthy replicas are set aside while the load of other
+// processes is unknown.
 func (dec *decision) markShortCallReplicas() {
 	const (
 		maxOccupancy = 0.6 // share of the slots that short calls may fill
@@ -34,25 +41,34 @@
 		maxFailureRate  = 0.25
 		maxLatencyRatio = 1.6
 	)
-	shortCalls := 1 // the call to be placed
+	dec.countShortCalls()
+	dec.forShortCalls = make([]bool, len(dec.views))
 	for idx := range dec.views {
-		for _, tsk := range dec.views[idx].Tasks {
-			if !tsk.IsPart && tsk.PrefillTime < fleet.LongPrefill {
-				shortCalls++
-			}
+		vie := &dec.views[idx]
+		cel := dec.cells[vie.Cell]
+		wanted := cel.replicas
+		if !dec.req.LoadUnknown {
+			wanted = int(math.Ceil(float64(cel.shortCalls) / (maxOccupancy * float64(max(dec.eng.Slots, 1)))))
+		}
+		if cel.shortReplicas < wanted && vie.FailureRate < maxFailureRate && vie.LatencyRatio < maxLatencyRatio {
+			dec.forShortCalls[idx] = true
+			cel.shortReplicas++
 		}
 	}
-	dec.forShortCalls = make([]bool, len(dec.views))
-	wanted := len(dec.views)
-	if !dec.req.LoadUnknown {
-		wanted = int(math.Ceil(float64(shortCalls) / (maxOccupancy * float64(max(dec.eng.Slots, 1)))))
-	}
+}
+
+// countShortCalls counts the replicas and the short calls of each cell. The call to be placed counts in each.
+func (dec *decision) countShortCalls() {
+	dec.cells = make(map[string]*cell)
 	for idx := range dec.views {
 		vie := &dec.views[idx]
-		if dec.shortReplicas < wanted && vie.FailureRate < maxFailureRate && vie.LatencyRatio < maxLatencyRatio {
-			dec.forShortCalls[idx] = true
-			dec.shortReplicas++
+		cel := dec.cells[vie.Cell]
+		if cel == nil {
+			cel = &cell{shortCalls: 1}
+			dec.cells[vie.Cell] = cel
 		}
+		cel.replicas++
+		cel.shortCalls += vie.ShortCalls()
 	}
 }
 
@@ -124,7 +140,7 @@
 		cnd := candidate{idx: idx, firstEvent: dec.predictFirstEvent(idx, prefill, parts)}
 		cnd.interference = dec.interference(idx, prefill, parts > 1)
 		cnd.penalty = cnd.interference + dec.value*failurePenalty*vie.FailureRate
-		cnd.penalty += slotPenalty*float64(occupiedSlots(vie))/float64(max(vie.Slots, 1)) + dec.req.jitterPenalty()
+		cnd.penalty += slotPenalty*float64(vie.Calls())/float64(max(vie.Slots, 1)) + dec.req.jitterPenalty()
 		if vie.DataCentre != dec.req.DataCentre {
 			cnd.penalty += remotePenalty
 		}
--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -23,7 +23,7 @@
 // and busy ones must accept prompts of common length.
 func TestHugePromptIsRefusedByBusyReplicas(t *testing.T) {
 	iis := is.New(t)
-	pln, ok := place.OnEngine(longRequest(680000), engine(), views(18), 0)
+	pln, ok := place.OnEngine(longRequest(680000), engine(), views(18), nil)
 	iis.True(ok)
 	iis.True(!pln.CausesOverload())
 	busy := func() []fleet.View {
@@ -33,9 +33,9 @@
 		}
 		return list
 	}
-	pln, ok = place.OnEngine(longRequest(680000), engine(), busy(), 6)
+	pln, ok = place.OnEngine(longRequest(680000), engine(), busy(), fleet.PrefillLoads{"": 6})
 	iis.True(!ok || pln.CausesOverload())
-	pln, ok = place.OnEngine(longRequest(154000), engine(), busy(), 6)
+	pln, ok = place.OnEngine(longRequest(154000), engine(), busy(), fleet.PrefillLoads{"": 6})
 	iis.True(ok)
 	iis.True(!pln.CausesOverload())
 }
@@ -48,7 +48,7 @@
 	for idx := range list {
 		addDecodeStreams(&list[idx], 13)
 	}
-	pln, ok := place.OnEngine(longRequest(250000), engine(), list, 0)
+	pln, ok := place.OnEngine(longRequest(250000), engine(), list, nil)
 	iis.True(ok)
 	iis.True(pln.CausesOverload())
 }
@@ -64,7 +64,7 @@
 	for idx := range list {
 		addDecodeStreams(&list[idx], 15)
 	}
-	pln, ok := place.OnEngine(req, engine(), list, 0)
+	pln, ok := place.OnEngine(req, engine(), list, nil)
 	iis.True(ok)
 	iis.True(!pln.CausesOverload())
 }
@@ -81,9 +81,9 @@
 		}
 		return list
 	}
-	_, ok := place.OnEngine(req, engine(), full(), 0)
+	_, ok := place.OnEngine(req, engine(), full(), nil)
 	iis.True(ok)
 	req.ClientIdleTimeout = 2 * time.Second
-	_, ok = place.OnEngine(req, engine(), full(), 0)
+	_, ok = place.OnEngine(req, engine(), full(), nil)
 	iis.True(!ok)
 }
--- a/place/penalty.go
+++ b/place/penalty.go
@@ -29,6 +29,8 @@
 	earlyWaitPenalty = 0.15
 	// deferPenalty is the penalty above which a long prompt waits for a better placement.
 	deferPenalty = 0.5
+	// elsewherePenalty is the penalty above which a call is also considered for other cells.
+	elsewherePenalty = 0.35
 	// overduePenalty is multiplied by the time that the first event takes beyond the latency target, as a ratio of the
 	// target.
 	overduePenalty = 0.06
--- a/place/place.go
+++ b/place/place.go
@@ -76,16 +76,16 @@
 // rest is left for errors of the prediction.
 const idleTimeoutShare = 0.85
 
-// OnEngine places a call on model engines. It returns false if no replica can serve it before the client gives up. The
-// load is the prefill time of long prompts that arrives, in seconds per second. OnEngine modifies the slice of views.
-func OnEngine(req Request, eng *cost.Engine, views []fleet.View, longPrefillLoad float64) (Placement, bool) {
+// OnEngine places a call on model engines. It returns false if no replica can serve it before the client gives up.
+// OnEngine modifies the slice of views.
+func OnEngine(req Request, eng *cost.Engine, views []fleet.View, loads fleet.PrefillLoads) (Placement, bool) {
 	dec := &decision{req: req, eng: eng, views: withoutExcluded(req, views), value: Value(req.PromptTokens)}
 	if len(dec.views) == 0 {
 		return Placement{}, false
 	}
 	dec.predictIterationTimes()
 	dec.markShortCallReplicas()
-	dec.splitLoad = splitLoad(len(dec.views)-dec.shortReplicas, longPrefillLoad)
+	dec.predictSplitLoads(loads)
 	var best Placement
 	least := math.Inf(1)
 	for _, parts := range dec.partCounts() {
@@ -99,7 +99,7 @@
 	}
 	best.IterationTime = eng.IterationTime(best.Primary.DecodeStreams+1, best.Primary.DecodeTokens+req.PromptTokens)
 	best.Value, best.Penalty, best.Slack = dec.value, least, dec.slack()
-	best.ShortReplicas = dec.shortReplicas
+	best.ShortReplicas = dec.cells[best.Primary.Cell].shortReplicas
 	best.NetValue = dec.netValue(&best)
 	return best, true
 }
@@ -118,6 +118,12 @@
 	return slices.DeleteFunc(views, func(vie fleet.View) bool { return slices.Contains(req.ExcludeReplicas, vie.ID) })
 }
 
+// ShouldLookElsewhere tells whether a call that was placed in the cell of this process should also be considered for
+// other cells, whose load is known less exactly: it is predicted to miss its target or to delay others much.
+func (pln *Placement) ShouldLookElsewhere() bool {
+	return pln.Penalty > elsewherePenalty*pln.Value
+}
+
 // ShouldDefer tells whether a long prompt should wait for a better placement: at the moment it would delay other calls
 // much or miss its target, and it has slack in which the streams that are in its way may end.
 func (pln *Placement) ShouldDefer() bool {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -68,7 +68,7 @@
 	list := views(2)
 	list[0].PrefillBacklog = 900 * time.Millisecond
 	addDecodeStreams(&list[1], 6)
-	pln, ok := place.OnEngine(shortRequest(), engine(), list, 0)
+	pln, ok := place.OnEngine(shortRequest(), engine(), list, nil)
 	iis.True(ok)
 	iis.Equal(pln.Primary.ID, "i-1")
 }
@@ -77,7 +77,7 @@
 // target.
 func TestLongPromptIsSplit(t *testing.T) {
 	iis := is.New(t)
-	pln, ok := place.OnEngine(longRequest(250000), engine(), views(20), 0)
+	pln, ok := place.OnEngine(longRequest(250000), engine(), views(20), nil)
 	iis.True(ok)
 	iis.True(len(pln.Helpers) >= 2)
 	iis.True(pln.FirstEvent < 3*time.Second)
@@ -91,7 +91,7 @@
 	for idx := range 10 {
 		addDecodeStreams(&list[idx], 4)
 	}
-	pln, ok := place.OnEngine(longRequest(154000), engine(), list, 0)
+	pln, ok := place.OnEngine(longRequest(154000), engine(), list, nil)
 	iis.True(ok)
 	iis.Equal(pln.Primary.DecodeStreams, 0)
 	for _, hlp := range pln.Helpers {
@@ -102,7 +102,7 @@
 // TestPromptLargerThanAnEngine checks that memory is reserved at helpers for a prompt that no single engine can hold.
 func TestPromptLargerThanAnEngine(t *testing.T) {
 	iis := is.New(t)
-	pln, ok := place.OnEngine(longRequest(600000), engine(), views(20), 0)
+	pln, ok := place.OnEngine(longRequest(600000), engine(), views(20), nil)
 	iis.True(ok)
 	reserved := 0
 	for _, hlp := range pln.Helpers {
@@ -115,7 +115,7 @@
 // TestUnservablePromptIsRefused guards against a prompt that waits although all replicas together cannot hold it.
 func TestUnservablePromptIsRefused(t *testing.T) {
 	iis := is.New(t)
-	_, ok := place.OnEngine(longRequest(700000), engine(), views(2), 0)
+	_, ok := place.OnEngine(longRequest(700000), engine(), views(2), nil)
 	iis.True(!ok)
 }
 
@@ -125,7 +125,7 @@
 	iis := is.New(t)
 	list := views(20)
 	for range 20 {
-		pln, ok := place.OnEngine(shortRequest(), engine(), append([]fleet.View(nil), list...), 12)
+		pln, ok := place.OnEngine(shortRequest(), engine(), append([]fleet.View(nil), list...), fleet.PrefillLoads{"": 12})
 		iis.True(ok)
 		iis.True(pln.Primary.Position < 8)
 		addDecodeStreams(&list[pln.Primary.Position], 1)
@@ -137,7 +137,7 @@
 	iis := is.New(t)
 	req := shortRequest()
 	req.ExcludeReplicas = []string{"i-0"}
-	pln, ok := place.OnEngine(req, engine(), views(2), 0)
+	pln, ok := place.OnEngine(req, engine(), views(2), nil)
 	iis.True(ok)
 	iis.Equal(pln.Primary.ID, "i-1")
 }
@@ -149,7 +149,7 @@
 	list := views(2)
 	list[0].FailureRate = 0.4
 	addDecodeStreams(&list[1], 5)
-	pln, ok := place.OnEngine(shortRequest(), engine(), list, 0)
+	pln, ok := place.OnEngine(shortRequest(), engine(), list, nil)
 	iis.True(ok)
 	iis.Equal(pln.Primary.ID, "i-1")
 	pln, ok = place.OnService(place.Request{DataCentre: "z"}, list)
@@ -163,7 +163,7 @@
 	iis := is.New(t)
 	list := views(2)
 	list[0].FailureRate, list[1].FailureRate = 0.95, 0.99
-	pln, ok := place.OnEngine(shortRequest(), engine(), list, 0)
+	pln, ok := place.OnEngine(shortRequest(), engine(), list, nil)
 	iis.True(ok)
 	iis.Equal(pln.Primary.ID, "i-0")
 }
@@ -177,7 +177,7 @@
 		list[0].Tasks = append(list[0].Tasks, fleet.Task{KVTokens: 5000, PrefillTime: 30 * time.Millisecond})
 	}
 	addDecodeStreams(&list[1], 12)
-	pln, ok := place.OnEngine(shortRequest(), engine(), list, 0)
+	pln, ok := place.OnEngine(shortRequest(), engine(), list, nil)
 	iis.True(ok)
 	iis.Equal(pln.Primary.ID, "i-1")
 }
@@ -189,7 +189,7 @@
 	for range 20 {
 		list[0].Tasks = append(list[0].Tasks, fleet.Task{IsPart: true, SplitPrompt: true})
 	}
-	pln, ok := place.OnEngine(shortRequest(), engine(), list, 0)
+	pln, ok := place.OnEngine(shortRequest(), engine(), list, nil)
 	iis.True(ok)
 	iis.True(pln.FirstEvent < 100*time.Millisecond)
 }
@@ -203,14 +203,14 @@
 		addDecodeStreams(&list[idx], 8)
 	}
 	req := longRequest(300000)
-	pln, ok := place.OnEngine(req, engine(), append([]fleet.View(nil), list...), 0)
+	pln, ok := place.OnEngine(req, engine(), append([]fleet.View(nil), list...), nil)
 	iis.True(ok)
 	iis.True(pln.ShouldDefer())
 	req.LatencyTarget = 500 * time.Millisecond // It would miss its target if it waited.
-	pln, ok = place.OnEngine(req, engine(), list, 0)
+	pln, ok = place.OnEngine(req, engine(), list, nil)
 	iis.True(ok)
 	iis.True(!pln.ShouldDefer())
-	pln, ok = place.OnEngine(longRequest(300000), engine(), views(20), 0)
+	pln, ok = place.OnEngine(longRequest(300000), engine(), views(20), nil)
 	iis.True(ok)
 	iis.True(!pln.ShouldDefer()) // no stream is in its way
 }
@@ -226,7 +226,7 @@
 	req := longRequest(290000)
 	req.LatencyTarget = 2 * time.Second
 	req.TimeLeft = 6 * time.Second
-	pln, ok := place.OnEngine(req, engine(), list, 0)
+	pln, ok := place.OnEngine(req, engine(), list, nil)
 	iis.True(ok)
 	iis.True(pln.FirstEvent < req.TimeLeft)
 }
@@ -240,7 +240,7 @@
 		eng.MeanOutput = meanOutput
 		list := views(1)
 		addDecodeStreams(&list[0], 20)
-		pln, ok := place.OnEngine(shortRequest(), eng, list, 0)
+		pln, ok := place.OnEngine(shortRequest(), eng, list, nil)
 		iis.True(ok)
 		return pln.FirstEvent
 	}
@@ -258,7 +258,7 @@
 			req := shortRequest()
 			req.LoadUnknown = loadUnknown
 			req.Jitter = rnd.Float64
-			pln, ok := place.OnEngine(req, engine(), views(20), 0)
+			pln, ok := place.OnEngine(req, engine(), views(20), nil)
 			iis.True(ok)
 			positions[pln.Primary.Position] = true
 		}
--- a/place/policy.go
+++ b/place/policy.go
@@ -8,7 +8,7 @@
 )
 
 // Policy places a call on a model engine. It returns false if no replica can take it.
-type Policy func(req Request, eng *cost.Engine, views []fleet.View, longPrefillLoad float64) (Placement, bool)
+type Policy func(req Request, eng *cost.Engine, views []fleet.View, loads fleet.PrefillLoads) (Placement, bool)
 
 // Names of policies. All but the first are baselines for benchmarks.
 const (
@@ -29,11 +29,11 @@
 }
 
 // fewestOutstanding places a call on the replica with the fewest tasks in flight.
-func fewestOutstanding(req Request, eng *cost.Engine, views []fleet.View, _ float64) (Placement, bool) {
+func fewestOutstanding(req Request, eng *cost.Engine, views []fleet.View, _ fleet.PrefillLoads) (Placement, bool) {
 	best := -1
 	views = withoutExcluded(req, views)
 	for idx := range views {
-		if best < 0 || len(views[idx].Tasks) < len(views[best].Tasks) {
+		if best < 0 || views[idx].Calls() < views[best].Calls() {
 			best = idx
 		}
 	}
@@ -45,7 +45,7 @@
 
 // roundRobin returns a policy that takes the replicas in turn.
 func roundRobin(turn *atomic.Uint64) Policy {
-	return func(req Request, eng *cost.Engine, views []fleet.View, _ float64) (Placement, bool) {
+	return func(req Request, eng *cost.Engine, views []fleet.View, _ fleet.PrefillLoads) (Placement, bool) {
 		views = withoutExcluded(req, views)
 		if len(views) == 0 {
 			return Placement{}, false
--- a/place/predict.go
+++ b/place/predict.go
@@ -16,6 +16,13 @@
 	return min(longPrefillLoad/float64(max(replicas, 1)), maxSplitLoad)
 }
 
+// predictSplitLoads sets the split load of each cell from the prefill time of long prompts that arrives there.
+func (dec *decision) predictSplitLoads(loads fleet.PrefillLoads) {
+	for name, cel := range dec.cells {
+		cel.splitLoad = splitLoad(cel.replicas-cel.shortReplicas, loads[name])
+	}
+}
+
 // predictIterationTimes predicts how long an iteration of each engine takes if it prefills nothing.
 func (dec *decision) predictIterationTimes() {
 	dec.iterationTimes = make([]time.Duration, len(dec.views))
@@ -37,7 +44,7 @@
 	if parts == 1 {
 		backlog = vie.PrefillBacklog + prefill
 		if !dec.forShortCalls[idx] { // Parts of split prompts that arrive in the meantime are prefilled first.
-			backlog = scale(backlog, 1/(1-dec.splitLoad))
+			backlog = scale(backlog, 1/(1-dec.cells[vie.Cell].splitLoad))
 		}
 	}
 	firstEvent := scale(backlog, vie.LatencyRatio) + dec.iterationTimes[idx]
@@ -50,7 +57,7 @@
 // slotWait returns the predicted time until a slot is free for one more call.
 func (dec *decision) slotWait(vie *fleet.View) time.Duration {
 	slots := max(vie.Slots, 1)
-	excess := occupiedSlots(vie) + 1 - slots // calls that must end before this one gets a slot
+	excess := vie.Calls() + 1 - slots // calls that must end before this one gets a slot
 	if excess <= 0 {
 		return 0
 	}
@@ -72,18 +79,6 @@
 // output of the engine.
 const minMeanOutput = 1000
 
-// occupiedSlots returns the number of calls at a replica that occupy a slot or wait for one. Parts of split prompts
-// take no slot.
-func occupiedSlots(vie *fleet.View) int {
-	num := 0
-	for idx := range vie.Tasks {
-		if !vie.Tasks[idx].IsPart {
-			num++
-		}
-	}
-	return num
-}
-
 // interference returns the value that the other tasks at a replica lose if it prefills for the given time more. A part
 // of a split prompt is prefilled beside other parts and before whole prompts, so it delays both; a whole prompt does
 // not delay parts.
--- a/place/service.go
+++ b/place/service.go
@@ -29,8 +29,8 @@
 // servicePenalty returns the penalty for placing a call on a replica of a plain service.
 func servicePenalty(req Request, vie *fleet.View) float64 {
 	slots := max(vie.Slots, 1)
-	penalty := failurePenalty*vie.FailureRate + slotPenalty*float64(len(vie.Tasks))/float64(slots) + req.jitterPenalty()
-	if excess := len(vie.Tasks) + 1 - slots; excess > 0 {
+	penalty := failurePenalty*vie.FailureRate + slotPenalty*float64(vie.Calls())/float64(slots) + req.jitterPenalty()
+	if excess := vie.Calls() + 1 - slots; excess > 0 {
 		penalty += queuePenalty * float64(excess)
 	}
 	if vie.DataCentre != req.DataCentre {
--- a/relay/load_test.go
+++ b/relay/load_test.go
@@ -28,7 +28,7 @@
 	spc := testRules()
 	spc.Services = []rules.Service{{Name: "s", Engine: &cost.Engine{Slots: 4, PrefillTokensPerS: 1000}}}
 	rig.rules.Store(rules.New(spc))
-	rig.opts.Policy = func(place.Request, *cost.Engine, []fleet.View, float64) (place.Placement, bool) {
+	rig.opts.Policy = func(place.Request, *cost.Engine, []fleet.View, fleet.PrefillLoads) (place.Placement, bool) {
 		return place.Placement{NetValue: -1}, true
 	}
 	rig.start(t)
@@ -85,7 +85,7 @@
 	spc := testRules()
 	spc.Services = []rules.Service{{Name: "s", Engine: &cost.Engine{Slots: 4, PrefillTokensPerS: 1000}}}
 	rig.rules.Store(rules.New(spc))
-	rig.opts.Policy = func(_ place.Request, _ *cost.Engine, list []fleet.View, _ float64) (place.Placement, bool) {
+	rig.opts.Policy = func(_ place.Request, _ *cost.Engine, list []fleet.View, _ fleet.PrefillLoads) (place.Placement, bool) {
 		return place.Placement{
 			Primary: list[0], Helpers: []place.HelperPart{{View: list[1]}}, FirstEvent: 10 * time.Millisecond,
 		}, true
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -26,24 +26,43 @@
 	if hdl.opts.Crashes.Blocked(hdl.cal, hdl.account) {
 		return place.Placement{}, reasonCrashesReplicas
 	}
+	plc, ok := hdl.placeInCells(left)
+	if !ok {
+		return place.Placement{}, reasonNoReplica
+	}
+	return plc, ""
+}
+
+// placeInCells places the call in the cell of this process. If that cell cannot serve it well, all replicas are
+// considered.
+func (hdl *callHandler) placeInCells(left time.Duration) (place.Placement, bool) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
+	views, hasMore := reps.CellViews(hdl.opts.DataCentre)
+	plc, ok := hdl.placeOn(reps, views, left)
+	if !hasMore || (ok && !plc.ShouldLookElsewhere()) {
+		return plc, ok
+	}
+	wide, wideOK := hdl.placeOn(reps, reps.Views(), left)
+	if !wideOK || (ok && plc.Penalty <= wide.Penalty) {
+		return plc, ok
+	}
+	hdl.opts.Metrics.CountEvent("placed-in-all-cells")
+	return wide, true
+}
+
+// placeOn places the call on one or several of the given replicas. The client waits for the given time at most.
+func (hdl *callHandler) placeOn(
+	reps *fleet.ReplicaSet, views []fleet.View, left time.Duration,
+) (place.Placement, bool) {
 	req := hdl.placementRequest(left)
-	views := reps.Views()
 	if len(views) == len(hdl.failedReplicas) {
 		req.ExcludeReplicas = nil // The call has failed once on each replica, so all are equal again.
 	}
 	srv := hdl.set.Service(hdl.service)
-	var plc place.Placement
-	var ok bool
 	if srv == nil || srv.Engine == nil {
-		plc, ok = place.OnService(req, views)
-	} else {
-		plc, ok = hdl.opts.Policy(req, srv.Engine, views, reps.LongPrefillLoad())
+		return place.OnService(req, views)
 	}
-	if !ok {
-		return place.Placement{}, reasonNoReplica
-	}
-	return plc, ""
+	return hdl.opts.Policy(req, srv.Engine, views, reps.PrefillLoads())
 }
 
 // placementRequest describes the call to the placement policy. The client waits for the given time at most.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,8 +52,8 @@
 	// ReservationUseTimeout is the time within which a call must use the KV memory reserved for it; else the attempt is
 	// ended.
 	ReservationUseTimeout time.Duration
-	// OnTaskChange is called when a task of a call starts, changes or ends. The replica is given by the hash of its ID.
-	OnTaskChange func(replica uint32, tsk fleet.Task, ended bool)
+	// OnTaskChange is called when a task of a call starts, changes or ends.
+	OnTaskChange func(chg fleet.TaskChange)
 }
 
 // Relay is the http.Handler of the listener for clients. It is safe for concurrent use.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -154,7 +154,7 @@
 				Window: 10 * time.Second,
 			}
 		},
-		OnTaskChange: func(uint32, fleet.Task, bool) {},
+		OnTaskChange: func(fleet.TaskChange) {},
 		Codec: relay.Codec{
 			ReadCall: platform.ReadCall, WriteCall: platform.WriteCall, ReadReply: platform.ReadReply,
 			WriteReply: platform.WriteReply, WriteErrorHeaders: platform.WriteErrorHeaders,
