Predict prefill as engines do it: the newest part first

Cause: on the large site the first event of long prompts came 1 to 2.8 s later than predicted (median), and short calls met replicas that were taken for idle. Logs of placements against responses: a part of a split prompt is prefilled before all that waits at its replica, the primary's own part too (with 0.7 to 2.3 s of older parts waiting, first events came 0.04 to 0.2 s after the prefill time). Besides, the backlog was counted from the oldest prompt, so that a replica with an old part seemed idle. Calls that left a busy cell all chose the same replicas elsewhere: up to 20 calls of a second met there, all late.

Change: the view predicts for each task when its prefill ends. A new part is charged for all it delays, in proportion to the delay; primaries avoid replicas with a backlog. Only a random part of other cells is considered.

--- /dev/null
+++ b/fleet/backlog_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+)
+
+// TestNewPartsGoFirst guards against predictions that take the oldest prompt for the next one to be ready: an engine
+// prefills the newest part of a split prompt first, so that old ones starve while new ones come.
+func TestNewPartsGoFirst(t *testing.T) {
+	iis := is.New(t)
+	flt, clk, _ := newFleet()
+	flt.UpdateRegistration(registration("i-1", 1, 1))
+	rep := flt.ReplicaSet("s").Views()[0].Replica
+	start := func(prefill time.Duration, part bool) {
+		rep.StartTask(fleet.Task{PrefillTime: prefill, IsPart: part, SplitPrompt: part}, nil)
+	}
+	left := func() (list []time.Duration) {
+		for _, tsk := range flt.ReplicaSet("s").Views()[0].Tasks {
+			list = append(list, tsk.PrefillLeft)
+		}
+		return list
+	}
+	start(time.Second, true)
+	clk.Advance(400 * time.Millisecond)
+	start(300*time.Millisecond, false)
+	start(500*time.Millisecond, true)
+	clk.Advance(100 * time.Millisecond)
+	iis.Equal(left(), []time.Duration{time.Second, 1300 * time.Millisecond, 400 * time.Millisecond})
+	vie := flt.ReplicaSet("s").Views()[0]
+	iis.Equal(vie.SplitBacklog, time.Second)
+	iis.Equal(vie.PrefillBacklog, 1300*time.Millisecond)
+	clk.Advance(1200 * time.Millisecond)
+	iis.Equal(left(), []time.Duration{0, 100 * time.Millisecond, 0})
+}
+
+// TestBacklogCountsFromItsArrival guards against a replica that is taken for idle because an old part, whose prompt
+// still waits for other replicas, has been there for longer than all prefill there takes.
+func TestBacklogCountsFromItsArrival(t *testing.T) {
+	iis := is.New(t)
+	flt, clk, _ := newFleet()
+	flt.UpdateRegistration(registration("i-1", 1, 1))
+	rep := flt.ReplicaSet("s").Views()[0].Replica
+	rep.StartTask(fleet.Task{PrefillTime: 300 * time.Millisecond, IsPart: true, SplitPrompt: true}, nil)
+	clk.Advance(4 * time.Second)
+	rep.StartTask(fleet.Task{PrefillTime: time.Second}, nil)
+	clk.Advance(100 * time.Millisecond)
+	iis.Equal(flt.ReplicaSet("s").Views()[0].PrefillBacklog, 900*time.Millisecond)
+}
+
+// TestWiderViewsDiffer guards against all processes of a busy cell that choose the same few replicas elsewhere.
+func TestWiderViewsDiffer(t *testing.T) {
+	iis := is.New(t)
+	flt, _, _ := newFleet()
+	addReplicas(flt, "own", 30)
+	addReplicas(flt, "other", 90)
+	elsewhere := make(map[string]int)
+	for range 50 {
+		own := 0
+		for _, vie := range flt.ReplicaSet("s").WiderViews("own") {
+			if vie.Cell == "own" {
+				own++
+				continue
+			}
+			elsewhere[vie.ID]++
+		}
+		iis.Equal(own, 30)
+	}
+	iis.True(len(elsewhere) > 80) // almost all at some time
+	for _, times := range elsewhere {
+		iis.True(times < 25) // none always
+	}
+}
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "math/rand/v2"
+
 // A cell is the part of a service's replicas that a process places calls on first. Only processes that share a cell
 // inform one another of every task there, so that the exchange of load does not grow with the whole fleet. A data
 // centre with enough replicas of the service is a cell, named after it. The replicas in all other data centres form the
@@ -66,6 +68,19 @@
 	return list, hasMore
 }
 
+// WiderViews returns a view of each replica in the cell of a data centre and of some in other cells, chosen at random.
+// The processes of a cell know those only by summaries. If they all considered all of them, they would choose the same
+// few in the time between two summaries.
+func (set *ReplicaSet) WiderViews(dataCentre string) []View {
+	set.mu.Lock()
+	own, total := set.cellLocked(dataCentre), len(set.replicas)
+	set.mu.Unlock()
+	return set.viewsIf(func(cell string) bool { return cell == own || rand.IntN(total) < elsewhereSample })
+}
+
+// elsewhereSample is the number of replicas in other cells, on average, that WiderViews returns.
+const elsewhereSample = 16
+
 // viewsIf returns a view of each replica that is not draining and whose cell is accepted by the function.
 func (set *ReplicaSet) viewsIf(accept func(cell string) bool) []View {
 	set.mu.Lock()
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -113,7 +113,10 @@
 	}
 	if sum.PrefillValue > 0 {
 		vie.Tasks = append(vie.Tasks,
-			Task{Phase: Prefill, Value: sum.PrefillValue, DueAt: sum.receivedAt.Add(sum.DueIn), summarized: true})
+			Task{
+				Phase: Prefill, Value: sum.PrefillValue, StartedAt: sum.receivedAt,
+				DueAt: sum.receivedAt.Add(sum.DueIn), PrefillLeft: vie.PrefillBacklog, summarized: true,
+			})
 	}
 }
 
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -16,16 +16,18 @@
 	ID           uint32
 	Phase        Phase
 	IsPart       bool          // it processes a part of a prompt for another replica
-	SplitPrompt  bool          // its prompt is split, and engines process parts before whole prompts
+	SplitPrompt  bool          // its prompt is split
 	KVTokens     int           // KV memory that it will use at this replica
 	PrefillTime  time.Duration // predicted time to process its prompt
 	DueAt        time.Time     // when its first event is due; zero for none
+	ExpectedAt   time.Time     // when its first event is predicted; zero for none
 	GapTarget    time.Duration // longest pause between events at which the call counts as on time; 0 for none
 	Value        float64       // what meeting its target is worth
 	TargetMissed bool          // it has missed its target already, so that further delay costs nothing
 	StartedAt    time.Time
-	receivedAt   time.Time // when this task of another process was last received; zero for own tasks
-	summarized   bool      // it stands for several tasks that are known only as a Summary
+	PrefillLeft  time.Duration // in a View, the predicted time until its prefill ends; 0 if it has ended
+	receivedAt   time.Time     // when this task of another process was last received; zero for own tasks
+	summarized   bool          // it stands for several tasks that are known only as a Summary
 }
 
 // LocalTask is a task that this process has started.
@@ -239,11 +241,10 @@
 		Tasks:      make([]Task, 0, len(rep.localTasks)+len(rep.remoteTasks)),
 	}
 	rep.removeStaleTasks(now)
-	all, split := prefillBacklog{oldestStart: now}, prefillBacklog{oldestStart: now}
 	hasSummary := rep.summary.fresh(now)
 	addTask := func(tsk *Task) {
 		if !hasSummary || !rep.summary.contains(tsk) {
-			vie.addTask(tsk, &all, &split)
+			vie.addTask(tsk)
 		}
 	}
 	for _, tsk := range rep.localTasks {
@@ -254,44 +255,19 @@
 			addTask(tsk)
 		}
 	}
-	vie.PrefillBacklog = all.remaining(now)
-	vie.SplitBacklog = min(split.remaining(now), vie.PrefillBacklog)
+	vie.PrefillBacklog, vie.SplitBacklog = predictPrefill(vie.Tasks, now)
 	if hasSummary {
 		rep.summary.addTo(&vie, now)
 	}
 	return vie
 }
 
-// prefillBacklog sums up the prefill times of prompts that have not been prefilled.
-type prefillBacklog struct {
-	total       time.Duration
-	oldestStart time.Time // when the first of them arrived
-}
-
-func (bkl *prefillBacklog) add(tsk *Task) {
-	bkl.total += tsk.PrefillTime
-	if tsk.StartedAt.Before(bkl.oldestStart) {
-		bkl.oldestStart = tsk.StartedAt
-	}
-}
-
-// remaining returns the prefill time that is left. The replica has been prefilling since the oldest prompt arrived. At
-// least a quarter of the total is assumed to be left: a predicted end that has passed shows that the replica is slower.
-func (bkl *prefillBacklog) remaining(now time.Time) time.Duration {
-	return max(bkl.total-now.Sub(bkl.oldestStart), bkl.total/4)
-}
-
-// addTask adds a task to the view, and to the backlogs of all prompts and of split prompts if it is in prefill.
-func (vie *View) addTask(tsk *Task, all, split *prefillBacklog) {
+// addTask adds a task to the view.
+func (vie *View) addTask(tsk *Task) {
 	vie.Tasks = append(vie.Tasks, *tsk)
 	vie.KVTokens += tsk.KVTokens
 	if tsk.Phase == Decode {
 		vie.DecodeStreams++
 		vie.DecodeTokens += tsk.KVTokens
-		return
-	}
-	all.add(tsk)
-	if tsk.SplitPrompt {
-		split.add(tsk)
 	}
 }
--- a/peers/message.go
+++ b/peers/message.go
@@ -83,6 +83,7 @@
 	PrefillMs   int64
 	GapTargetMs int64
 	DueMs       int64 // from the start of the task until its first event is due; 0 for none
+	ExpectedMs  int64 // from the start of the task until its first event is predicted; 0 for none
 	AgeMs       int64 // since the start of the task
 	ValueTenths int   // tenths of a unit of value
 }
@@ -108,6 +109,9 @@
 	if !tsk.DueAt.IsZero() {
 		upd.DueMs = tsk.DueAt.Sub(tsk.StartedAt).Milliseconds()
 	}
+	if !tsk.ExpectedAt.IsZero() {
+		upd.ExpectedMs = tsk.ExpectedAt.Sub(tsk.StartedAt).Milliseconds()
+	}
 	return upd
 }
 
@@ -145,6 +149,9 @@
 	if upd.DueMs != 0 {
 		tsk.DueAt = tsk.StartedAt.Add(time.Duration(upd.DueMs) * time.Millisecond)
 	}
+	if upd.ExpectedMs != 0 {
+		tsk.ExpectedAt = tsk.StartedAt.Add(time.Duration(upd.ExpectedMs) * time.Millisecond)
+	}
 	return fleet.RemoteTask{Replica: upd.Replica, Task: tsk, Ended: upd.Flags&flagEnded != 0}
 }
 
--- a/place/decision.go
+++ b/place/decision.go
@@ -101,19 +101,20 @@
 // there are too few replicas, or if they lack the memory.
 func (dec *decision) planSplit(parts int) (pln Placement, penalty float64, ok bool) {
 	prefill := dec.eng.PrefillTime(dec.req.PromptTokens) / time.Duration(parts)
-	ranked := dec.rankCandidates(prefill, parts)
-	holder := dec.findHolder(ranked, parts)
-	if holder >= 0 {
-		cnd := ranked[holder]
-		ranked = slices.Insert(slices.Delete(ranked, holder, holder+1), 0, cnd)
+	chosen, holds := dec.choosePrimary(prefill, parts)
+	if parts > 1 {
+		for _, cnd := range dec.rankCandidates(prefill, helperPart) {
+			if len(chosen) < parts && cnd.idx != chosen[0].idx {
+				chosen = append(chosen, cnd)
+			}
+		}
 	}
-	if len(ranked) < parts {
+	if len(chosen) < parts {
 		return Placement{}, 0, false
 	}
-	ranked = ranked[:parts]
-	pln.Primary = dec.views[ranked[0].idx]
+	pln.Primary = dec.views[chosen[0].idx]
 	pln.PrefillTime = prefill
-	for num, cnd := range ranked {
+	for num, cnd := range chosen {
 		penalty += cnd.penalty
 		pln.interference += cnd.interference
 		pln.FirstEvent = max(pln.FirstEvent, cnd.firstEvent)
@@ -121,24 +122,36 @@
 			pln.Helpers = append(pln.Helpers, HelperPart{View: dec.views[cnd.idx]})
 		}
 	}
-	if holder < 0 && !dec.reserveAtHelpers(&pln) {
+	if !holds && !dec.reserveAtHelpers(&pln) {
 		return Placement{}, 0, false
 	}
 	penalty += dec.value * latePenalty * missProbability(pln.FirstEvent, dec.req.LatencyTarget)
-	penalty += dec.value * dec.waitPenalty(pln.FirstEvent)
+	penalty += dec.value * waitPenalty(pln.FirstEvent, dec.req.LatencyTarget)
 	penalty += dec.value * helperPenalty * float64(parts-1)
 	return pln, penalty, true
 }
 
-// rankCandidates returns all replicas as candidates for one of the given number of parts, lowest penalty first. The
-// duration is the prefill time of the part.
-func (dec *decision) rankCandidates(prefill time.Duration, parts int) []candidate {
+// choosePrimary returns the best primary replica, and whether it can hold the whole prompt. There is always one.
+func (dec *decision) choosePrimary(prefill time.Duration, parts int) (chosen []candidate, holds bool) {
+	rol := primaryPart
+	if parts == 1 {
+		rol = wholePrompt
+	}
+	ranked := dec.rankCandidates(prefill, rol)
+	if holder := dec.findHolder(ranked, parts); holder >= 0 {
+		return ranked[holder : holder+1 : holder+1], true
+	}
+	return ranked[:1:1], false
+}
+
+// rankCandidates returns all replicas as candidates for a role, lowest penalty first. The duration is the prefill time.
+func (dec *decision) rankCandidates(prefill time.Duration, rol role) []candidate {
 	ranked := make([]candidate, len(dec.views))
 	short := dec.eng.PrefillTime(dec.req.PromptTokens) < fleet.LongPrefill
 	for idx := range dec.views {
 		vie := &dec.views[idx]
-		cnd := candidate{idx: idx, firstEvent: dec.predictFirstEvent(idx, prefill, parts)}
-		cnd.interference = dec.interference(idx, prefill, parts > 1)
+		cnd := candidate{idx: idx, firstEvent: dec.predictFirstEvent(idx, prefill, rol)}
+		cnd.interference = dec.interference(idx, prefill, rol)
 		cnd.penalty = cnd.interference + dec.value*failurePenalty*vie.FailureRate
 		cnd.penalty += slotPenalty*float64(vie.Calls())/float64(max(vie.Slots, 1)) + dec.req.jitterPenalty()
 		if vie.DataCentre != dec.req.DataCentre {
@@ -147,7 +160,7 @@
 		if short && !dec.forShortCalls[idx] {
 			cnd.penalty += longReplicaPenalty
 		}
-		if parts == 1 && dec.req.GapTarget > 0 {
+		if rol != helperPart && dec.req.GapTarget > 0 {
 			cnd.penalty += dec.value * latePenalty * missProbability(
 				dec.iterationTimes[idx]+scale(vie.PrefillBacklog, vie.LatencyRatio), dec.req.GapTarget)
 		}
@@ -161,13 +174,13 @@
 // orders the candidates.
 func (dec *decision) totalPenalty(cnd candidate) float64 {
 	return cnd.penalty + dec.value*(latePenalty*missProbability(cnd.firstEvent, dec.req.LatencyTarget)+
-		dec.waitPenalty(cnd.firstEvent))
+		waitPenalty(cnd.firstEvent, dec.req.LatencyTarget))
 }
 
 // waitPenalty returns the share of a call's value that is lost when its first event takes the given time. The penalty
 // for missing the target is not included.
-func (dec *decision) waitPenalty(firstEvent time.Duration) float64 {
-	ratio := float64(firstEvent) / float64(max(dec.req.LatencyTarget, minLatencyTarget))
+func waitPenalty(firstEvent, target time.Duration) float64 {
+	ratio := float64(firstEvent) / float64(max(target, minLatencyTarget))
 	return earlyWaitPenalty*min(ratio, 1) + overduePenalty*max(ratio-1, 0)
 }
 
--- a/place/predict.go
+++ b/place/predict.go
@@ -36,21 +36,32 @@
 	return time.Duration(float64(dur) * factor)
 }
 
-// predictFirstEvent returns the predicted time to the first event if the replica prefills one of the given number of
-// parts, which takes it the given time.
-func (dec *decision) predictFirstEvent(idx int, prefill time.Duration, parts int) time.Duration {
+// role is what a replica does for a call.
+type role int
+
+const (
+	wholePrompt role = iota // it prefills the prompt alone
+	primaryPart             // it prefills a part, and produces the events
+	helperPart              // it prefills a part for the primary replica
+)
+
+// predictFirstEvent returns the predicted time to the first event if the replica has the given role and prefills for the
+// given time. An engine prefills a new part before all that waits there.
+func (dec *decision) predictFirstEvent(idx int, prefill time.Duration, rol role) time.Duration {
 	vie := &dec.views[idx]
-	backlog := vie.SplitBacklog + prefill
-	if parts == 1 {
-		backlog = vie.PrefillBacklog + prefill
+	if rol == wholePrompt {
+		prefill += vie.PrefillBacklog
 		if !dec.forShortCalls[idx] { // Parts of split prompts that arrive in the meantime are prefilled first.
-			backlog = scale(backlog, 1/(1-dec.cells[vie.Cell].splitLoad))
+			prefill = scale(prefill, 1/(1-dec.cells[vie.Cell].splitLoad))
 		}
 	}
-	firstEvent := scale(backlog, vie.LatencyRatio) + dec.iterationTimes[idx]
+	firstEvent := scale(prefill, vie.LatencyRatio) + dec.iterationTimes[idx]
 	if vie.DecodeStreams > 0 {
 		firstEvent += dec.iterationTimes[idx] / 2 // Prefill starts after the iteration in progress.
 	}
+	if rol == helperPart {
+		return firstEvent // A part for another replica takes no slot.
+	}
 	return firstEvent + dec.slotWait(vie)
 }
 
@@ -79,24 +90,50 @@
 // output of the engine.
 const minMeanOutput = 1000
 
-// interference returns the value that the other tasks at a replica lose if it prefills for the given time more. A part
-// of a split prompt is prefilled beside other parts and before whole prompts, so it delays both; a whole prompt does
-// not delay parts.
-func (dec *decision) interference(idx int, prefill time.Duration, part bool) float64 {
+// interference returns the value that the other tasks at a replica lose if it prefills for the given time more. A new
+// part of a split prompt goes before all that waits there. A whole prompt waits for the others, but an iteration
+// prefills all that it can, so that it delays the events of streams.
+func (dec *decision) interference(idx int, prefill time.Duration, rol role) float64 {
 	vie := &dec.views[idx]
 	prefill = scale(prefill, vie.LatencyRatio)
-	before := dec.iterationTimes[idx] + scale(vie.PrefillBacklog, vie.LatencyRatio)
+	backlog := dec.iterationTimes[idx] + scale(vie.PrefillBacklog, vie.LatencyRatio)
 	valueAtRisk := 0.0
 	for num := range vie.Tasks {
 		tsk := &vie.Tasks[num]
-		target := tsk.GapTarget
-		if tsk.Phase == fleet.Prefill {
-			target = tsk.DueAt.Sub(dec.req.Now)
-		}
-		if tsk.TargetMissed || target <= 0 || (tsk.SplitPrompt && !part) {
-			continue
+		switch {
+		case tsk.Phase == fleet.Prefill:
+			if rol != wholePrompt || !tsk.SplitPrompt {
+				left := dec.iterationTimes[idx] + scale(tsk.PrefillLeft, vie.LatencyRatio)
+				valueAtRisk += tsk.Value * dec.firstEventDelay(tsk, left, prefill)
+			}
+		case !tsk.TargetMissed && tsk.GapTarget > 0:
+			valueAtRisk += tsk.Value * latePenalty * missIncrease(backlog, prefill, tsk.GapTarget)
 		}
-		valueAtRisk += tsk.Value * (missProbability(before+prefill, target) - missProbability(before, target))
 	}
-	return valueAtRisk * latePenalty
+	return valueAtRisk
+}
+
+// firstEventDelay returns the share of its value that a task loses if the end of its prefill, which is predicted after
+// the given time, is delayed.
+func (dec *decision) firstEventDelay(tsk *fleet.Task, left, delay time.Duration) float64 {
+	if tsk.DueAt.IsZero() || (tsk.IsPart && tsk.PrefillLeft == 0) {
+		return 0
+	}
+	// The first event also waits for the parts that other replicas prefill.
+	before := max(left, tsk.ExpectedAt.Sub(dec.req.Now))
+	delay = max(left+delay-before, 0)
+	target := tsk.DueAt.Sub(tsk.StartedAt)
+	left = tsk.DueAt.Sub(dec.req.Now)
+	if left <= 0 || tsk.TargetMissed {
+		// It still loses by waiting: without this, parts would be put before it until its client disconnects.
+		return overduePenalty * float64(delay) / float64(max(target, minLatencyTarget))
+	}
+	// Calls that come later delay it further, so that a delay counts even if the target can still be met.
+	return latePenalty*missIncrease(before, delay, left) +
+		delayPenalty*float64(delay)/float64(max(target, minLatencyTarget))
+}
+
+// missIncrease returns by how much a delay raises the probability that something misses its target.
+func missIncrease(predicted, delay, target time.Duration) float64 {
+	return missProbability(predicted+delay, target) - missProbability(predicted, target)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -90,9 +90,8 @@
 	for _, hlp := range plc.Helpers {
 		part := fleet.Task{
 			IsPart: true, SplitPrompt: true, KVTokens: hlp.ReserveTokens, PrefillTime: plc.PrefillTime,
-			DueAt:        tsk.DueAt,
-			TargetMissed: tsk.TargetMissed,
-			Value:        tsk.Value * place.PartValueShare,
+			DueAt: tsk.DueAt, ExpectedAt: tsk.ExpectedAt, TargetMissed: tsk.TargetMissed,
+			Value: tsk.Value * place.PartValueShare,
 		}
 		tasks = append(tasks, hlp.View.Replica.StartTask(part, hdl.opts.OnTaskChange))
 	}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -42,7 +42,7 @@
 	if !hasMore || (ok && !plc.ShouldLookElsewhere()) {
 		return plc, ok
 	}
-	wide, wideOK := hdl.placeOn(reps, reps.Views(), left)
+	wide, wideOK := hdl.placeOn(reps, reps.WiderViews(hdl.opts.DataCentre), left)
 	if !wideOK || (ok && plc.Penalty <= wide.Penalty) {
 		return plc, ok
 	}
@@ -103,7 +103,7 @@
 		KVTokens: prm.Tokens + hdl.expectedOutputTokens(), PrefillTime: plc.PrefillTime, GapTarget: hdl.rte.GapTarget,
 		Value: plc.Value,
 		DueAt: hdl.cal.Arrived.Add(hdl.rte.LatencyTarget), TargetMissed: hdl.missedTarget(),
-		SplitPrompt: len(plc.Helpers) > 0,
+		ExpectedAt: hdl.opts.Clock.Now().Add(plc.FirstEvent), SplitPrompt: len(plc.Helpers) > 0,
 	}
 }
 
