--- /dev/null
+++ b/place/split_test.go
@@ -0,0 +1,48 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/place"
+)
+
+// TestPartsAvoidWaitingParts guards against long prompts that delay one another without end: an engine prefills a new
+// part before those that wait, so the parts must go to replicas where none waits.
+func TestPartsAvoidWaitingParts(t *testing.T) {
+	iis := is.New(t)
+	list := views(20)
+	req := longRequest(200000)
+	req.Now = time.Unix(1700000000, 0)
+	for idx := range 8 {
+		list[idx].Tasks = append(list[idx].Tasks, fleet.Task{
+			IsPart: true, SplitPrompt: true, PrefillTime: 600 * time.Millisecond, PrefillLeft: 500 * time.Millisecond,
+			StartedAt: req.Now.Add(-100 * time.Millisecond), DueAt: req.Now.Add(4 * time.Second), Value: 15,
+		})
+		list[idx].PrefillBacklog, list[idx].SplitBacklog = 500*time.Millisecond, 500*time.Millisecond
+	}
+	pln, ok := place.OnEngine(req, engine(), list, nil)
+	iis.True(ok)
+	iis.True(pln.Primary.Position >= 8)
+	iis.True(len(pln.Helpers) > 2)
+	for _, hlp := range pln.Helpers {
+		iis.True(hlp.View.Position >= 8)
+	}
+}
+
+// TestPartGoesBeforeWaitingPrompts guards against a prediction that lets a part wait for the prompts at its replica, so
+// that a long prompt is refused or sent elsewhere although it would be prefilled at once.
+func TestPartGoesBeforeWaitingPrompts(t *testing.T) {
+	iis := is.New(t)
+	list := views(4)
+	for idx := range list {
+		list[idx].PrefillBacklog, list[idx].SplitBacklog = 3*time.Second, 3*time.Second
+	}
+	pln, ok := place.OnEngine(longRequest(100000), engine(), list, nil)
+	iis.True(ok)
+	iis.True(len(pln.Helpers) > 0)
+	iis.True(pln.FirstEvent < time.Second)
+}
