Bound what is read from replicas, clients and the store

Bytes that are no response counted as a crash of the replica, so that a call was refused as one that crashes replicas.

Past it the connection is closed, a line with the reason and the bytes is logged and the replica's failure is recorded. Malformed bytes on an open connection are no crash.

--- a/front/front.go
+++ b/front/front.go
@@ -36,6 +36,13 @@
 	sweepInterval    = 200 * time.Millisecond // between removals of expired replicas and of idle connections
 )
 
+const (
+	bytesPerMB = 1 << 20
+	// bufferShare is the divisor of the memory of the process that gives the memory for bodies and events. Growing
+	// buffers take up to three times what they hold.
+	bufferShare = 6
+)
+
 // Front is a running front.
 type Front struct {
 	group         *group.Group
@@ -72,7 +79,9 @@
 	frt.pool = pool.New(clk)
 	frt.fleet = fleet.New(clk, log, frt.pool.CloseIdle)
 	dialer := pool.Dialer(storeDialTimeout)
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
 	frt.crashes = relay.NewCrashTracker(clk, frt.sendCrash)
 	if err := frt.startPeers(); err != nil {
@@ -109,6 +118,7 @@
 		LoadUnknown:           frt.loadUnknown,
 		Policy:                place.PolicyFor(config.FrontPlacement.Of(frt.startSettings)),
 		DataCentre:            config.ProcessDataCentre.Of(frt.startSettings),
+		BufferBytes:           int64(config.FrontMemory.Of(frt.startSettings)) * bytesPerMB / bufferShare,
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
 	}
--- /dev/null
+++ b/pool/limit.go
@@ -0,0 +1,38 @@
+package pool
+
+import (
+	"errors"
+	"io"
+	"math"
+)
+
+// Limits of what is read of a response before its body, in bytes.
+const (
+	maxHeadBytes    = 64 << 10 // status line and headers
+	maxSkippedBytes = 1 << 20  // body of the response of another call
+)
+
+// Errors of replicas that send bytes that are no response.
+var (
+	ErrTooLong   = errors.New("pool: response is too long")
+	ErrMalformed = errors.New("pool: response is malformed")
+)
+
+// limitedReader reads from a connection until a limit is reached.
+type limitedReader struct {
+	src  io.Reader
+	left int64 // bytes that may still be read
+}
+
+// noLimit is the limit while the body of the call's own response is read, whose reader bounds it.
+const noLimit = math.MaxInt64
+
+// Read implements io.Reader.
+func (rdr *limitedReader) Read(buf []byte) (int, error) {
+	if rdr.left <= 0 {
+		return 0, ErrTooLong
+	}
+	num, err := rdr.src.Read(buf[:min(int64(len(buf)), rdr.left)])
+	rdr.left -= int64(num)
+	return num, err //nolint:wrapcheck // The error of the connection, as io.Reader requires.
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -84,6 +84,7 @@
 	net.Conn
 	pool        *Pool
 	replica     string
+	limit       *limitedReader // of what reader reads
 	reader      *bufio.Reader
 	writeResult chan error // receives the result of sending the current request
 	idleSince   time.Time  // when it became idle
@@ -105,9 +106,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("pool: connect: %w", trace.ConnectionProblem(err, "replica at %s", address))
 	}
+	limit := &limitedReader{src: raw}
 	return &Conn{
-		Conn: raw, pool: pol, replica: replica, idleTimeout: defaultIdleTimeout,
-		reader: bufio.NewReaderSize(raw, readBufferBytes), writeResult: make(chan error, 1),
+		Conn: raw, pool: pol, replica: replica, idleTimeout: defaultIdleTimeout, limit: limit,
+		reader: bufio.NewReaderSize(limit, readBufferBytes), writeResult: make(chan error, 1),
 	}, nil
 }
 
@@ -199,21 +201,25 @@
 
 // ReadResponse reads the header of the response to the call that was sent. The function isOurs reports whether a
 // response belongs to that call; other responses are read and dropped. It returns ErrMismatchedResponse if none of the
-// first maxResponses belongs to the call, and a trace.ConnectionProblem error if no response can be read.
+// first maxResponses belongs to the call, an error that wraps ErrTooLong or ErrMalformed if the replica sends bytes that
+// are no response, and a trace.ConnectionProblem error if the connection ends first.
 func (con *Conn) ReadResponse(method string, isOurs func(res *http.Response) bool) (*http.Response, error) {
 	const maxResponses = 3
 	req := &http.Request{Method: method}
 	for range maxResponses {
+		con.limit.left = maxHeadBytes
 		res, err := http.ReadResponse(con.reader, req)
 		if err != nil {
-			return nil, fmt.Errorf("pool: receive: %w", trace.ConnectionProblem(err, "replica %s", con.replica))
+			return nil, con.headerError(err)
 		}
-		if res.StatusCode == http.StatusContinue {
+		if res.StatusCode < http.StatusOK { // an informational response
 			continue
 		}
 		if isOurs(res) {
+			con.limit.left = noLimit
 			return res, nil
 		}
+		con.limit.left = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, fmt.Errorf("pool: skip response of another call: %w", err)
 		}
@@ -221,6 +227,18 @@
 	return nil, ErrMismatchedResponse
 }
 
+// headerError describes why the header of a response cannot be read.
+func (con *Conn) headerError(err error) error {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, ErrTooLong):
+		return fmt.Errorf("pool: receive header: %w", err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &netErr):
+		return fmt.Errorf("pool: receive: %w", trace.ConnectionProblem(err, "replica %s", con.replica))
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
 // Release returns the connection to the pool after the body of res has been read to its end. The pool keeps it if it
 // can carry another call, and closes it otherwise.
 func (con *Conn) Release(res *http.Response) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -16,9 +15,6 @@
 	"github.com/tarragonwheel/tarragonwheel/pool"
 )
 
-// maxReplyBytes bounds the body of a response that is not a stream.
-const maxReplyBytes = 16 << 20
-
 // outcome is how an attempt ended.
 type outcome struct {
 	final      bool   // the client has its response or has disconnected
@@ -149,7 +145,7 @@
 	//nolint:bodyclose // The whole connection is closed or returned to the pool.
 	res, err := att.con.ReadResponse(hdl.cal.Method, belongsToCall)
 	if err != nil {
-		return outcome{mayHaveRun: true, reason: att.readFailureReason(), err: err}
+		return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 	}
 	att.replyReceived = true
 	if isStream(res) && rep.Status == http.StatusOK {
@@ -163,8 +159,8 @@
 	return strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// readFailureReason returns the reason why a read from the connection failed.
-func (att *attempt) readFailureReason() string {
+// failureReason returns the reason why a read from the connection failed with err.
+func (att *attempt) failureReason(err error) string {
 	switch {
 	case att.hdl.ctx.Err() != nil:
 		return reasonClientLeft
@@ -172,25 +168,28 @@
 		return reasonTimeLimit
 	case att.reservationUnused.Load():
 		return reasonReservationUnused
+	case errors.Is(err, pool.ErrTooLong), errors.Is(err, errTooLarge), errors.Is(err, errEventTooLong):
+		att.hdl.opts.Metrics.CountEvent("response-too-long")
+		att.hdl.opts.Log.Info("relay: response is too long, closing the connection", "call", att.hdl.cal.ID,
+			"replica", att.placement.Primary.ID, "bytes-held", att.hdl.memory.held, "error", err.Error())
+		return reasonReplicaFailed
+	case errors.Is(err, errBuffersFull):
+		return reasonBuffersFull
+	case errors.Is(err, pool.ErrMismatchedResponse), errors.Is(err, pool.ErrMalformed):
+		return reasonReplicaFailed // The connection is open, so the replica has not crashed.
 	}
 	return reasonStreamBroken
 }
 
 // forwardReply forwards a response that is not a stream, once it has been read to its end.
 func (att *attempt) forwardReply(res *http.Response, rep call.Reply) outcome {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	body, err := att.hdl.memory.readAll(res.Body, maxReplyBytes)
 	switch {
 	case rep.NotExecuted:
 		att.releaseConn(res, err)
 		return outcome{reason: reasonNotRun}
 	case err != nil:
-		return outcome{
-			mayHaveRun: true, reason: att.readFailureReason(), err: fmt.Errorf("relay: read response: %w", err),
-		}
-	case len(body) > maxReplyBytes:
-		return outcome{
-			mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New("relay: response body is too large"),
-		}
+		return outcome{mayHaveRun: true, reason: att.failureReason(err), err: fmt.Errorf("relay: read response: %w", err)}
 	}
 	att.releaseConn(res, nil)
 	if defect := att.replyDefect(rep); defect != "" {
@@ -244,7 +243,8 @@
 	switch {
 	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
 		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
-	case out.reason == reasonClientLeft, out.reason == reasonTimeLimit, out.reason == reasonReservationUnused:
+	case out.reason == reasonClientLeft, out.reason == reasonTimeLimit, out.reason == reasonReservationUnused,
+		out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
 	case att.con.Reused() && !att.replyReceived:
 		// The replica may have closed the connection while it was idle.
--- /dev/null
+++ b/relay/buffer.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+// Limits of what is held in memory, in bytes.
+const (
+	defaultBufferBytes = 64 << 20 // of all calls together
+	maxReplyBytes      = 16 << 20 // body of a response that is not a stream
+	firstBufferBytes   = 4 << 10  // with which a body starts to be read
+)
+
+var (
+	errTooLarge    = errors.New("relay: too large")
+	errBuffersFull = errors.New("relay: the bodies of other calls take all memory for bodies")
+)
+
+// buffers limits the memory for bodies and events of all calls together. A body whose announced length is not sent, or
+// that does not end, takes no more of it than what has arrived.
+type buffers struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func newBuffers(limit int64) *buffers {
+	if limit <= 0 {
+		limit = defaultBufferBytes
+	}
+	return &buffers{limit: limit}
+}
+
+// lease is the memory that one call holds. It is used by one goroutine at a time.
+type lease struct {
+	buffers *buffers
+	held    int64
+}
+
+// take takes memory for the call, or returns errBuffersFull.
+func (lea *lease) take(num int64) error {
+	if lea.buffers.used.Add(num) > lea.buffers.limit {
+		lea.buffers.used.Add(-num)
+		return errBuffersFull
+	}
+	lea.held += num
+	return nil
+}
+
+// release gives back all memory that the call holds.
+func (lea *lease) release() {
+	lea.buffers.used.Add(-lea.held)
+	lea.held = 0
+}
+
+// readAll reads a body of at most the given size. It returns errTooLarge if the body is longer, and errBuffersFull if
+// there is no memory for it.
+func (lea *lease) readAll(src io.Reader, maxBytes int64) ([]byte, error) {
+	if err := lea.take(firstBufferBytes); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, firstBufferBytes)
+	for {
+		num, err := src.Read(body[len(body):cap(body)])
+		body = body[:len(body)+num]
+		switch {
+		case int64(len(body)) > maxBytes:
+			return nil, errTooLarge
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return body, nil
+		case err != nil:
+			return nil, err //nolint:wrapcheck // Callers tell the errors of the source apart.
+		case len(body) == cap(body):
+			if err := lea.take(int64(cap(body))); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+	}
+}
--- a/relay/event_test.go
+++ b/relay/event_test.go
@@ -15,7 +15,9 @@
 	f.Add([]byte("\r\n\r\n\n\n"))
 	f.Add([]byte("id:\nid: x\n\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		evr := &eventReader{reader: bufio.NewReaderSize(bytes.NewReader(stream), 16)}
+		evr := &eventReader{
+			reader: bufio.NewReaderSize(bytes.NewReader(stream), 16), memory: &lease{buffers: newBuffers(0)},
+		}
 		var got []byte
 		for {
 			evt, err := evr.next()
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"math"
 	"math/rand"
 	"net/http"
 	"time"
@@ -25,6 +25,7 @@
 	service  string
 	account  string
 	deadline time.Time // by which the client must have its response
+	memory   lease     // for bodies and events
 
 	placement      place.Placement // of the latest attempt
 	attempts       int
@@ -151,30 +152,31 @@
 	ctl := http.NewResponseController(hdl.rw)
 	_ = ctl.SetReadDeadline(hdl.opts.Clock.Now().Add(bodyTimeout)) // If unsupported, the server's limits apply.
 	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
-	body := io.Reader(req.Body)
-	if maxBytes > 0 {
-		body = http.MaxBytesReader(hdl.rw, req.Body, maxBytes)
+	if maxBytes <= 0 {
+		maxBytes = noBodyLimit
 	}
-	var err error
-	if req.ContentLength > 0 {
-		hdl.cal.Body = make([]byte, req.ContentLength)
-		_, err = io.ReadFull(body, hdl.cal.Body)
-	} else {
-		hdl.cal.Body, err = io.ReadAll(body)
-	}
-	var tooLarge *http.MaxBytesError
+	body, err := hdl.memory.readAll(req.Body, maxBytes)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, errTooLarge):
+		hdl.rw.Header().Set("Connection", "close")
 		hdl.sendError(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, 0)
 		return false
+	case errors.Is(err, errBuffersFull):
+		hdl.rw.Header().Set("Connection", "close")
+		hdl.sendError(http.StatusServiceUnavailable, reasonBuffersFull, randomRetryAfter())
+		return false
 	case err != nil:
 		hdl.rw.Header().Set("Connection", "close")
 		hdl.sendError(http.StatusBadRequest, reasonBodyIncomplete, 0)
 		return false
 	}
+	hdl.cal.Body = body
 	return true
 }
 
+// noBodyLimit is the limit of a body if the operator sets none. The memory for all bodies bounds it.
+const noBodyLimit = math.MaxInt64
+
 // forward sends the call to replicas until it succeeds or may not be retried.
 func (hdl *callHandler) forward() {
 	hdl.lastEventID, hdl.hasLastEventID = hdl.cal.LastEventID, hdl.cal.HasLastEventID
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,8 @@
 	BudgetSharers func() int                // number of processes that share the retry budget
 	Policy        place.Policy              // places calls on engines
 	DataCentre    string                    // of this process
+	// BufferBytes bounds the bodies and events of all calls together that are held in memory; 0 for a default.
+	BufferBytes int64
 	// ReservationUseTimeout is the time within which a call must use the KV memory reserved for it; else the attempt is
 	// ended.
 	ReservationUseTimeout time.Duration
@@ -63,13 +65,17 @@
 	closeConnections atomic.Bool // responses carry "Connection: close"
 	refuseNewCalls   atomic.Bool
 	inFlight         sync.WaitGroup // calls
+	buffers          *buffers
 	mu               sync.Mutex
 	retryBudgets     map[string]*retry.SharedBudget // by service name
 }
 
 // New returns a Relay.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, started: opts.Clock.Now(), retryBudgets: make(map[string]*retry.SharedBudget)}
+	return &Relay{
+		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
+		retryBudgets: make(map[string]*retry.SharedBudget),
+	}
 }
 
 // CloseConnections makes each response close its connection, so that clients reconnect to another process.
@@ -97,7 +103,8 @@
 func (rly *Relay) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	rly.inFlight.Add(1)
 	defer rly.inFlight.Done()
-	hdl := &callHandler{relay: rly, opts: &rly.opts, rw: rw, ctx: req.Context()}
+	hdl := &callHandler{relay: rly, opts: &rly.opts, rw: rw, ctx: req.Context(), memory: lease{buffers: rly.buffers}}
+	defer hdl.memory.release()
 	hdl.cal = rly.opts.Codec.ReadCall(req, rly.opts.Clock.Now())
 	if rly.closeConnections.Load() {
 		rw.Header().Set("Connection", "close")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -13,8 +13,12 @@
 	"github.com/tarragonwheel/tarragonwheel/cost"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// Sizes of an event of a stream, in bytes.
+const (
+	maxEventBytes = 1 << 20
+	// smallEventBytes is the size up to which an event is not counted as memory of its call.
+	smallEventBytes = 16 << 10
+)
 
 // event is a server-sent event.
 type event struct {
@@ -27,6 +31,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buf    []byte
+	memory *lease
+	taken  int // of the memory, in bytes
 }
 
 var errEventTooLong = errors.New("relay: stream event is too long")
@@ -38,12 +44,12 @@
 	evt := event{}
 	for {
 		line, err := evr.reader.ReadSlice('\n')
+		if err := evr.grow(len(line)); err != nil {
+			return event{}, err
+		}
 		evr.buf = append(evr.buf, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(evr.buf) > maxEventBytes {
-				return event{}, errEventTooLong
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(evr.buf) > 0:
 			return event{}, io.ErrUnexpectedEOF
@@ -59,19 +65,33 @@
 			num, err := strconv.ParseInt(string(bytes.TrimSpace(val)), 10, 64)
 			evt.id, evt.hasID = num, err == nil
 		}
-		if len(evr.buf) > maxEventBytes {
-			return event{}, errEventTooLong
-		}
 	}
 }
 
+// grow takes the memory that the event needs to grow by the given number of bytes. It returns errEventTooLong if the
+// event becomes too long, and errBuffersFull if there is no memory.
+func (evr *eventReader) grow(num int) error {
+	size := len(evr.buf) + num
+	if size > maxEventBytes {
+		return errEventTooLong
+	}
+	if size <= smallEventBytes || size <= evr.taken {
+		return nil
+	}
+	if err := evr.memory.take(int64(size)); err != nil {
+		return err
+	}
+	evr.taken += size
+	return nil
+}
+
 // forwardStream forwards events as they arrive. If the stream breaks, a retry at another replica can resume it after
 // the last event that was sent to the client.
 func (att *attempt) forwardStream(res *http.Response, rep call.Reply) outcome {
 	if defect := att.replyDefect(rep); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
-	evr := &eventReader{reader: bufio.NewReader(res.Body)}
+	evr := &eventReader{reader: bufio.NewReader(res.Body), memory: &att.hdl.memory}
 	for {
 		evt, err := evr.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -79,7 +99,7 @@
 		}
 		if err != nil {
 			err = fmt.Errorf("relay: read stream: %w", err)
-			return outcome{mayHaveRun: true, reason: att.readFailureReason(), err: err}
+			return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 		}
 		if !att.firstEventReceived.Swap(true) {
 			att.tasks.markDecoding()
