Find streams that have stalled, and leave slow ones alone

Cause: nothing bounded the time between two events but the call's deadline, so that a stream whose replica sent single bytes or comments, or nothing on an open connection, lasted until its client left.

Change: a stream without an event for half of its client's idle timeout is examined. The replica's report and the predicted prefill there tell a busy or slow replica from one that should have sent events. A stalled stream is cancelled and resumed at another replica, or ends with an error if it may not run twice. A replica that does not report keeps streams that may not run twice.

--- a/fleet/backlog_test.go
+++ b/fleet/backlog_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +21,9 @@
 		rep.StartTask(fleet.Task{PrefillTime: prefill, IsPart: part, SplitPrompt: part}, nil)
 	}
 	left := func() (list []time.Duration) {
-		for _, tsk := range flt.ReplicaSet("s").Views()[0].Tasks {
+		tasks := flt.ReplicaSet("s").Views()[0].Tasks
+		slices.SortFunc(tasks, func(one, two fleet.Task) int { return int(one.ID) - int(two.ID) })
+		for _, tsk := range tasks {
 			list = append(list, tsk.PrefillLeft)
 		}
 		return list
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -66,6 +66,14 @@
 	return rep.removed || rep.reg.Draining
 }
 
+// PrefillBacklog returns the predicted time until the replica has prefilled all prompts there.
+func (rep *Replica) PrefillBacklog() time.Duration {
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	vie := rep.view(0, rep.set.clock.Now())
+	return vie.PrefillBacklog
+}
+
 // Registration returns the replica's newest registration.
 func (rep *Replica) Registration() Registration {
 	rep.set.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,6 +60,8 @@
 	att := &attempt{hdl: hdl, con: con, placement: plc, tasks: tasks, ctx: ctx}
 	defer mem.watchUse(ctx, hdl.opts.ReservationUseTimeout, att.abortUnusedReservation).Stop()
 	defer att.queryLatencyIfOverdue().Stop()
+	att.stall = att.watchStall()
+	defer att.stall.stop()
 	out := att.roundTrip(&call.Attempt{
 		Replica: plc.Primary.ID, Account: hdl.account, TimeLeft: hdl.deadline.Sub(hdl.opts.Clock.Now()),
 		Helpers:     mem.helpers,
@@ -120,6 +122,7 @@
 	replyReceived      bool        // the head of a response to the call has been read
 	firstEventReceived atomic.Bool // of a stream
 	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
+	stall              *stallWatch
 	reservationUnused  atomic.Bool // the attempt was ended because its reserved KV memory was not used
 }
 
@@ -168,6 +171,8 @@
 		return reasonTimeLimit
 	case att.reservationUnused.Load():
 		return reasonReservationUnused
+	case att.stall.isStalled():
+		return reasonStalled
 	case errors.Is(err, pool.ErrTooLong), errors.Is(err, errTooLarge), errors.Is(err, errEventTooLong):
 		att.hdl.opts.Metrics.CountEvent("response-too-long")
 		att.hdl.opts.Log.Info("relay: response is too long, closing the connection", "call", att.hdl.cal.ID,
--- a/relay/load_test.go
+++ b/relay/load_test.go
@@ -80,7 +80,10 @@
 	rig := newRig(t, newReplica(t, slow), newReplica(t, slow))
 	var queries atomic.Int64
 	rig.opts.Reserver = relay.NewReserver(rig.opts.Clock, logr.Discard(), relay.ReplicaAPI{
-		LatencyRatio: func(context.Context, string) (float64, error) { queries.Add(1); return 4, nil },
+		Report: func(context.Context, string) (relay.Report, error) {
+			queries.Add(1)
+			return relay.Report{LatencyRatio: 4}, nil
+		},
 	})
 	spc := testRules()
 	spc.Services = []rules.Service{{Name: "s", Engine: &cost.Engine{Slots: 4, PrefillTokensPerS: 1000}}}
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -43,8 +43,8 @@
 	Release func(ctx context.Context, rsv Reservation) error
 	// InUse tells whether a call uses the reserved memory.
 	InUse func(ctx context.Context, rsv Reservation) (bool, error)
-	// LatencyRatio queries the ratio of observed to expected time from the replica at an address.
-	LatencyRatio func(ctx context.Context, address string) (float64, error)
+	// Report asks the replica at an address for its report.
+	Report func(ctx context.Context, address string) (Report, error)
 }
 
 // Reserver reserves KV memory at helper replicas for prompts that no replica can hold alone. It is safe for concurrent
--- a/relay/overdue.go
+++ b/relay/overdue.go
@@ -53,11 +53,11 @@
 	callCtx, cancel := rsr.clock.WithTimeout(ctx, replicaAPITimeout)
 	defer cancel()
 	reg := rep.Registration()
-	ratio, err := rsr.api.LatencyRatio(callCtx, reg.Address)
+	rpt, err := rsr.api.Report(callCtx, reg.Address)
 	if err != nil {
 		rsr.log.Info("relay: replica of an overdue prompt does not report", "replica", reg.ID, "error", err.Error())
 		return
 	}
-	rsr.log.Info("relay: replica of an overdue prompt reports", "replica", reg.ID, "pace", ratio)
-	rep.SetReportedLatencyRatio(ratio)
+	rsr.log.Info("relay: replica of an overdue prompt reports", "replica", reg.ID, "pace", rpt.LatencyRatio)
+	rep.SetReportedLatencyRatio(rpt.LatencyRatio)
 }
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -24,6 +24,7 @@
 	reasonReservationUnused = "reservation-unused"
 	reasonClientLeft        = "client-left"
 	reasonCrashesReplicas   = "crashes-replicas"
+	reasonStalled           = "stalled"
 	reasonBuffersFull       = "buffers-full"
 	reasonDone              = "done"
 )
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -101,6 +101,7 @@
 			err = fmt.Errorf("relay: read stream: %w", err)
 			return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 		}
+		att.stall.recordEvent()
 		if !att.firstEventReceived.Swap(true) {
 			att.tasks.markDecoding()
 		}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,6 +42,9 @@
 	Targets           []Target
 }
 
+// IsStream reports whether responses are streams of events.
+func (rte *Route) IsStream() bool { return rte.Kind == Stream }
+
 // Retryable reports whether a call may be sent again if it may have run already.
 func (rte *Route) Retryable() bool {
 	return rte.Kind == Idempotent || (rte.Kind == Stream && rte.Resumable)
