--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -56,6 +56,8 @@
 	health      health
 	summary     Summary // of its load, if processes of another cell use it; zero if none was received
 	removed     bool    // it is not registered any more
+	// longPrefillAt is when a task with a long prefill last ended there or was begun to be decoded.
+	longPrefillAt time.Time
 }
 
 // Leaving tells whether the replica is draining or has been removed. It may then close connections mid-call without
@@ -66,12 +68,20 @@
 	return rep.removed || rep.reg.Draining
 }
 
-// PrefillBacklog returns the predicted time until the replica has prefilled all prompts there.
-func (rep *Replica) PrefillBacklog() time.Duration {
+// HadLongPrefill reports whether within the given time a prompt or a part of one was known at the replica whose prefill
+// takes long, so that the events of streams there may be late.
+func (rep *Replica) HadLongPrefill(within time.Duration) bool {
 	rep.set.mu.Lock()
 	defer rep.set.mu.Unlock()
-	vie := rep.view(0, rep.set.clock.Now())
-	return vie.PrefillBacklog
+	now := rep.set.clock.Now()
+	vie := rep.view(0, now)
+	return vie.PrefillBacklog >= LongPrefill || now.Sub(rep.longPrefillAt) < within ||
+		slices.ContainsFunc(vie.Tasks, func(tsk Task) bool { return tsk.isLongPrefill() })
+}
+
+// isLongPrefill reports whether the task may delay the events of streams at its replica.
+func (tsk *Task) isLongPrefill() bool {
+	return tsk.Phase == Prefill && (tsk.IsPart || tsk.PrefillTime >= LongPrefill)
 }
 
 // Registration returns the replica's newest registration.
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -83,6 +83,7 @@
 func (ltk *LocalTask) update(fn func(tsk *Task)) {
 	set := ltk.replica.set
 	set.mu.Lock()
+	ltk.replica.noteEnd(ltk.task)
 	fn(ltk.task)
 	tsk := *ltk.task
 	set.mu.Unlock()
@@ -93,12 +94,20 @@
 func (ltk *LocalTask) End() {
 	set := ltk.replica.set
 	set.mu.Lock()
+	ltk.replica.noteEnd(ltk.task)
 	delete(ltk.replica.localTasks, ltk.task.ID)
 	tsk := *ltk.task
 	set.mu.Unlock()
 	ltk.notify(tsk, true)
 }
 
+// noteEnd records that a task is about to end or to change. The caller holds the lock.
+func (rep *Replica) noteEnd(tsk *Task) {
+	if tsk.isLongPrefill() {
+		rep.longPrefillAt = rep.set.clock.Now()
+	}
+}
+
 // RemoteTask is a task as one process sends it to another.
 type RemoteTask struct {
 	Replica      uint32 // hash of the replica's ID
@@ -144,11 +153,14 @@
 		tasks = make(map[uint32]*Task)
 		rep.remoteTasks[peer] = tasks
 	}
+	old := tasks[rem.Task.ID]
+	if old != nil {
+		rep.noteEnd(old)
+	}
 	if rem.Ended {
 		delete(tasks, rem.Task.ID)
 		return
 	}
-	old := tasks[rem.Task.ID]
 	switch {
 	case rem.ProgressOnly && old == nil:
 		return // The update with its start was lost or is late; the process sends the whole task again.
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -129,7 +129,7 @@
 	ctx, cancel := hdl.opts.Clock.WithTimeout(context.WithoutCancel(att.ctx), replicaAPITimeout)
 	defer cancel()
 	rpt, err := hdl.opts.Reserver.api.Report(ctx, rep.Registration().Address)
-	backlog := rep.PrefillBacklog()
+	longPrefill := rep.HadLongPrefill(silent + wtc.limit)
 	stalled := false
 	switch {
 	case err != nil:
@@ -140,10 +140,10 @@
 		stalled = true
 	default:
 		rep.SetReportedLatencyRatio(rpt.LatencyRatio)
-		stalled = rpt.LatencyRatio < slowLatencyRatio && rpt.Queued == 0 && backlog < wtc.limit/2
+		stalled = rpt.LatencyRatio < slowLatencyRatio && rpt.Queued == 0 && !longPrefill
 	}
 	hdl.opts.Log.Info("relay: stream without events", "call", hdl.cal.ID, "replica", att.placement.Primary.ID,
 		"silent", silent, "reported", err == nil, "running", rpt.Running,
-		"queued", rpt.Queued, "latency-ratio", rpt.LatencyRatio, "backlog", backlog, "stalled", stalled)
+		"queued", rpt.Queued, "latency-ratio", rpt.LatencyRatio, "long-prefill", longPrefill, "stalled", stalled)
 	return stalled
 }
