Send in a digest only what its reader has compared with older records

A front that had applied the digest of another while its own read was under way took the records of that digest for signs of life and left them out of its own digest, whose range still began before them. Fronts that had missed the first digest moved on without the draining. The same could happen to records of later pages of a listing.

Change: a digest begins where its reader had read or been told up to, and the first read after a listing is not shared.

TestDigestCoversOnlyWhatItsReaderCompared failed before the change. TestDigestHoldsWhatMatters counted on the first read being shared; it now checks the second one, as strict.

--- a/follow/digest.go
+++ b/follow/digest.go
@@ -9,7 +9,7 @@
 // Digest is what a process has learned from one read of a topic. Processes that follow the same topic send it to one
 // another, so that not each of them has to read.
 type Digest struct {
-	From    int64         // offset of the read
+	From    int64         // offset up to which the process knew all records before
 	To      int64         // offset after the last record that was read
 	Age     time.Duration // since the read was sent; the digest holds all changes made before
 	Records []Record      // the newest record of each key that matters to others
@@ -91,7 +91,10 @@
 		newest[rec.Key] = rec
 		flw.opts.OnChange(rec)
 	}
-	if flw.opts.Sharing == nil || flw.opts.Sharing.Paused() {
+	// What is read first after a listing may have been in the listing already, so that it does not seem to matter.
+	skip := flw.justListed
+	flw.justListed = false
+	if skip || flw.opts.Sharing == nil || flw.opts.Sharing.Paused() {
 		return
 	}
 	for key := range matters {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -73,6 +73,7 @@
 	next         int64      // offset of the next read
 	listed       bool       // false until the first listing and after a trim
 	inOutage     bool
+	justListed   bool               // nothing has been read since the listing
 	asOf         time.Time          // all changes before this time are known
 	readAt       time.Time          // when the next read is due
 	endLongPoll  context.CancelFunc // nil unless a long poll is in progress
@@ -140,9 +141,12 @@
 	if next < flw.next {
 		return nil // A digest of another process, received meanwhile, is newer.
 	}
+	// Records before flw.next have been applied from a digest meanwhile.
+	dig := Digest{From: flw.next, To: next, Age: flw.opts.Clock.Since(sentAt)}
+	list = list[min(int(flw.next-from), len(list)):]
 	flw.next = next
 	flw.scheduleRead(sentAt)
-	flw.applyAndShare(list, Digest{From: from, To: next, Age: flw.opts.Clock.Since(sentAt)})
+	flw.applyAndShare(list, dig)
 	return nil
 }
 
@@ -181,7 +185,7 @@
 	flw.mu.Lock()
 	defer flw.mu.Unlock()
 	flw.recordResponse()
-	flw.next, flw.listed = next, true
+	flw.next, flw.listed, flw.justListed = next, true, true
 	flw.scheduleRead(sentAt)
 	flw.opts.OnList(list)
 	return nil
