--- a/cmd/tarragonwheel/front.go
+++ b/cmd/tarragonwheel/front.go
@@ -30,7 +30,7 @@
 	limitMemory(config.FrontMemory.Of(set))
 	grp := group.New(context.WithoutCancel(ctx), "front") // The signal starts the drain; the group stops after it.
 	mts := metric.New()
-	out := logs.NewBounded(grp, std.err, func() { mts.CountEvent("log-line-dropped") })
+	out := logs.NewBounded(grp, std.out, func() { mts.CountEvent("log-line-dropped") })
 	log := logs.New(out, config.ProcessDebug.Of(set)).WithValues("process", config.ProcessName.Of(set))
 	frt, err := front.New(grp, set, timer.New(), log, mts)
 	if err != nil {
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -105,6 +105,7 @@
 	vie.DecodeTokens += sum.DecodeTokens
 	vie.KVTokens += sum.KVTokens
 	age := now.Sub(sum.receivedAt)
+	vie.SummaryAge = age
 	vie.PrefillBacklog += max(sum.PrefillBacklog-age, 0)
 	vie.SplitBacklog += max(sum.SplitBacklog-age, 0)
 	if sum.DecodeValue > 0 {
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -239,6 +239,7 @@
 	DecodeStreams  int           // streams that are decoding
 	PrefillBacklog time.Duration // predicted time until all prompts there have been prefilled
 	SplitBacklog   time.Duration // predicted time until all parts of split prompts there have been prefilled
+	SummaryAge     time.Duration // age of the Summary that is part of the view; 0 for none
 	// Calls that are known only as a Summary.
 	summarizedCalls      int
 	summarizedShortCalls int
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -105,7 +105,13 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	rig := &rig{store: &fakeStore{topics: make(map[string][][2]string)}}
+	return newRigWithStore(t, &fakeStore{topics: make(map[string][][2]string)})
+}
+
+// newRigWithStore starts a front on a store that may hold records already.
+func newRigWithStore(t *testing.T, store *fakeStore) *rig {
+	t.Helper()
+	rig := &rig{store: store}
 	rig.replica = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		rw.Header().Set("Tarragonwheel-Request-Id", req.Header.Get("Tarragonwheel-Request-Id"))
 		rw.Header().Set("Tarragonwheel-Replica-Signature", "sig")
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -15,6 +15,13 @@
 // around the target of 0.55 s, and the largest ones cover the longest prompts.
 var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .55, 1, 2, 5, 10, 30, 60, 120}
 
+// latenessBuckets are the upper bounds, in seconds, of the histogram of the error of predictions. A negative error means
+// that the first event came earlier than predicted.
+var latenessBuckets = []float64{-1, -.2, -.05, .05, .1, .2, .5, 1, 2, 5, 10}
+
+// viewAgeBuckets are the upper bounds, in seconds, of the histogram of the age of load that is known only as a summary.
+var viewAgeBuckets = []float64{.1, .25, .5, 1, 1.5, 2, 3, 4}
+
 // Set holds the metrics of one process. Each Set has its own registry, so that one test can run several processes.
 type Set struct {
 	registry   *prometheus.Registry
@@ -24,6 +31,8 @@
 	drops      *prometheus.CounterVec
 	events     *prometheus.CounterVec
 	firstToken *prometheus.HistogramVec
+	lateness   *prometheus.HistogramVec
+	viewAge    prometheus.Histogram
 }
 
 // New returns a Set in which all counters are 0.
@@ -41,7 +50,19 @@
 		Help:      "Time to first token by prompt length class.",
 		Buckets:   firstTokenBuckets,
 	}, []string{"length"})
-	reg.MustRegister(set.firstToken)
+	set.lateness = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "first_token_prediction_error_seconds",
+		Help:      "Time to first token less its prediction, by prompt length class.",
+		Buckets:   latenessBuckets,
+	}, []string{"length"})
+	set.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "load_summary_age_seconds",
+		Help:      "Age of the load of a replica in another cell when a call is placed there.",
+		Buckets:   viewAgeBuckets,
+	})
+	reg.MustRegister(set.firstToken, set.lateness, set.viewAge)
 	return set
 }
 
@@ -52,6 +73,14 @@
 	return vec
 }
 
+// ObservePredictionError records by how much, in seconds, the first token of a request was later than predicted.
+func (set *Set) ObservePredictionError(length string, seconds float64) {
+	set.lateness.WithLabelValues(length).Observe(seconds)
+}
+
+// ObserveSummaryAge records the age, in seconds, of the load on which a call was placed in another cell.
+func (set *Set) ObserveSummaryAge(seconds float64) { set.viewAge.Observe(seconds) }
+
 // CountRequest counts a finished request by outcome.
 func (set *Set) CountRequest(outcome string) { set.requests.WithLabelValues(outcome).Inc() }
 
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -28,6 +28,7 @@
 	memory   lease     // for bodies and events
 
 	placement      place.Placement // of the latest attempt
+	placedAt       time.Time       // when the placement was chosen
 	attempts       int
 	possibleRuns   int        // attempts that may have run
 	failedReplicas []string   // IDs of the replicas on which the call failed
@@ -196,7 +197,7 @@
 			hdl.failCall(reason)
 			return
 		}
-		hdl.placement = plc
+		hdl.placement, hdl.placedAt = plc, hdl.opts.Clock.Now()
 		hdl.logPlacement(&plc)
 		out := hdl.sendAttempt(&plc)
 		hdl.opts.Log.V(1).Info("relay: attempt ended", "call", hdl.cal.ID, "replica", plc.Primary.ID,
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -47,6 +47,9 @@
 		return plc, ok
 	}
 	hdl.opts.Metrics.CountEvent("placed-in-all-cells")
+	if age := wide.Primary.SummaryAge; age > 0 {
+		hdl.opts.Metrics.ObserveSummaryAge(age.Seconds())
+	}
 	return wide, true
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -154,7 +154,12 @@
 	hadMissedTarget := hdl.eventsSent > 0 && hdl.missedTarget()
 	if hdl.eventsSent == 0 {
 		hdl.firstEvent = now.Sub(hdl.cal.Arrived)
-		hdl.opts.Metrics.ObserveFirstToken(cost.Class(hdl.cal.Prompt.Tokens), hdl.firstEvent.Seconds())
+		length := cost.Class(hdl.cal.Prompt.Tokens)
+		hdl.opts.Metrics.ObserveFirstToken(length, hdl.firstEvent.Seconds())
+		if hdl.placement.FirstEvent > 0 {
+			predicted := hdl.placedAt.Sub(hdl.cal.Arrived) + hdl.placement.FirstEvent
+			hdl.opts.Metrics.ObservePredictionError(length, (hdl.firstEvent - predicted).Seconds())
+		}
 	} else {
 		hdl.longestGap = max(hdl.longestGap, now.Sub(hdl.lastEventAt))
 	}
