Probe the store as a group in an outage

Cause: in an outage each front called the store for three topics every 0.4 to 0.8 s; refused calls are charged like others.

Change: the longest backoff grows with the number of near fronts (0.1 s each, 0.4 to 1.6 s). The first front that gets an answer tells the others, which then call at once, at most every 0.3 s.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -48,6 +48,9 @@
 	ReadInterval time.Duration
 	// ResponseTimeout is added to LongPollTimeout to detect an unresponsive connection. A listing gets twice this time.
 	ResponseTimeout time.Duration
+	// MaxBackoff returns the longest backoff after a failed call; nil for a default. It may be longer where other
+	// processes tell this one that the store answers again.
+	MaxBackoff func() time.Duration
 	// OnList is called with the newest record of each key after each listing.
 	OnList func(list []Record)
 	// OnChange is called with each record that is read after the listing.
@@ -60,8 +63,8 @@
 
 // Bounds of the backoff after a failed call. Jitter adds up to the same time again.
 const (
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	minBackoff     = 50 * time.Millisecond
+	defaultBackoff = 400 * time.Millisecond // longest, if Options.MaxBackoff is nil
 )
 
 // Follower keeps track of one topic.
@@ -79,6 +82,8 @@
 	endLongPoll  context.CancelFunc // nil unless a long poll is in progress
 	behind       bool               // the next read must not wait
 	behindSince  time.Time          // when behind was last set
+	endBackoff   context.CancelFunc // nil unless the follower waits after a failed call
+	retriedAt    time.Time          // when Retry last ended a backoff
 }
 
 // Start returns a Follower that runs in grp.
@@ -106,12 +111,43 @@
 			flw.mu.Unlock()
 		default:
 			flw.recordFailure(err)
-			_ = flw.opts.Clock.Sleep(ctx, backoff+time.Duration(rand.Int63n(int64(backoff))))
-			backoff = min(2*backoff, maxBackoff)
+			flw.sleep(ctx, backoff+time.Duration(rand.Int63n(int64(backoff))))
+			backoff = min(2*backoff, flw.maxBackoff())
 		}
 	}
 }
 
+func (flw *Follower) maxBackoff() time.Duration {
+	if flw.opts.MaxBackoff == nil {
+		return defaultBackoff
+	}
+	return flw.opts.MaxBackoff()
+}
+
+// sleep returns after the delay, or earlier when Retry is called or ctx ends.
+func (flw *Follower) sleep(ctx context.Context, delay time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	flw.mu.Lock()
+	flw.endBackoff = cancel
+	flw.mu.Unlock()
+	_ = flw.opts.Clock.Sleep(ctx, delay) // The caller checks whether its context has ended.
+	flw.mu.Lock()
+	flw.endBackoff = nil
+	flw.mu.Unlock()
+}
+
+// Retry ends the backoff after a failed call, because the store is known to answer other processes.
+func (flw *Follower) Retry() {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	now := flw.opts.Clock.Now()
+	if flw.endBackoff != nil && now.Sub(flw.retriedAt) >= minCatchUpInterval {
+		flw.retriedAt = now
+		flw.endBackoff()
+	}
+}
+
 // listOrRead lists the topic if needed, and otherwise reads its next changes.
 func (flw *Follower) listOrRead(ctx context.Context) error {
 	flw.mu.Lock()
@@ -159,7 +195,7 @@
 	return flw.opts.LongPollTimeout()
 }
 
-// minCatchUpInterval limits the rate of reads to which other processes can lead by CatchUp.
+// minCatchUpInterval limits the rate of calls to which other processes can lead by CatchUp, and by Retry.
 const minCatchUpInterval = 300 * time.Millisecond
 
 // CatchUp ends a long poll and reads at once, because the store is known to hold a newer record.
--- a/front/follow.go
+++ b/front/follow.go
@@ -14,6 +14,10 @@
 	// readsPerDrainTime is the number of reads of the replicas within the drain time, after which a draining replica
 	// must get no more calls. With this value one read may fail.
 	readsPerDrainTime = 2.2
+	// Bounds of the longest backoff after a failed call to the store.
+	minStoreBackoff = 400 * time.Millisecond
+	maxStoreBackoff = 1600 * time.Millisecond
+	backoffPerFront = 100 * time.Millisecond // of the near ones
 	// maxLongPoll is the longest time that the store is asked to hold back a response.
 	maxLongPoll = 25 * time.Second
 	// pollsPerConfigTime is the number of long polls of near fronts that end within the configuration time. One that
@@ -32,15 +36,21 @@
 				frt.applyConfig(rec)
 			}
 		},
-		OnChange: frt.applyConfig,
+		OnChange:    frt.applyConfig,
+		MaxBackoff:  frt.storeBackoff,
+		OnRecovered: func(time.Duration) { frt.tellStoreAnswers() },
 	})
 	frt.replicaFollower = follow.Start(frt.group, follow.Options{
 		Name: "replicas", Clock: frt.clock, Log: frt.log, Source: frt.store.ReplicaRegistrations(),
 		ReadInterval:    time.Duration(float64(config.FrontDrainTime.Of(frt.startSettings)) / readsPerDrainTime),
 		ResponseTimeout: storeTimeout,
 		OnList:          frt.replaceRegistrations, OnChange: frt.applyRegistration,
-		Sharing:     frt.registrationSharing(),
-		OnRecovered: func(time.Duration) { frt.fleet.StoreOutageEnded() },
+		Sharing:    frt.registrationSharing(),
+		MaxBackoff: frt.storeBackoff,
+		OnRecovered: func(time.Duration) {
+			frt.fleet.StoreOutageEnded()
+			frt.tellStoreAnswers()
+		},
 	})
 	close(frt.following)
 }
@@ -86,6 +96,32 @@
 	}
 }
 
+// storeBackoff returns the longest backoff between calls to the store in an outage. The near fronts together probe it
+// about as often, whatever their number, and the first one to get an answer tells the others.
+func (frt *Front) storeBackoff() time.Duration {
+	if frt.peers == nil {
+		return minStoreBackoff
+	}
+	return min(max(time.Duration(frt.peers.LiveNear())*backoffPerFront, minStoreBackoff), maxStoreBackoff)
+}
+
+// tellStoreAnswers tells the near fronts that the store answers this one again after an outage.
+func (frt *Front) tellStoreAnswers() {
+	if frt.peers != nil {
+		frt.peers.SendStoreAnswers()
+	}
+}
+
+// retryStore calls the store at once if this front waits after a failed call.
+func (frt *Front) retryStore() {
+	select {
+	case <-frt.following:
+		frt.configFollower.Retry()
+		frt.replicaFollower.Retry()
+	default: // The front has just started and calls the store anyway.
+	}
+}
+
 // configVersion returns the version of the active configuration, 0 for none.
 func (frt *Front) configVersion() int64 {
 	if set := frt.rules.Load(); set != nil {
--- a/front/peers.go
+++ b/front/peers.go
@@ -31,6 +31,7 @@
 		Name: config.ProcessName.Of(frt.startSettings), DataCentre: config.ProcessDataCentre.Of(frt.startSettings),
 		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddCrash,
 		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer, OnDigest: frt.applyDigest,
+		OnStoreAnswers: frt.retryStore,
 	})
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -39,6 +39,14 @@
 	if size > maxDigestBytes {
 		return
 	}
+	exc.sendNear(message{Digest: wire})
+}
+
+// SendStoreAnswers tells the near peers that the store answers this process again after an outage.
+func (exc *Exchange) SendStoreAnswers() { exc.sendNear(message{StoreAnswers: true}) }
+
+// sendNear sends a message to the live near peers.
+func (exc *Exchange) sendNear(msg message) {
 	var to []*net.UDPAddr
 	exc.mu.Lock()
 	for _, per := range exc.peers {
@@ -47,7 +55,7 @@
 		}
 	}
 	exc.mu.Unlock()
-	msg := exc.signed(message{Digest: wire})
+	msg = exc.signed(msg)
 	exc.send(to, &msg)
 }
 
--- a/peers/message.go
+++ b/peers/message.go
@@ -23,6 +23,7 @@
 	Summaries     []replicaSummary `cbor:"8,keyasint,omitempty"` // of replicas in the sender's cell
 	Live          int              `cbor:"9,keyasint,omitempty"` // processes in the sender's data centre
 	Digest        *storeDigest     `cbor:"10,keyasint,omitempty"`
+	StoreAnswers  bool             `cbor:"11,keyasint,omitempty"` // again, after an outage
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -55,6 +55,8 @@
 	OnConfigVersion func(version int64)
 	// OnDigest is called with the changes that a peer has read in the store; nil for none.
 	OnDigest func(topic string, dig follow.Digest)
+	// OnStoreAnswers is called when the store answers a peer again after an outage; nil for none.
+	OnStoreAnswers func()
 	// OnCrash is called with the fingerprint of a call at whose start a replica closed the connection to another
 	// process.
 	OnCrash func(fingerprint uint64)
@@ -249,6 +251,9 @@
 	if exc.opts.OnDigest != nil && msg.Digest != nil {
 		exc.opts.OnDigest(msg.Digest.Topic, msg.Digest.toDigest())
 	}
+	if exc.opts.OnStoreAnswers != nil && msg.StoreAnswers {
+		exc.opts.OnStoreAnswers()
+	}
 	exc.applySummaries(msg)
 	tasks := make([]fleet.RemoteTask, 0, len(msg.Tasks)+len(msg.Progress))
 	for idx := range msg.Tasks {
