Refuse a handshake with a nonce of the wrong length; name log keys after what they hold

verifyProof refused only if both nonces had the wrong length. The verifier's own nonce is fresh in any case, so no recorded proof could be used.

Log keys of calls: prompt-tokens, first-event, longest-gap, predicted-first-event, decode-streams, prefill-backlog, failure-rate, position, short-replicas in place of tokens, first, gap, expected, writers, unread, risk, rank, short-ranks.

--- a/link/auth.go
+++ b/link/auth.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	if len(proverNonce) != nonceBytes && len(verifierNonce) != nonceBytes || !hmac.Equal(want, got) {
+	if len(proverNonce) != nonceBytes || len(verifierNonce) != nonceBytes || !hmac.Equal(want, got) {
 		return trace.AccessDenied("the peer does not know the deployment's secret")
 	}
 	return nil
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -121,9 +121,10 @@
 	}
 	vie := &plc.Primary
 	hdl.opts.Log.V(1).Info("relay: call placed", "call", hdl.cal.ID, "replica", vie.ID, "helpers", helpers,
-		"tokens", hdl.cal.Prompt.Tokens, "read", plc.PrefillTime, "expected", plc.FirstEvent,
-		"writers", vie.DecodeStreams, "unread", vie.PrefillBacklog, "ahead", vie.SplitBacklog,
-		"memory", vie.KVTokens, "works", len(vie.Tasks), "risk", vie.FailureRate)
+		"prompt-tokens", hdl.cal.Prompt.Tokens, "prefill", plc.PrefillTime, "predicted-first-event", plc.FirstEvent,
+		"decode-streams", vie.DecodeStreams, "prefill-backlog", vie.PrefillBacklog,
+		"parts-backlog", vie.SplitBacklog, "kv-tokens", vie.KVTokens, "calls", vie.Calls(),
+		"failure-rate", vie.FailureRate, "summary-age", vie.SummaryAge)
 }
 
 // waitingSince returns when the client began to wait for the next event.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -136,11 +136,13 @@
 // recordEnd counts and logs a finished call. The status is 0 if no complete response was sent.
 func (hdl *callHandler) recordEnd(status int, reason string) {
 	hdl.opts.Metrics.CountRequest(reason)
+	plc := &hdl.placement
 	hdl.opts.Log.Info("relay: call ended", "call", hdl.cal.ID, "status", status, "reason", reason,
 		"took", hdl.opts.Clock.Since(hdl.cal.Arrived), "attempts", hdl.attempts, "events", hdl.eventsSent,
-		"tokens", hdl.cal.Prompt.Tokens, "first", hdl.firstEvent, "gap", hdl.longestGap,
-		"replica", hdl.placement.Primary.ID, "rank", hdl.placement.Primary.Position,
-		"parts", len(hdl.placement.Helpers)+1, "expected", hdl.placement.FirstEvent,
-		"writers", hdl.placement.Primary.DecodeStreams, "unread", hdl.placement.Primary.PrefillBacklog,
-		"risk", hdl.placement.Primary.FailureRate, "short-ranks", hdl.placement.ShortReplicas)
+		"prompt-tokens", hdl.cal.Prompt.Tokens, "first-event", hdl.firstEvent, "longest-gap", hdl.longestGap,
+		"replica", plc.Primary.ID, "cell", plc.Primary.Cell, "position", plc.Primary.Position,
+		"parts", len(plc.Helpers)+1, "predicted-first-event", plc.FirstEvent,
+		"decode-streams", plc.Primary.DecodeStreams, "prefill-backlog", plc.Primary.PrefillBacklog,
+		"failure-rate", plc.Primary.FailureRate, "short-replicas", plc.ShortReplicas,
+		"summary-age", plc.Primary.SummaryAge)
 }
