Let the own long poll return a new configuration before catching up

Cause: a datagram of a peer with a newer version ended the long poll that was about to return that version, so that each change cost two calls more. Change: a front catches up only if it is still behind after a sixteenth of the configuration time.

--- a/front/follow.go
+++ b/front/follow.go
@@ -14,6 +14,9 @@
 	// readsPerDrainTime is the number of reads of the replicas within the drain time, after which a draining replica
 	// must get no more calls. With this value one read may fail.
 	readsPerDrainTime = 2.2
+	// catchUpShare is the divisor of the configuration time that gives the time within which a long poll is expected to
+	// return a version that a peer has.
+	catchUpShare = 16
 	// Bounds of the longest backoff after a failed call to the store.
 	minStoreBackoff = 400 * time.Millisecond
 	maxStoreBackoff = 1600 * time.Millisecond
@@ -130,16 +133,24 @@
 	return 0
 }
 
-// catchUpWithPeer reads the configuration at once if a peer has a newer version.
+// catchUpWithPeer reads the configuration if a peer has a newer version and this front's own long poll does not return it
+// soon, as it does unless its connection is dead.
 func (frt *Front) catchUpWithPeer(version int64) {
 	select {
 	case <-frt.following:
 	default:
 		return // The front has just started, and is going to list the topic itself.
 	}
-	if version > frt.configVersion() {
-		frt.configFollower.CatchUp()
+	if version <= frt.configVersion() || frt.catchingUp.Swap(true) {
+		return
 	}
+	delay := config.FrontConfigTime.Of(frt.startSettings) / catchUpShare
+	frt.clock.After(delay, func() {
+		frt.catchingUp.Store(false)
+		if version > frt.configVersion() {
+			frt.configFollower.CatchUp()
+		}
+	})
 }
 
 // applyConfig makes a configuration the active one if its version is higher than that of the active one.
--- a/front/front.go
+++ b/front/front.go
@@ -61,6 +61,7 @@
 	following       chan struct{}
 	configFollower  *follow.Follower
 	replicaFollower *follow.Follower
+	catchingUp      atomic.Bool // a check is due whether this front has the version of a peer
 	rules           atomic.Pointer[rules.Set]
 	replicasKnown   atomic.Bool // the list of replicas has been read at least once
 	draining        atomic.Bool
