--- a/soak/phases.go
+++ b/soak/phases.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fault"
+	"github.com/tarragonwheel/tarragonwheel/platform/plsim"
 )
 
 // runPlannedPhase waits until the last faults have settled and then makes planned changes only: a new configuration, a
@@ -70,7 +71,7 @@
 func (sok *Soak) injectFault(remaining time.Duration) {
 	frt := sok.fronts[sok.rnd.IntN(len(sok.fronts))]
 	dur := min(time.Duration(200+sok.rnd.IntN(2000))*time.Millisecond, max(remaining, 0))
-	switch sok.rnd.IntN(11) {
+	switch sok.rnd.IntN(13) {
 	case 0, 1:
 		sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[sok.rnd.IntN(2)]
 		go sok.restart(frt, sig)
@@ -95,9 +96,20 @@
 		sok.publishConfig()
 	case 10:
 		sok.drainReplica()
+	case 11, 12:
+		sok.disturbReplica(dur)
 	}
 }
 
+// disturbReplica makes a replica refuse calls, send bytes without end, or stall its streams for the given time.
+func (sok *Soak) disturbReplica(dur time.Duration) {
+	sok.mu.Lock()
+	rep := sok.live[sok.rnd.IntN(len(sok.live))].server
+	sok.mu.Unlock()
+	rep.SetMode([]plsim.Mode{plsim.ModeRefuse, plsim.ModeEndless, plsim.ModeStall}[sok.rnd.IntN(3)])
+	time.AfterFunc(dur, func() { rep.SetMode(plsim.ModeSound) })
+}
+
 // disturbRoute injects one random network fault into a proxy route for the given time: connections are reset, lose or
 // hold bytes in one direction, freeze in both, or are slow and lossy.
 func (sok *Soak) disturbRoute(rte *fault.Route, dur time.Duration) {
