Name the memory that calls hold after what it is, and wrap long lines

A call's share of the buffers, the start of the front's followers and what each datagram carries have clearer names. The body of another call's response is skipped up to 256 KiB (before 1 MiB).

--- a/cmd/frontmodel/main.go
+++ b/cmd/frontmodel/main.go
@@ -54,7 +54,8 @@
 	plt.Legend.Top, plt.Legend.Left = true, true
 	plt.X.Label.Text, plt.Y.Label.Text = "fronts", "95th percentile in s"
 	var lines []any
-	fmt.Println("delay     fronts  short calls: refused  missed  error p50  error p95   long calls: refused  missed  first event")
+	fmt.Println("delay     fronts  short calls: refused  missed  error p50  error p95 " +
+		"  long calls: refused  missed  first event")
 	for _, delay := range args.Delays {
 		var points plotter.XYs
 		for _, num := range args.Fronts {
--- a/fleet/backlog.go
+++ b/fleet/backlog.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// overdueShare is the share of its prefill time that a whole prompt is assumed to still take after it should have ended:
-// that it has not shows that the replica is slower than predicted.
+// overdueShare is the share of its prefill time that a whole prompt is assumed to still take after it should have
+// ended: that it has not shows that the replica is slower than predicted.
 const overdueShare = 0.25
 
 // prefillQueue predicts how far a replica is with the prompts that it was given. It prefills parts of split prompts
@@ -67,8 +67,8 @@
 	que.whole = append(que.whole, idx)
 }
 
-// addWaitingTimes adds to the prefill time that is left for each task what goes before it. It returns the total, and the
-// total of the parts.
+// addWaitingTimes adds to the prefill time that is left for each task what goes before it. It returns the total, and
+// the total of the parts.
 func (que *prefillQueue) addWaitingTimes() (all, parts time.Duration) {
 	for _, idx := range slices.Backward(que.parts) {
 		parts += que.tasks[idx].PrefillLeft
@@ -82,8 +82,8 @@
 	return all, parts
 }
 
-// predictPrefill sets the time after which each task is predicted to be prefilled. It returns the time until all of them
-// are, and until all parts of split prompts are. It sorts the tasks by their start.
+// predictPrefill sets the time after which each task is predicted to be prefilled. It returns the time until all of
+// them are, and until all parts of split prompts are. It sorts the tasks by their start.
 func predictPrefill(tasks []Task, now time.Time) (all, parts time.Duration) {
 	slices.SortFunc(tasks, func(one, two Task) int { return one.StartedAt.Compare(two.StartedAt) })
 	que := prefillQueue{tasks: tasks}
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -83,7 +83,7 @@
 func (ltk *LocalTask) update(fn func(tsk *Task)) {
 	set := ltk.replica.set
 	set.mu.Lock()
-	ltk.replica.noteEnd(ltk.task)
+	ltk.replica.recordLongPrefillEnd(ltk.task)
 	fn(ltk.task)
 	tsk := *ltk.task
 	set.mu.Unlock()
@@ -94,15 +94,15 @@
 func (ltk *LocalTask) End() {
 	set := ltk.replica.set
 	set.mu.Lock()
-	ltk.replica.noteEnd(ltk.task)
+	ltk.replica.recordLongPrefillEnd(ltk.task)
 	delete(ltk.replica.localTasks, ltk.task.ID)
 	tsk := *ltk.task
 	set.mu.Unlock()
 	ltk.notify(tsk, true)
 }
 
-// noteEnd records that a task is about to end or to change. The caller holds the lock.
-func (rep *Replica) noteEnd(tsk *Task) {
+// recordLongPrefillEnd records that a task is about to end or to change. The caller holds the lock.
+func (rep *Replica) recordLongPrefillEnd(tsk *Task) {
 	if tsk.isLongPrefill() {
 		rep.longPrefillAt = rep.set.clock.Now()
 	}
@@ -155,7 +155,7 @@
 	}
 	old := tasks[rem.Task.ID]
 	if old != nil {
-		rep.noteEnd(old)
+		rep.recordLongPrefillEnd(old)
 	}
 	if rem.Ended {
 		delete(tasks, rem.Task.ID)
--- a/front/follow.go
+++ b/front/follow.go
@@ -133,8 +133,8 @@
 	return 0
 }
 
-// catchUpWithPeer reads the configuration if a peer has a newer version and this front's own long poll does not return it
-// soon, as it does unless its connection is dead.
+// catchUpWithPeer reads the configuration if a peer has a newer version and this front's own long poll does not return
+// it soon, as it does unless its connection is dead.
 func (frt *Front) catchUpWithPeer(version int64) {
 	select {
 	case <-frt.following:
--- a/front/front.go
+++ b/front/front.go
@@ -45,20 +45,19 @@
 
 // Front is a running front.
 type Front struct {
-	group         *group.Group
-	clock         *timer.Service
-	log           logr.Logger
-	startSettings *config.Settings                // from the start of the process
-	settings      atomic.Pointer[config.Settings] // reloaded from the file
-	metrics       *metric.Set
-	fleet         *fleet.Fleet
-	relay         *relay.Relay
-	pool          *pool.Pool
-	store         *platform.Store
-	crashes       *relay.CrashTracker
-	peers         *peers.Exchange // nil if no address for the exchange is configured
-	// following is closed when the followers have been set.
-	following       chan struct{}
+	group           *group.Group
+	clock           *timer.Service
+	log             logr.Logger
+	startSettings   *config.Settings                // from the start of the process
+	settings        atomic.Pointer[config.Settings] // reloaded from the file
+	metrics         *metric.Set
+	fleet           *fleet.Fleet
+	relay           *relay.Relay
+	pool            *pool.Pool
+	store           *platform.Store
+	crashes         *relay.CrashTracker
+	peers           *peers.Exchange // nil if no address for the exchange is configured
+	following       chan struct{}   // closed when the followers have been set
 	configFollower  *follow.Follower
 	replicaFollower *follow.Follower
 	catchingUp      atomic.Bool // a check is due whether this front has the version of a peer
@@ -74,8 +73,10 @@
 func New(
 	grp *group.Group, set *config.Settings, clk *timer.Service, log logr.Logger, mts *metric.Set,
 ) (*Front, error) {
-	frt := &Front{group: grp, clock: clk, log: log, startSettings: set, metrics: mts, started: clk.Now()}
-	frt.following = make(chan struct{})
+	frt := &Front{
+		group: grp, clock: clk, log: log, startSettings: set, metrics: mts, started: clk.Now(),
+		following: make(chan struct{}),
+	}
 	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
 	frt.fleet = fleet.New(clk, log, frt.pool.CloseIdle)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -15,8 +15,8 @@
 // around the target of 0.55 s, and the largest ones cover the longest prompts.
 var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .55, 1, 2, 5, 10, 30, 60, 120}
 
-// latenessBuckets are the upper bounds, in seconds, of the histogram of the error of predictions. A negative error means
-// that the first event came earlier than predicted.
+// latenessBuckets are the upper bounds, in seconds, of the histogram of the error of predictions. A negative error
+// means that the first event came earlier than predicted.
 var latenessBuckets = []float64{-1, -.2, -.05, .05, .1, .2, .5, 1, 2, 5, 10}
 
 // viewAgeBuckets are the upper bounds, in seconds, of the histogram of the age of load that is known only as a summary.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -30,8 +30,8 @@
 	iis.True(late.MissedShare > soon.MissedShare)
 }
 
-// TestOneFrontKnowsItsLoad guards against a model whose engine differs from what placement predicts: one front knows all
-// tasks, so that its predictions for short calls hold.
+// TestOneFrontKnowsItsLoad guards against a model whose engine differs from what placement predicts: one front knows
+// all tasks, so that its predictions for short calls hold.
 func TestOneFrontKnowsItsLoad(t *testing.T) {
 	iis := is.New(t)
 	opts := model.DefaultOptions()
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -55,7 +55,7 @@
 		}
 	}
 	exc.mu.Unlock()
-	msg = exc.signed(msg)
+	msg = exc.withSender(msg)
 	exc.send(to, &msg)
 }
 
--- a/peers/send.go
+++ b/peers/send.go
@@ -79,8 +79,8 @@
 	return out
 }
 
-// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. Recent crashes
-// go to all peers. With greetAll, all peers get a message, even one without tasks.
+// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. Recent
+// crashes go to all peers. With greetAll, all peers get a message, even one without tasks.
 func (exc *Exchange) sendFullUpdate(greetAll bool) {
 	exc.mu.Lock()
 	to := exc.audiences(func(*peer) bool { return true })
@@ -110,13 +110,13 @@
 	if len(to) == 0 {
 		return
 	}
-	for _, part := range splitMessage(exc.signed(msg), tasks, exc.opts.Clock.Now()) {
+	for _, part := range splitMessage(exc.withSender(msg), tasks, exc.opts.Clock.Now()) {
 		exc.send(to, &part)
 	}
 }
 
-// signed adds what each message carries.
-func (exc *Exchange) signed(msg message) message {
+// withSender returns the message with the run of this process and the version of its configuration.
+func (exc *Exchange) withSender(msg message) message {
 	msg.RunID = exc.runID
 	if exc.opts.ConfigVersion != nil {
 		msg.ConfigVersion = exc.opts.ConfigVersion()
--- a/peers/summary.go
+++ b/peers/summary.go
@@ -45,7 +45,7 @@
 	list := exc.opts.Fleet.Summaries(exc.opts.DataCentre)
 	for len(list) > 0 {
 		num := min(len(list), maxSummariesPerMessage)
-		msg := exc.signed(exc.greeting(nil))
+		msg := exc.withSender(exc.greeting(nil))
 		msg.Live = live
 		for idx := range list[:num] {
 			msg.Summaries = append(msg.Summaries, toReplicaSummary(&list[idx]))
--- a/place/penalty.go
+++ b/place/penalty.go
@@ -4,8 +4,8 @@
 
 // Penalties by which placements are compared, as shares of the value of the call unless stated otherwise.
 const (
-	// PartValueShare is the share of a call's value that counts for each of its parts: a delay of any of them delays the
-	// whole call, but one call often delays several.
+	// PartValueShare is the share of a call's value that counts for each of its parts: a delay of any of them delays
+	// the whole call, but one call often delays several.
 	PartValueShare = 0.7
 
 	valueTokens = 10000 // tokens that double the value of a very short prompt
@@ -32,8 +32,8 @@
 	deferPenalty = 0.5
 	// elsewherePenalty is the penalty above which a call is also considered for other cells.
 	elsewherePenalty = 0.35
-	// delayPenalty is lost when the first event of another call is delayed by its whole latency target, and in proportion
-	// when it is delayed by less.
+	// delayPenalty is lost when the first event of another call is delayed by its whole latency target, and in
+	// proportion when it is delayed by less.
 	delayPenalty = 1.0
 	// overduePenalty is multiplied by the time that the first event takes beyond the latency target, as a ratio of the
 	// target.
--- a/place/predict.go
+++ b/place/predict.go
@@ -45,8 +45,8 @@
 	helperPart              // it prefills a part for the primary replica
 )
 
-// predictFirstEvent returns the predicted time to the first event if the replica has the given role and prefills for the
-// given time. An engine prefills a new part before all that waits there.
+// predictFirstEvent returns the predicted time to the first event if the replica has the given role and prefills for
+// the given time. An engine prefills a new part before all that waits there.
 func (dec *decision) predictFirstEvent(idx int, prefill time.Duration, rol role) time.Duration {
 	vie := &dec.views[idx]
 	if rol == wholePrompt {
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -8,8 +8,8 @@
 
 // Limits of what is read of a response before its body, in bytes.
 const (
-	maxHeadBytes    = 64 << 10 // status line and headers
-	maxSkippedBytes = 1 << 20  // body of the response of another call
+	maxHeadBytes    = 64 << 10  // status line and headers
+	maxSkippedBytes = 256 << 10 // body of the response of another call
 )
 
 // Errors of replicas that send bytes that are no response.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -201,8 +201,8 @@
 
 // ReadResponse reads the header of the response to the call that was sent. The function isOurs reports whether a
 // response belongs to that call; other responses are read and dropped. It returns ErrMismatchedResponse if none of the
-// first maxResponses belongs to the call, an error that wraps ErrTooLong or ErrMalformed if the replica sends bytes that
-// are no response, and a trace.ConnectionProblem error if the connection ends first.
+// first maxResponses belongs to the call, an error that wraps ErrTooLong or ErrMalformed if the replica sends bytes
+// that are no response, and a trace.ConnectionProblem error if the connection ends first.
 func (con *Conn) ReadResponse(method string, isOurs func(res *http.Response) bool) (*http.Response, error) {
 	const maxResponses = 3
 	req := &http.Request{Method: method}
@@ -233,7 +233,8 @@
 	switch {
 	case errors.Is(err, ErrTooLong):
 		return fmt.Errorf("pool: receive header: %w", err)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &netErr):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
+		errors.As(err, &netErr):
 		return fmt.Errorf("pool: receive: %w", trace.ConnectionProblem(err, "replica %s", con.replica))
 	}
 	return fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -32,32 +32,32 @@
 	return &buffers{limit: limit}
 }
 
-// lease is the memory that one call holds. It is used by one goroutine at a time.
-type lease struct {
+// callBuffers is the memory that one call holds. It is used by one goroutine at a time.
+type callBuffers struct {
 	buffers *buffers
 	held    int64
 }
 
 // take takes memory for the call, or returns errBuffersFull.
-func (lea *lease) take(num int64) error {
-	if lea.buffers.used.Add(num) > lea.buffers.limit {
-		lea.buffers.used.Add(-num)
+func (cbf *callBuffers) take(num int64) error {
+	if cbf.buffers.used.Add(num) > cbf.buffers.limit {
+		cbf.buffers.used.Add(-num)
 		return errBuffersFull
 	}
-	lea.held += num
+	cbf.held += num
 	return nil
 }
 
 // release gives back all memory that the call holds.
-func (lea *lease) release() {
-	lea.buffers.used.Add(-lea.held)
-	lea.held = 0
+func (cbf *callBuffers) release() {
+	cbf.buffers.used.Add(-cbf.held)
+	cbf.held = 0
 }
 
 // readAll reads a body of at most the given size. It returns errTooLarge if the body is longer, and errBuffersFull if
 // there is no memory for it.
-func (lea *lease) readAll(src io.Reader, maxBytes int64) ([]byte, error) {
-	if err := lea.take(firstBufferBytes); err != nil {
+func (cbf *callBuffers) readAll(src io.Reader, maxBytes int64) ([]byte, error) {
+	if err := cbf.take(firstBufferBytes); err != nil {
 		return nil, err
 	}
 	body := make([]byte, 0, firstBufferBytes)
@@ -72,7 +72,7 @@
 		case err != nil:
 			return nil, err //nolint:wrapcheck // Callers tell the errors of the source apart.
 		case len(body) == cap(body):
-			if err := lea.take(int64(cap(body))); err != nil {
+			if err := cbf.take(int64(cap(body))); err != nil {
 				return nil, err
 			}
 			body = append(make([]byte, 0, 2*cap(body)), body...)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -24,8 +24,8 @@
 	rte      *rules.Route
 	service  string
 	account  string
-	deadline time.Time // by which the client must have its response
-	memory   lease     // for bodies and events
+	deadline time.Time   // by which the client must have its response
+	buffers  callBuffers // for bodies and events
 
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
@@ -156,7 +156,7 @@
 	if maxBytes <= 0 {
 		maxBytes = noBodyLimit
 	}
-	body, err := hdl.memory.readAll(req.Body, maxBytes)
+	body, err := hdl.buffers.readAll(req.Body, maxBytes)
 	switch {
 	case errors.Is(err, errTooLarge):
 		hdl.rw.Header().Set("Connection", "close")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,8 +103,10 @@
 func (rly *Relay) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	rly.inFlight.Add(1)
 	defer rly.inFlight.Done()
-	hdl := &callHandler{relay: rly, opts: &rly.opts, rw: rw, ctx: req.Context(), memory: lease{buffers: rly.buffers}}
-	defer hdl.memory.release()
+	hdl := &callHandler{
+		relay: rly, opts: &rly.opts, rw: rw, ctx: req.Context(), buffers: callBuffers{buffers: rly.buffers},
+	}
+	defer hdl.buffers.release()
 	hdl.cal = rly.opts.Codec.ReadCall(req, rly.opts.Clock.Now())
 	if rly.closeConnections.Load() {
 		rw.Header().Set("Connection", "close")
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -27,9 +27,9 @@
 	Queued       int     // calls that wait for a slot
 }
 
-// stallWatch ends an attempt at a stream that has stalled: its replica lives, or at least its connection does, but sends
-// no events, though perhaps single bytes or comments. A stream that is slow because its replica is busy or slow is left
-// alone.
+// stallWatch ends an attempt at a stream that has stalled: its replica lives, or at least its connection does, but
+// sends no events, though perhaps single bytes or comments. A stream that is slow because its replica is busy or slow
+// is left alone.
 type stallWatch struct {
 	att     *attempt
 	limit   time.Duration // without an event, after which the stream is examined
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -38,8 +38,8 @@
 	return rig
 }
 
-// pausedStream returns a handler that sends events 1 and 2, then comments for the given time, then events 3 to 5. If the
-// caller resumes after event 2, it sends events 3 to 5 at once.
+// pausedStream returns a handler that sends events 1 and 2, then comments for the given time, then events 3 to 5. If
+// the caller resumes after event 2, it sends events 3 to 5 at once.
 func pausedStream(pause time.Duration) handler {
 	return func(con net.Conn, req request) bool {
 		if req.Header.Get("Last-Event-Id") != "" {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,10 +29,10 @@
 
 // eventReader splits a stream into events. It never returns an incomplete event.
 type eventReader struct {
-	reader *bufio.Reader
-	buf    []byte
-	memory *lease
-	taken  int // of the memory, in bytes
+	reader  *bufio.Reader
+	buf     []byte
+	buffers *callBuffers
+	taken   int // of the memory, in bytes
 }
 
 var errEventTooLong = errors.New("relay: stream event is too long")
@@ -78,7 +78,7 @@
 	if size <= smallEventBytes || size <= evr.taken {
 		return nil
 	}
-	if err := evr.memory.take(int64(size)); err != nil {
+	if err := evr.buffers.take(int64(size)); err != nil {
 		return err
 	}
 	evr.taken += size
@@ -91,7 +91,7 @@
 	if defect := att.replyDefect(rep); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
-	evr := &eventReader{reader: bufio.NewReader(res.Body), memory: &att.hdl.memory}
+	evr := &eventReader{reader: bufio.NewReader(res.Body), buffers: &att.hdl.buffers}
 	for {
 		evt, err := evr.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
