Let calls to plain services leave a busy cell

A placement on a plain service had no penalty, so that its call never looked at other cells. TestBusyServiceLooksElsewhere failed before.

--- a/place/service.go
+++ b/place/service.go
@@ -23,7 +23,7 @@
 	if best < 0 {
 		return Placement{}, false
 	}
-	return Placement{Primary: views[best], Value: 1}, true
+	return Placement{Primary: views[best], Value: 1, Penalty: least}, true
 }
 
 // servicePenalty returns the penalty for placing a call on a replica of a plain service.
--- a/place/split_test.go
+++ b/place/split_test.go
@@ -46,3 +46,19 @@
 	iis.True(len(pln.Helpers) > 0)
 	iis.True(pln.FirstEvent < time.Second)
 }
+
+// TestBusyServiceLooksElsewhere guards against calls to a plain service that queue in their cell while other cells are
+// idle.
+func TestBusyServiceLooksElsewhere(t *testing.T) {
+	iis := is.New(t)
+	list := views(3)
+	pln, ok := place.OnService(shortRequest(), list)
+	iis.True(ok)
+	iis.True(!pln.ShouldLookElsewhere())
+	for idx := range list {
+		addDecodeStreams(&list[idx], 18) // two more than slots
+	}
+	pln, ok = place.OnService(shortRequest(), list)
+	iis.True(ok)
+	iis.True(pln.ShouldLookElsewhere())
+}
