--- a/metric/metric.go
+++ b/metric/metric.go
@@ -44,28 +44,29 @@
 	set.retries = newCounter(reg, "retries_total", "Retried attempts by reason code.", "reason")
 	set.drops = newCounter(reg, "dropped_frames_total", "Frames dropped by reason.", "reason")
 	set.events = newCounter(reg, "events_total", "Other events by kind.", "kind")
-	set.firstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "first_token_seconds",
-		Help:      "Time to first token by prompt length class.",
-		Buckets:   firstTokenBuckets,
-	}, []string{"length"})
-	set.lateness = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "first_token_prediction_error_seconds",
-		Help:      "Time to first token less its prediction, by prompt length class.",
-		Buckets:   latenessBuckets,
-	}, []string{"length"})
+	set.firstToken = newHistogram(reg, "first_token_seconds", "Time to first token by prompt length class.", "length",
+		firstTokenBuckets)
+	set.lateness = newHistogram(reg, "first_token_prediction_error_seconds",
+		"Time to first token less its prediction, by prompt length class.", "length", latenessBuckets)
 	set.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace,
 		Name:      "load_summary_age_seconds",
 		Help:      "Age of the load of a replica in another cell when a call is placed there.",
 		Buckets:   viewAgeBuckets,
 	})
-	reg.MustRegister(set.firstToken, set.lateness, set.viewAge)
+	reg.MustRegister(set.viewAge)
 	return set
 }
 
+func newHistogram(
+	reg *prometheus.Registry, name, help, label string, buckets []float64,
+) *prometheus.HistogramVec {
+	opts := prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}
+	vec := prometheus.NewHistogramVec(opts, []string{label})
+	reg.MustRegister(vec)
+	return vec
+}
+
 func newCounter(reg *prometheus.Registry, name, help, label string) *prometheus.CounterVec {
 	opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
 	vec := prometheus.NewCounterVec(opts, []string{label})
