Bound the summaries of a cell by the number of its fronts alone

Each cell sent the load of all its 600 replicas to all other fronts each second; the busiest front sent 894 kB a second.

Change: a message holds 40 replicas, others each time. Of other cells, a call looks at 16 replicas whose load is known. TestSummariesDoNotGrowWithTheFleet and the extended TestWiderViewsDiffer show it. Cells of up to 40 replicas send what they did.

--- a/fleet/backlog_test.go
+++ b/fleet/backlog_test.go
@@ -61,6 +61,8 @@
 	flt, _, _ := newFleet()
 	addReplicas(flt, "own", 30)
 	addReplicas(flt, "other", 90)
+	addReplicas(flt, "unheard", 90)
+	flt.ApplySummaries(flt.Summaries("other"))
 	elsewhere := make(map[string]int)
 	for range 50 {
 		own := 0
@@ -69,6 +71,7 @@
 				own++
 				continue
 			}
+			iis.Equal(vie.Cell, "other") // Nothing is known of the load of the others.
 			elsewhere[vie.ID]++
 		}
 		iis.Equal(own, 30)
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -52,7 +52,7 @@
 
 // Views returns a view of each replica of the service that is not draining.
 func (set *ReplicaSet) Views() []View {
-	return set.viewsIf(func(string) bool { return true })
+	return set.viewsIf(func(string, *Replica) bool { return true })
 }
 
 // CellViews returns a view of each replica that is not draining in the cell of a data centre. It also reports whether
@@ -61,7 +61,7 @@
 	set.mu.Lock()
 	own := set.cellLocked(dataCentre)
 	set.mu.Unlock()
-	list = set.viewsIf(func(cell string) bool {
+	list = set.viewsIf(func(cell string, _ *Replica) bool {
 		hasMore = hasMore || cell != own
 		return cell == own
 	})
@@ -70,19 +70,45 @@
 
 // WiderViews returns a view of each replica in the cell of a data centre and of some in other cells, chosen at random.
 // The processes of a cell know those only by summaries. If they all considered all of them, they would choose the same
-// few in the time between two summaries.
+// few in the time between two summaries. Replicas elsewhere whose load is not known are left out, unless there are no
+// others.
 func (set *ReplicaSet) WiderViews(dataCentre string) []View {
 	set.mu.Lock()
-	own, total := set.cellLocked(dataCentre), len(set.replicas)
+	own := set.cellLocked(dataCentre)
+	chosen := set.sampleElsewhereLocked(own)
 	set.mu.Unlock()
-	return set.viewsIf(func(cell string) bool { return cell == own || rand.IntN(total) < elsewhereSample })
+	return set.viewsIf(func(cell string, rep *Replica) bool { return cell == own || chosen[rep] })
+}
+
+// sampleElsewhereLocked returns some replicas outside a cell, chosen at random. The caller holds the lock.
+func (set *ReplicaSet) sampleElsewhereLocked(own string) map[*Replica]bool {
+	now := set.clock.Now()
+	var known, unknown []*Replica
+	for _, rep := range set.replicas {
+		switch cell := set.cellLocked(rep.reg.DataCentre); {
+		case cell == own || rep.reg.Draining:
+		case cell == commonCell || rep.summary.fresh(now):
+			known = append(known, rep)
+		default:
+			unknown = append(unknown, rep)
+		}
+	}
+	if len(known) == 0 {
+		known = unknown
+	}
+	rand.Shuffle(len(known), func(one, two int) { known[one], known[two] = known[two], known[one] })
+	chosen := make(map[*Replica]bool, elsewhereSample)
+	for _, rep := range known[:min(len(known), elsewhereSample)] {
+		chosen[rep] = true
+	}
+	return chosen
 }
 
-// elsewhereSample is the number of replicas in other cells, on average, that WiderViews returns.
+// elsewhereSample is the number of replicas in other cells that WiderViews returns at most.
 const elsewhereSample = 16
 
-// viewsIf returns a view of each replica that is not draining and whose cell is accepted by the function.
-func (set *ReplicaSet) viewsIf(accept func(cell string) bool) []View {
+// viewsIf returns a view of each replica that is not draining and that the function accepts.
+func (set *ReplicaSet) viewsIf(accept func(cell string, rep *Replica) bool) []View {
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	now := set.clock.Now()
@@ -92,7 +118,7 @@
 			continue
 		}
 		cell := set.cellLocked(rep.reg.DataCentre)
-		if !accept(cell) {
+		if !accept(cell, rep) {
 			continue
 		}
 		vie := rep.view(position, now)
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -33,7 +33,9 @@
 func (flt *Fleet) Summaries(dataCentre string) []Summary {
 	var list []Summary
 	for _, set := range flt.allReplicaSets() {
-		for _, vie := range set.viewsIf(func(cell string) bool { return cell != commonCell && cell == dataCentre }) {
+		for _, vie := range set.viewsIf(func(cell string, _ *Replica) bool {
+			return cell != commonCell && cell == dataCentre
+		}) {
 			list = append(list, vie.summary(set.clock.Now()))
 		}
 	}
@@ -105,7 +107,7 @@
 	vie.DecodeTokens += sum.DecodeTokens
 	vie.KVTokens += sum.KVTokens
 	age := now.Sub(sum.receivedAt)
-	vie.SummaryAge = age
+	vie.SummaryAge = max(age, 1) // 0 stands for none.
 	vie.PrefillBacklog += max(sum.PrefillBacklog-age, 0)
 	vie.SplitBacklog += max(sum.SplitBacklog-age, 0)
 	if sum.DecodeValue > 0 {
--- a/peers/cell_test.go
+++ b/peers/cell_test.go
@@ -64,3 +64,31 @@
 		waitFor(t, func() bool { _, vie := prc.replicaIn("b"); return len(vie.Tasks) == 1 })
 	}
 }
+
+// TestSummariesDoNotGrowWithTheFleet guards against bytes between data centres that grow with the number of replicas
+// times the number of processes.
+func TestSummariesDoNotGrowWithTheFleet(t *testing.T) {
+	iis := is.New(t)
+	one, other := startInCell(t, "one", "a"), startInCell(t, "other", "b")
+	for _, prc := range []*process{one, other} {
+		for idx := range 200 {
+			prc.flt.UpdateRegistration(fleet.Registration{
+				ID: fmt.Sprint("more-", idx), Service: "s", Address: "10.0.0.1:80", DataCentre: "a",
+				Slots: 4, Sequence: 1,
+			})
+		}
+	}
+	one.exc.AddPeer(other.addr)
+	known := func() (num int) {
+		list, _ := other.flt.ReplicaSet("s").CellViews("a")
+		for _, vie := range list {
+			if vie.SummaryAge > 0 {
+				num++
+			}
+		}
+		return num
+	}
+	waitFor(t, func() bool { return known() > 0 })
+	iis.True(known() <= 40) // in the first message
+	waitFor(t, func() bool { return known() > 80 })
+}
--- a/peers/summary.go
+++ b/peers/summary.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -10,8 +11,9 @@
 const (
 	// summaryInterval is the time between two summaries of a cell's load for the processes of other cells.
 	summaryInterval = time.Second
-	// maxSummariesPerMessage keeps a datagram small enough for one packet.
-	maxSummariesPerMessage = 40
+	// maxSummaries is the number of replicas in a message, which is small enough for one packet. In a larger cell, each
+	// message holds others, so that the bytes that a process receives do not grow with the number of replicas.
+	maxSummaries = 40
 )
 
 // cellSize is the number of live processes in another data centre, as one of them has reported it.
@@ -43,16 +45,13 @@
 	}
 	exc.mu.Unlock()
 	list := exc.opts.Fleet.Summaries(exc.opts.DataCentre)
-	for len(list) > 0 {
-		num := min(len(list), maxSummariesPerMessage)
-		msg := exc.withSender(exc.greeting(nil))
-		msg.Live = live
-		for idx := range list[:num] {
-			msg.Summaries = append(msg.Summaries, toReplicaSummary(&list[idx]))
-		}
-		exc.send(to, &msg)
-		list = list[num:]
+	rand.Shuffle(len(list), func(one, two int) { list[one], list[two] = list[two], list[one] })
+	msg := exc.withSender(exc.greeting(nil))
+	msg.Live = live
+	for idx := range list[:min(len(list), maxSummaries)] {
+		msg.Summaries = append(msg.Summaries, toReplicaSummary(&list[idx]))
 	}
+	exc.send(to, &msg)
 }
 
 // applySummaries records the load of another cell and the number of processes there.
