--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -254,18 +255,31 @@
 		out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
 	case att.con.Reused() && !att.replyReceived:
-		// The replica may have closed the connection while it was idle.
+		att.logBrokenConnection(false) // The replica may have closed the connection while it was idle.
 	case out.reason == reasonStreamBroken && !att.replyReceived:
 		rep.RecordUnreachable()
 		if rep.Leaving() {
+			att.logBrokenConnection(false)
 			return // A replica that stops closes its connections, so this is not a crash.
 		}
+		att.logBrokenConnection(true)
 		att.hdl.opts.Crashes.RecordCrash(att.hdl.cal, att.hdl.account, att.placement.Primary.ID)
 	default:
 		rep.RecordFailure()
 	}
 }
 
+// logBrokenConnection logs that the replica closed the connection before its response, and whether that is taken for a
+// crash.
+func (att *attempt) logBrokenConnection(isCrash bool) {
+	hdl := att.hdl
+	hdl.opts.Metrics.CountEvent("closed-before-response")
+	hdl.opts.Log.Info("relay: replica closed the connection before its response", "call", hdl.cal.ID,
+		"replica", att.placement.Primary.ID, "crash", isCrash, "reused", att.con.Reused(),
+		"leaving", att.placement.Primary.Replica.Leaving(), "body-bytes", len(hdl.cal.Body),
+		"fingerprint", strconv.FormatUint(callFingerprint(hdl.cal, hdl.account), 16))
+}
+
 // enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
 // calls with lower numbers first.
 func enginePriority(target time.Duration) int {
