--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,99 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// newCrashingReplicas starts replicas that close the connection on each call whose path contains "deadly" and answer
+// all others. A function returns the number of deadly calls that they have received.
+func newCrashingReplicas(t *testing.T, num int) (replicas []*replica, deadlyCalls func() int64) {
+	t.Helper()
+	var list []*replica
+	for range num {
+		var rep *replica
+		rep = newReplica(t, func(con net.Conn, req request) bool {
+			if strings.Contains(req.URL.Path, "deadly") {
+				return false
+			}
+			rep.calls.Add(-1) // Only the deadly ones count.
+			return reply(con, req, 200, "sound")
+		})
+		list = append(list, rep)
+	}
+	return list, func() int64 {
+		sum := int64(0)
+		for _, rep := range list {
+			sum += rep.calls.Load()
+		}
+		return sum
+	}
+}
+
+// sendRequest sends a call and returns the status of the response.
+func (rig *rig) sendRequest(t *testing.T, method, path, body string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, rig.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Tarragonwheel-Request-Id", "c1")
+	req.Header.Set("Tarragonwheel-Request-Deadline-Ms", "5000")
+	req.Header.Set("Api-Key", "k")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, res.Body) // Only the status matters.
+	return res.StatusCode
+}
+
+// TestCrashingCallWithoutBodyIsRefused guards against a read without a body that crashes one replica after another,
+// because such calls were never suspected.
+func TestCrashingCallWithoutBodyIsRefused(t *testing.T) {
+	iis := is.New(t)
+	replicas, deadlyCalls := newCrashingReplicas(t, 3)
+	rig := newRig(t, replicas...)
+	for range 6 {
+		rig.sendRequest(t, http.MethodGet, "/safe/deadly", "")
+	}
+	iis.Equal(deadlyCalls(), int64(2))
+	iis.Equal(rig.sendRequest(t, http.MethodGet, "/safe/other", ""), http.StatusOK)
+}
+
+// TestCrashOnUsedConnectionCounts guards against crashes that are taken for idle timeouts because the replica had
+// answered a call on the same connection before.
+func TestCrashOnUsedConnectionCounts(t *testing.T) {
+	iis := is.New(t)
+	replicas, deadlyCalls := newCrashingReplicas(t, 3)
+	rig := newRig(t, replicas...)
+	for range 6 {
+		for idx, rep := range replicas {
+			rig.addIdleConn(t, fmt.Sprint("i-", idx), rep)
+		}
+		rig.sendRequest(t, http.MethodPost, "/safe/deadly", "asked")
+	}
+	iis.Equal(deadlyCalls(), int64(2))
+}
+
+// addIdleConn leaves a connection in the pool on which the replica has answered a call.
+func (rig *rig) addIdleConn(t *testing.T, id string, rep *replica) {
+	t.Helper()
+	iis := is.New(t)
+	con, err := rig.opts.Pool.Get(t.Context(), id, rep.addr, true)
+	iis.NoErr(err)
+	iis.NoErr(con.WriteRequest([]byte("GET /safe/other HTTP/1.1\r\nHost: h\r\nTarragonwheel-Request-Id: c0\r\n\r\n")))
+	//nolint:bodyclose // The connection is returned to the pool.
+	res, err := con.ReadResponse(http.MethodGet, func(*http.Response) bool { return true })
+	iis.NoErr(err)
+	_, err = io.Copy(io.Discard, res.Body)
+	iis.NoErr(err)
+	con.Release(res)
+}
