Suspect calls without a body when replicas crash

A read that crashes replicas was sent on for as long as its client repeated it.

Cause: the tracker left calls without a body out, since they are alike.

Change: such calls are suspected like all others. Calls that are alike but sound clear the suspicion, since a call that crashes replicas is never answered; so does the first event of a stream.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -200,6 +200,7 @@
 		}
 	}
 	att.releaseConn(res, nil)
+	att.hdl.opts.Crashes.RecordSuccess(att.hdl.cal, att.hdl.account)
 	if defect := att.replyDefect(rep); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -22,7 +22,7 @@
 )
 
 // CrashTracker finds calls that crash replicas. A call is suspected when a replica closes the connection instead of
-// answering it, and blocked when this happens again. It is safe for concurrent use.
+// answering it, and blocked when this happens again before a replica has answered it. It is safe for concurrent use.
 type CrashTracker struct {
 	clock    *timer.Service
 	onCrash  func(fingerprint uint64)
@@ -55,14 +55,29 @@
 
 // RecordCrash records that a replica closed the connection instead of answering a call.
 func (trk *CrashTracker) RecordCrash(cal *call.Call, account, _ string) {
-	if len(cal.Body) == 0 {
-		return // Calls without a body are too alike to tell apart.
-	}
 	fpr := callFingerprint(cal, account)
 	trk.AddCrash(fpr)
 	trk.onCrash(fpr)
 }
 
+// RecordSuccess records that a replica began to answer a call. A call that crashes replicas never gets that far, so its
+// earlier crashes had another cause, or it is one of many calls that are alike.
+func (trk *CrashTracker) RecordSuccess(cal *call.Call, account string) {
+	if !trk.hasSuspects() {
+		return
+	}
+	fpr := callFingerprint(cal, account)
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	delete(trk.suspects, fpr)
+}
+
+func (trk *CrashTracker) hasSuspects() bool {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	return len(trk.suspects) > 0
+}
+
 // AddCrash records a crash, observed by this or another process, during the call with the given fingerprint.
 func (trk *CrashTracker) AddCrash(fpr uint64) {
 	trk.mu.Lock()
@@ -96,10 +111,7 @@
 
 // Blocked tells whether a call must be refused because it has repeatedly crashed replicas.
 func (trk *CrashTracker) Blocked(cal *call.Call, account string) bool {
-	trk.mu.Lock()
-	none := len(trk.suspects) == 0
-	trk.mu.Unlock()
-	if none || len(cal.Body) == 0 {
+	if !trk.hasSuspects() {
 		return false
 	}
 	fpr := callFingerprint(cal, account)
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -68,6 +69,22 @@
 	iis.Equal(rig.sendRequest(t, http.MethodGet, "/safe/other", ""), http.StatusOK)
 }
 
+// TestAnsweredCallIsNotSuspected guards against reads without a body that are refused because alike ones ran while
+// replicas crashed: a call that is answered in between does not crash replicas.
+func TestAnsweredCallIsNotSuspected(t *testing.T) {
+	iis := is.New(t)
+	var calls atomic.Int64
+	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool {
+		if calls.Add(1)%2 == 1 {
+			return false
+		}
+		return reply(con, req, 200, "sound")
+	}))
+	for range 4 {
+		iis.Equal(rig.sendRequest(t, http.MethodGet, "/safe/x", ""), http.StatusOK)
+	}
+}
+
 // TestCrashOnUsedConnectionCounts guards against crashes that are taken for idle timeouts because the replica had
 // answered a call on the same connection before.
 func TestCrashOnUsedConnectionCounts(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -104,6 +104,7 @@
 		att.stall.recordEvent()
 		if !att.firstEventReceived.Swap(true) {
 			att.tasks.markDecoding()
+			att.hdl.opts.Crashes.RecordSuccess(att.hdl.cal, att.hdl.account)
 		}
 		if evt.hasID && att.hdl.hasLastEventID && evt.id <= att.hdl.lastEventID {
 			continue // The client already has it.
