Take a close of a used connection before its response for a crash

Cause: a close of a connection that had carried a call before was always taken for an idle timeout of the replica. Idempotent calls use such connections.

Change: the close counts for the call like any other. An idle timeout in the same moment is rare, since no call is sent shortly before it, and one answer clears the suspicion. For the health of the replica such a close still says nothing.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -255,30 +255,29 @@
 	case out.reason == reasonClientLeft, out.reason == reasonTimeLimit, out.reason == reasonReservationUnused,
 		out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
-	case att.con.Reused() && !att.replyReceived:
-		att.logBrokenConnection(false) // The replica may have closed the connection while it was idle.
 	case out.reason == reasonStreamBroken && !att.replyReceived:
-		rep.RecordUnreachable()
-		if rep.Leaving() {
-			att.logBrokenConnection(false)
-			return // A replica that stops closes its connections, so this is not a crash.
-		}
-		att.logBrokenConnection(true)
-		att.hdl.opts.Crashes.RecordCrash(att.hdl.cal, att.hdl.account, att.placement.Primary.ID)
+		att.recordCrash()
+	case att.con.Reused() && !att.replyReceived:
+		// The connection may have been unusable before the call, which says nothing about the replica.
 	default:
 		rep.RecordFailure()
 	}
 }
 
-// logBrokenConnection logs that the replica closed the connection before its response, and whether that is taken for a
-// crash.
-func (att *attempt) logBrokenConnection(isCrash bool) {
-	hdl := att.hdl
+// recordCrash records that the replica closed the connection before its response.
+func (att *attempt) recordCrash() {
+	hdl, rep := att.hdl, att.placement.Primary.Replica
+	if !att.con.Reused() { // A used connection may also be closed because it was idle.
+		rep.RecordUnreachable()
+	}
+	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
 	hdl.opts.Metrics.CountEvent("closed-before-response")
 	hdl.opts.Log.Info("relay: replica closed the connection before its response", "call", hdl.cal.ID,
-		"replica", att.placement.Primary.ID, "crash", isCrash, "reused", att.con.Reused(),
-		"leaving", att.placement.Primary.Replica.Leaving(), "body-bytes", len(hdl.cal.Body),
-		"fingerprint", strconv.FormatUint(callFingerprint(hdl.cal, hdl.account), 16))
+		"replica", att.placement.Primary.ID, "crash", !leaving, "reused", att.con.Reused(),
+		"body-bytes", len(hdl.cal.Body), "fingerprint", strconv.FormatUint(callFingerprint(hdl.cal, hdl.account), 16))
+	if !leaving {
+		hdl.opts.Crashes.RecordCrash(hdl.cal, hdl.account, att.placement.Primary.ID)
+	}
 }
 
 // enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
