--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -100,6 +100,31 @@
 	iis.Equal(deadlyCalls(), int64(2))
 }
 
+// TestCrashAfterHeadCounts guards against crashes that are not noticed because the replica had sent the head of its
+// response before it crashed.
+func TestCrashAfterHeadCounts(t *testing.T) {
+	for _, tst := range []struct{ name, path, head string }{
+		{"stream", "/stream/x", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"stream within its first event", "/stream/x",
+			"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n"},
+		{"body", "/safe/x", "Content-Length: 5\r\n\r\nso"},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			iis := is.New(t)
+			crashes := func(con net.Conn, req request) bool {
+				_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n"+signedHeaders(req)+tst.head)
+				return false
+			}
+			one, two, three := newReplica(t, crashes), newReplica(t, crashes), newReplica(t, crashes)
+			rig := newRig(t, one, two, three)
+			for range 6 {
+				rig.sendRequest(t, http.MethodPost, tst.path, "asked")
+			}
+			iis.Equal(one.calls.Load()+two.calls.Load()+three.calls.Load(), int64(2))
+		})
+	}
+}
+
 // addIdleConn leaves a connection in the pool on which the replica has answered a call.
 func (rig *rig) addIdleConn(t *testing.T, id string, rep *replica) {
 	t.Helper()
