Take a response that breaks off before its first event for a crash

Cause: a replica sends the head of a stream, begins to write and crashes before the first event. Only closes before the head counted as crashes.

Change: a break counts until the whole response, or the first event of a stream, has been read. What breaks later is still a failure of the replica.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -121,6 +121,7 @@
 	ctx                context.Context
 	connReleased       bool        // the connection was returned to the pool
 	replyReceived      bool        // the head of a response to the call has been read
+	answered           bool        // a whole response or the first event of a stream has been read
 	firstEventReceived atomic.Bool // of a stream
 	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
 	stall              *stallWatch
@@ -200,7 +201,7 @@
 		}
 	}
 	att.releaseConn(res, nil)
-	att.hdl.opts.Crashes.RecordSuccess(att.hdl.cal, att.hdl.account)
+	att.recordAnswer()
 	if defect := att.replyDefect(rep); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
@@ -255,7 +256,7 @@
 	case out.reason == reasonClientLeft, out.reason == reasonTimeLimit, out.reason == reasonReservationUnused,
 		out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
-	case out.reason == reasonStreamBroken && !att.replyReceived:
+	case out.reason == reasonStreamBroken && !att.answered:
 		att.recordCrash()
 	case att.con.Reused() && !att.replyReceived:
 		// The connection may have been unusable before the call, which says nothing about the replica.
@@ -264,17 +265,28 @@
 	}
 }
 
-// recordCrash records that the replica closed the connection before its response.
+// recordAnswer records that the replica has answered the call, at least in part, so that a later crash of the replica
+// has another cause.
+func (att *attempt) recordAnswer() {
+	att.answered = true
+	att.hdl.opts.Crashes.RecordSuccess(att.hdl.cal, att.hdl.account)
+}
+
+// recordCrash records that the replica closed the connection before its answer: the whole response, or the first event
+// of a stream.
 func (att *attempt) recordCrash() {
 	hdl, rep := att.hdl, att.placement.Primary.Replica
-	if !att.con.Reused() { // A used connection may also be closed because it was idle.
+	switch {
+	case att.replyReceived:
+		rep.RecordFailure()
+	case !att.con.Reused(): // A used connection may also be closed because it was idle.
 		rep.RecordUnreachable()
 	}
 	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
-	hdl.opts.Metrics.CountEvent("closed-before-response")
-	hdl.opts.Log.Info("relay: replica closed the connection before its response", "call", hdl.cal.ID,
+	hdl.opts.Metrics.CountEvent("closed-before-answer")
+	hdl.opts.Log.Info("relay: replica closed the connection before its answer", "call", hdl.cal.ID,
 		"replica", att.placement.Primary.ID, "crash", !leaving, "reused", att.con.Reused(),
-		"body-bytes", len(hdl.cal.Body), "fingerprint", strconv.FormatUint(callFingerprint(hdl.cal, hdl.account), 16))
+		"head", att.replyReceived, "body-bytes", len(hdl.cal.Body), "fingerprint", strconv.FormatUint(callFingerprint(hdl.cal, hdl.account), 16))
 	if !leaving {
 		hdl.opts.Crashes.RecordCrash(hdl.cal, hdl.account, att.placement.Primary.ID)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -104,7 +104,7 @@
 		att.stall.recordEvent()
 		if !att.firstEventReceived.Swap(true) {
 			att.tasks.markDecoding()
-			att.hdl.opts.Crashes.RecordSuccess(att.hdl.cal, att.hdl.account)
+			att.recordAnswer()
 		}
 		if evt.hasID && att.hdl.hasLastEventID && evt.id <= att.hdl.lastEventID {
 			continue // The client already has it.
@@ -178,6 +178,7 @@
 func (att *attempt) finishStream(res *http.Response, rep call.Reply) outcome {
 	hdl := att.hdl
 	att.releaseConn(res, nil)
+	att.recordAnswer()
 	if !hdl.headSent {
 		hdl.opts.Codec.WriteReply(hdl.rw.Header(), rep)
 		hdl.rw.WriteHeader(rep.Status)
