Count crashes by replica, and blame the call that explains most of them

Callers saw: a call that had lost its replica once was refused with crashes-replicas by all other fronts for a minute.

Cause: a report of a crash held the fingerprint of the call alone and is sent three times against loss, so that one crash counted three times. Nor did a front tell two closes by one crashing replica from two crashes.

Change: package cause. Reports name the replica and the time, so reports of one crash have no effect the second time. All calls that a crash broke are its suspects, at whichever front they were; the call that explains most crashes is blocked, after two if nothing else explains them and after three otherwise, and the others are no suspects any more. An answer clears a call; if it is suspected again, the fronts that saw the answer tell the others. A block lasts a minute and doubles with each further crash.

cause.TestRepeatedReportsCountOnce guards against it; on the old tracker AddCrash had no way to tell the repeats apart.

--- /dev/null
+++ b/cause/cause.go
@@ -0,0 +1,270 @@
+// Package cause finds the calls that crash replicas, so that they can be refused.
+//
+// A replica that crashes breaks the connections of all calls that it has begun. Each of them is a suspect of the crash,
+// at whichever process its connection was; the processes send each other reports. A call that a replica answers is no
+// suspect of earlier crashes, since a call that crashes replicas is never answered. A call is blocked when it is the
+// best explanation of several crashes; the other calls of these crashes are then no suspects of them any more.
+package cause
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// Times and bounds of a Tracker.
+const (
+	// crashSpan is the time within which reports of the same replica are of one crash. No replica starts again sooner.
+	crashSpan = time.Second
+	// suspectTime is how long a crash is kept that no blocked call explains.
+	suspectTime = time.Minute
+	// blockTime is how long a call is refused after the crash that blocked it. Each further crash doubles it.
+	blockTime    = time.Minute
+	maxBlockTime = time.Hour
+	maxCrashes   = 128
+	maxCalls     = 64 // suspects of one crash
+	maxAnswers   = 4096
+)
+
+// Call identifies a call by what may crash replicas.
+type Call struct {
+	Fingerprint uint64 // hash of all that the call consists of
+}
+
+// Report states that a replica broke the connection of a call before it had answered it.
+type Report struct {
+	Replica uint64 // hash of the ID of the replica
+	At      time.Time
+	Call    Call
+}
+
+// Answer states that a replica answered calls that had been suspected.
+type Answer struct {
+	Feature uint64 // fingerprint of the call
+	At      time.Time
+}
+
+// Options configure a Tracker.
+type Options struct {
+	Clock *timer.Service
+	// OnCrash is called with each crash that this process has observed, so that others can be informed; nil for none.
+	OnCrash func(rpt Report)
+	// OnAnswers is called with calls that other processes suspect and this one has seen answered; nil for none.
+	OnAnswers func(list []Answer)
+}
+
+// Tracker holds the recent crashes and the calls that explain them. It is safe for concurrent use.
+type Tracker struct {
+	opts   Options
+	active atomic.Bool // there are crashes
+
+	mu         sync.Mutex
+	crashes    []*crash
+	answers    map[uint64]time.Time // when a suspect was last answered; zero if it has not been
+	culprits   []culprit
+	outdated   bool                // culprits must be found again
+	unsent     map[uint64]struct{} // features of answers that the other processes lack
+	nextExpiry time.Time           // when crashes or culprits may expire next
+}
+
+// crash is the end of a replica and the calls that may have caused it.
+type crash struct {
+	replica uint64
+	at      time.Time
+	until   time.Time // when it is forgotten
+	calls   []Call
+}
+
+// New returns a Tracker without crashes.
+func New(opts Options) *Tracker {
+	if opts.OnCrash == nil {
+		opts.OnCrash = func(Report) {}
+	}
+	if opts.OnAnswers == nil {
+		opts.OnAnswers = func([]Answer) {}
+	}
+	return &Tracker{opts: opts, answers: make(map[uint64]time.Time), unsent: make(map[uint64]struct{})}
+}
+
+// Active reports whether there are crashes. If not, no call is blocked and answers need not be recorded.
+func (trk *Tracker) Active() bool { return trk.active.Load() }
+
+// RecordCrash records that a replica broke the connection of a call before it had answered it.
+func (trk *Tracker) RecordCrash(replica string, cal Call) {
+	rpt := Report{Replica: xxhash.Sum64String(replica), At: trk.opts.Clock.Now(), Call: cal}
+	trk.AddReport(rpt)
+	trk.opts.OnCrash(rpt)
+}
+
+// AddReport records a crash that this or another process has observed. A report that is already known has no effect.
+func (trk *Tracker) AddReport(rpt Report) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	now := trk.opts.Clock.Now()
+	if now.Sub(rpt.At) > maxBlockTime || trk.answeredSince(rpt.Call.Fingerprint, rpt.At) {
+		return
+	}
+	trk.expire(now)
+	trk.suspect(rpt.Call.Fingerprint)
+	crs := trk.findCrash(rpt)
+	if crs.hasCall(rpt.Call.Fingerprint) || len(crs.calls) >= maxCalls {
+		return
+	}
+	crs.calls = append(crs.calls, rpt.Call)
+	trk.outdated = true
+	trk.active.Store(true)
+}
+
+// answeredSince reports whether a call with the given feature was answered after the given time.
+func (trk *Tracker) answeredSince(feature uint64, at time.Time) bool {
+	return trk.answers[feature].After(at)
+}
+
+// suspect begins to record answers of calls with a feature. If there have been some since an earlier crash, the other
+// processes may not know of them and are informed.
+func (trk *Tracker) suspect(feature uint64) {
+	if answeredAt, ok := trk.answers[feature]; ok {
+		if !answeredAt.IsZero() {
+			trk.queueAnswer(feature)
+		}
+		return
+	}
+	if len(trk.answers) >= maxAnswers {
+		clear(trk.answers)
+	}
+	trk.answers[feature] = time.Time{}
+}
+
+// findCrash returns the crash of a report, and adds it if it is new.
+func (trk *Tracker) findCrash(rpt Report) *crash {
+	for _, crs := range trk.crashes {
+		if crs.replica == rpt.Replica && rpt.At.Sub(crs.at).Abs() < crashSpan {
+			return crs
+		}
+	}
+	crs := &crash{replica: rpt.Replica, at: rpt.At, until: rpt.At.Add(suspectTime)}
+	trk.crashes = append(trk.crashes, crs)
+	if len(trk.crashes) > maxCrashes {
+		trk.crashes = slices.Delete(trk.crashes, 0, 1)
+	}
+	return crs
+}
+
+func (crs *crash) hasCall(fingerprint uint64) bool {
+	return slices.ContainsFunc(crs.calls, func(cal Call) bool { return cal.Fingerprint == fingerprint })
+}
+
+// RecordAnswer records that a replica has answered a call, at least in part.
+func (trk *Tracker) RecordAnswer(cal Call) {
+	if !trk.Active() {
+		return
+	}
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	trk.clearFeature(cal.Fingerprint, trk.opts.Clock.Now())
+}
+
+// AddAnswers records answers that another process has seen.
+func (trk *Tracker) AddAnswers(list []Answer) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	for _, ans := range list {
+		delete(trk.unsent, ans.Feature) // The other processes know it now.
+		trk.clearFeature(ans.Feature, ans.At)
+	}
+}
+
+// clearFeature removes the suspicion from calls with a feature that were answered at the given time.
+func (trk *Tracker) clearFeature(feature uint64, at time.Time) {
+	answeredAt, suspected := trk.answers[feature]
+	if !suspected || !at.After(answeredAt) {
+		return
+	}
+	trk.answers[feature] = at
+	for _, crs := range trk.crashes {
+		if crs.at.Before(at) && crs.clear(feature) {
+			trk.outdated = true
+		}
+	}
+}
+
+// clear removes the suspicion from calls with a feature. It returns false if there are none.
+func (crs *crash) clear(feature uint64) bool {
+	num := len(crs.calls)
+	crs.calls = slices.DeleteFunc(crs.calls, func(cal Call) bool { return cal.Fingerprint == feature })
+	return len(crs.calls) < num
+}
+
+// Blocked reports whether a call must be refused because it crashes replicas.
+func (trk *Tracker) Blocked(cal Call) bool {
+	if !trk.Active() {
+		return false
+	}
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	now := trk.opts.Clock.Now()
+	trk.expire(now)
+	trk.findCulprits(now)
+	return slices.ContainsFunc(trk.culprits, func(cul culprit) bool { return cul.matches(cal) && now.Before(cul.until) })
+}
+
+// findCulprits finds the culprits if the crashes have changed. Their crashes are kept while they are blocked and for
+// some time after, in which one more crash blocks them again.
+func (trk *Tracker) findCulprits(now time.Time) {
+	if !trk.outdated {
+		return
+	}
+	trk.outdated = false
+	trk.culprits = explain(trk.crashes)
+	for _, cul := range trk.culprits {
+		for _, crs := range cul.crashes {
+			crs.until = cul.until.Add(suspectTime)
+		}
+	}
+	trk.scheduleExpiry(now)
+}
+
+// expire removes crashes that are forgotten and the answers of calls that are no longer suspected.
+func (trk *Tracker) expire(now time.Time) {
+	if now.Before(trk.nextExpiry) {
+		return
+	}
+	trk.findCulprits(now) // Their crashes are kept longer.
+	num := len(trk.crashes)
+	trk.crashes = slices.DeleteFunc(trk.crashes, func(crs *crash) bool { return !now.Before(crs.until) })
+	trk.outdated = trk.outdated || len(trk.crashes) < num
+	if len(trk.crashes) == 0 {
+		clear(trk.answers)
+	}
+	trk.active.Store(len(trk.crashes) > 0)
+	trk.scheduleExpiry(now)
+}
+
+// scheduleExpiry sets when crashes are next checked for expiry.
+func (trk *Tracker) scheduleExpiry(now time.Time) {
+	trk.nextExpiry = now.Add(suspectTime)
+	for _, crs := range trk.crashes {
+		if crs.until.Before(trk.nextExpiry) {
+			trk.nextExpiry = crs.until
+		}
+	}
+}
+
+// Reports returns reports of all crashes that are remembered, for a process that has none of them.
+func (trk *Tracker) Reports() []Report {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	trk.expire(trk.opts.Clock.Now())
+	var list []Report
+	for _, crs := range trk.crashes {
+		for _, cal := range crs.calls {
+			list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/cause/cause_test.go
@@ -0,0 +1,147 @@
+package cause_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/cause"
+	"github.com/tarragonwheel/tarragonwheel/timer"
+)
+
+// call returns the call that a letter stands for.
+func call(letter rune) cause.Call { return cause.Call{Fingerprint: uint64(letter)} }
+
+// applySteps applies steps 100 ms apart: "1+abc" is a crash of replica 1 that breaks the calls a, b and c, "-a" is an
+// answer to call a, "+5s" is a pause.
+func applySteps(t *testing.T, trk *cause.Tracker, man *timer.Manual, steps string) {
+	t.Helper()
+	for _, step := range strings.Fields(steps) {
+		man.Advance(100 * time.Millisecond)
+		replica, rest, isCrash := strings.Cut(step, "+")
+		pause, err := time.ParseDuration(rest)
+		switch {
+		case isCrash && replica == "" && err == nil:
+			man.Advance(pause)
+		case isCrash:
+			for _, letter := range rest {
+				trk.RecordCrash(replica, call(letter))
+			}
+		default:
+			trk.RecordAnswer(call(rune(step[1])))
+		}
+	}
+}
+
+// blockedCalls returns the letters of the blocked calls.
+func blockedCalls(trk *cause.Tracker) string {
+	var out strings.Builder
+	for letter := 'a'; letter <= 'z'; letter++ {
+		if trk.Blocked(call(letter)) {
+			out.WriteRune(letter)
+		}
+	}
+	return out.String()
+}
+
+// TestBlockedCalls guards against crashes that are attributed to the wrong call, or to none.
+func TestBlockedCalls(t *testing.T) {
+	for _, tst := range []struct{ name, steps, blocked string }{
+		{"one crash blocks no call", "1+k", ""},
+		{"two crashes block their only common call", "1+kab 2+kc", "k"},
+		{"repeated reports of one crash count once", "1+k 1+k 1+k", ""},
+		{"a replica that is started again may crash again", "1+k +5s 1+k", "k"},
+		{"an answered call is no suspect of earlier crashes", "1+k -k 2+k", ""},
+		{"an answer to another call clears nothing", "1+k -a 2+k", "k"},
+		{"two calls that took part in both crashes wait for a third", "1+ka 2+ka", ""},
+		{"the third crash decides", "1+ka 2+ka 3+kb", "k"},
+		{"an answer decides", "1+ka 2+ka -a", "k"},
+		{"calls beside a blocked one are no suspects", "1+ka 2+kb 3+kab", "k"},
+		{"a block does not explain crashes without the call", "1+k 2+k 3+a 4+a", "ak"},
+		{"a block ends", "1+k 2+k +65s", ""},
+		{"one more crash blocks again, for longer", "1+k 2+k +65s 3+k +100s", "k"},
+		{"a suspicion ends", "1+k +65s 2+k", ""},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			iis := is.New(t)
+			clk, man := timer.NewManual(time.Unix(1700000000, 0))
+			trk := cause.New(cause.Options{Clock: clk})
+			applySteps(t, trk, man, tst.steps)
+			iis.Equal(blockedCalls(trk), tst.blocked)
+		})
+	}
+}
+
+// TestRepeatedReportsCountOnce guards against a call that is refused by every process but one after a single crash,
+// because the report of it is sent several times against loss.
+func TestRepeatedReportsCountOnce(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	trk := cause.New(cause.Options{Clock: clk})
+	at := clk.Now()
+	for range 3 {
+		trk.AddReport(cause.Report{Replica: 1, At: at.Add(7 * time.Millisecond), Call: call('k')})
+		man.Advance(2 * time.Second)
+	}
+	iis.True(!trk.Blocked(call('k')))
+	trk.AddReport(cause.Report{Replica: 2, At: clk.Now(), Call: call('k')})
+	iis.True(trk.Blocked(call('k')))
+}
+
+// TestAnswersReachOtherProcesses guards against a call that is refused by a process that has seen none of its answers.
+func TestAnswersReachOtherProcesses(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	var two *cause.Tracker
+	one := cause.New(cause.Options{
+		Clock: clk, OnCrash: func(rpt cause.Report) { two.AddReport(rpt) },
+		OnAnswers: func(list []cause.Answer) { two.AddAnswers(list) },
+	})
+	two = cause.New(cause.Options{Clock: clk})
+	applySteps(t, one, man, "1+a -a 2+a")
+	iis.True(two.Blocked(call('a')))
+	man.Advance(time.Second)
+	iis.True(!two.Blocked(call('a')))
+	iis.True(!one.Blocked(call('a')))
+}
+
+// TestAnswerBeforeReportCounts guards against a call that is suspected again by a report that comes late.
+func TestAnswerBeforeReportCounts(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	trk := cause.New(cause.Options{Clock: clk})
+	at := clk.Now()
+	applySteps(t, trk, man, "1+k -k")
+	for replica := range uint64(3) {
+		trk.AddReport(cause.Report{Replica: replica, At: at, Call: call('k')})
+	}
+	iis.True(!trk.Blocked(call('k')))
+}
+
+// TestReportsRestoreBlocks guards against a process that has been restarted and sends a call on that the others refuse.
+func TestReportsRestoreBlocks(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	one, two := cause.New(cause.Options{Clock: clk}), cause.New(cause.Options{Clock: clk})
+	applySteps(t, one, man, "1+ka 2+kb -a")
+	for _, rpt := range one.Reports() {
+		two.AddReport(rpt)
+	}
+	iis.Equal(blockedCalls(two), "k")
+}
+
+// TestBounds guards against memory that grows with the number of crashes and calls.
+func TestBounds(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	trk := cause.New(cause.Options{Clock: clk})
+	for num := range uint64(20_000) {
+		trk.AddReport(cause.Report{Replica: num / 100, At: clk.Now(), Call: cause.Call{Fingerprint: num}})
+	}
+	iis.Equal(len(trk.Reports()), 128*64)
+	man.Advance(2 * time.Hour)
+	iis.Equal(len(trk.Reports()), 0)
+	iis.True(!trk.Active())
+}
--- a/front/front.go
+++ b/front/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
@@ -55,7 +56,7 @@
 	relay           *relay.Relay
 	pool            *pool.Pool
 	store           *platform.Store
-	crashes         *relay.CrashTracker
+	crashes         *cause.Tracker
 	peers           *peers.Exchange // nil if no address for the exchange is configured
 	following       chan struct{}   // closed when the followers have been set
 	configFollower  *follow.Follower
@@ -85,7 +86,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
-	frt.crashes = relay.NewCrashTracker(clk, frt.sendCrash)
+	frt.crashes = cause.New(cause.Options{Clock: clk, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
 	if err := frt.startPeers(); err != nil {
 		return nil, err
 	}
--- a/front/peers.go
+++ b/front/peers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
@@ -29,7 +30,8 @@
 	}
 	exc, err := peers.Start(frt.group, peers.Options{
 		Name: config.ProcessName.Of(frt.startSettings), DataCentre: config.ProcessDataCentre.Of(frt.startSettings),
-		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddCrash,
+		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddReport,
+		OnAnswers:     frt.crashes.AddAnswers,
 		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer, OnDigest: frt.applyDigest,
 		OnStoreAnswers: frt.retryStore,
 	})
@@ -86,10 +88,17 @@
 	}
 }
 
-// sendCrash sends the peers the fingerprint of a call at whose start a replica closed the connection.
-func (frt *Front) sendCrash(fingerprint uint64) {
+// sendCrash sends the peers a crash that this front has observed.
+func (frt *Front) sendCrash(rpt cause.Report) {
 	if frt.peers != nil {
-		frt.peers.SendCrash(fingerprint)
+		frt.peers.SendCrash(rpt)
+	}
+}
+
+// sendAnswers sends the peers that suspected calls have been answered.
+func (frt *Front) sendAnswers(list []cause.Answer) {
+	if frt.peers != nil {
+		frt.peers.SendAnswers(list)
 	}
 }
 
--- /dev/null
+++ b/peers/crash.go
@@ -0,0 +1,125 @@
+package peers
+
+import (
+	"net"
+	"slices"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/cause"
+)
+
+const (
+	// crashBatchDelay is the time during which crashes are collected, since a replica breaks many connections at once.
+	crashBatchDelay = 3 * time.Millisecond
+	// crashReportSends is how often each crash is sent, since datagrams may be lost: at once and with the next full
+	// updates.
+	crashReportSends     = 3
+	maxReportsPerMessage = 16 // so that a datagram fits into one packet
+	maxAnswersPerMessage = 80
+)
+
+// crashReport is a cause.Report.
+type crashReport struct {
+	_       struct{} `cbor:",toarray"`
+	Replica uint64
+	Call    uint64
+	AgeMs   int64
+}
+
+// answer is a cause.Answer.
+type answer struct {
+	_       struct{} `cbor:",toarray"`
+	Feature uint64
+	AgeMs   int64
+}
+
+// unsentCrash is a crash that is still to be sent.
+type unsentCrash struct {
+	report    cause.Report
+	sendsLeft int
+}
+
+// SendCrash sends a crash that this process has observed to all peers, soon and again with the next full updates.
+func (exc *Exchange) SendCrash(rpt cause.Report) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.crashes = append(exc.crashes, unsentCrash{report: rpt, sendsLeft: crashReportSends})
+	if !exc.crashesScheduled {
+		exc.crashesScheduled = true
+		exc.opts.Clock.After(crashBatchDelay, exc.sendCrashes)
+	}
+}
+
+// sendCrashes sends the crashes that have not been sent often enough to all peers.
+func (exc *Exchange) sendCrashes() {
+	exc.mu.Lock()
+	exc.crashesScheduled = false
+	reports := make([]cause.Report, 0, len(exc.crashes))
+	for idx := range exc.crashes {
+		reports = append(reports, exc.crashes[idx].report)
+		exc.crashes[idx].sendsLeft--
+	}
+	exc.crashes = slices.DeleteFunc(exc.crashes, func(crs unsentCrash) bool { return crs.sendsLeft <= 0 })
+	to := exc.allPeers()
+	exc.mu.Unlock()
+	exc.sendReports(to, reports)
+}
+
+// allPeers returns the addresses of all peers. The caller holds the lock.
+func (exc *Exchange) allPeers() []*net.UDPAddr {
+	var to []*net.UDPAddr
+	for _, per := range exc.peers {
+		to = append(to, per.addr)
+	}
+	return to
+}
+
+// sendReports sends crashes, in as many datagrams as needed.
+func (exc *Exchange) sendReports(to []*net.UDPAddr, reports []cause.Report) {
+	now := exc.opts.Clock.Now()
+	for chunk := range slices.Chunk(reports, maxReportsPerMessage) {
+		msg := exc.withSender(exc.greeting())
+		for _, rpt := range chunk {
+			msg.Crashes = append(msg.Crashes, crashReport{
+				Replica: rpt.Replica, Call: rpt.Call.Fingerprint, AgeMs: now.Sub(rpt.At).Milliseconds(),
+			})
+		}
+		exc.send(to, &msg)
+	}
+}
+
+// SendAnswers sends all peers that suspected calls have been answered.
+func (exc *Exchange) SendAnswers(list []cause.Answer) {
+	exc.mu.Lock()
+	to := exc.allPeers()
+	exc.mu.Unlock()
+	now := exc.opts.Clock.Now()
+	for chunk := range slices.Chunk(list, maxAnswersPerMessage) {
+		msg := exc.withSender(exc.greeting())
+		for _, ans := range chunk {
+			msg.Answers = append(msg.Answers, answer{Feature: ans.Feature, AgeMs: now.Sub(ans.At).Milliseconds()})
+		}
+		exc.send(to, &msg)
+	}
+}
+
+// applyCrashes hands the crashes and answers that a peer has sent to the function that records them.
+func (exc *Exchange) applyCrashes(msg *message) {
+	now := exc.opts.Clock.Now()
+	ago := func(ageMs int64) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
+	if exc.opts.OnCrash != nil {
+		for _, rpt := range msg.Crashes {
+			exc.opts.OnCrash(cause.Report{
+				Replica: rpt.Replica, At: ago(rpt.AgeMs), Call: cause.Call{Fingerprint: rpt.Call},
+			})
+		}
+	}
+	if exc.opts.OnAnswers == nil || len(msg.Answers) == 0 {
+		return
+	}
+	list := make([]cause.Answer, 0, len(msg.Answers))
+	for _, ans := range msg.Answers {
+		list = append(list, cause.Answer{Feature: ans.Feature, At: ago(ans.AgeMs)})
+	}
+	exc.opts.OnAnswers(list)
+}
--- a/peers/message.go
+++ b/peers/message.go
@@ -13,17 +13,19 @@
 // out, and a change of a task that the peers have already received is sent as a progressUpdate, which is smaller than a
 // taskUpdate.
 type message struct {
-	RunID         uint32           `cbor:"1,keyasint"` // random number of the sender's run; earlier runs have ended
-	Name          string           `cbor:"2,keyasint,omitempty"`
-	DataCentre    string           `cbor:"3,keyasint,omitempty"` // of the sender; sent together with the name
-	Tasks         []taskUpdate     `cbor:"4,keyasint,omitempty"`
-	Progress      []progressUpdate `cbor:"5,keyasint,omitempty"`
-	Crashes       []uint64         `cbor:"6,keyasint,omitempty"` // fingerprints of calls that closed connections
+	RunID      uint32           `cbor:"1,keyasint"` // random number of the sender's run; earlier runs have ended
+	Name       string           `cbor:"2,keyasint,omitempty"`
+	DataCentre string           `cbor:"3,keyasint,omitempty"` // of the sender; sent together with the name
+	Tasks      []taskUpdate     `cbor:"4,keyasint,omitempty"`
+	Progress   []progressUpdate `cbor:"5,keyasint,omitempty"`
+	// Earlier versions used key 6.
 	ConfigVersion int64            `cbor:"7,keyasint,omitempty"` // that is active at the sender
 	Summaries     []replicaSummary `cbor:"8,keyasint,omitempty"` // of replicas in the sender's cell
 	Live          int              `cbor:"9,keyasint,omitempty"` // processes in the sender's data centre
 	Digest        *storeDigest     `cbor:"10,keyasint,omitempty"`
 	StoreAnswers  bool             `cbor:"11,keyasint,omitempty"` // again, after an outage
+	Crashes       []crashReport    `cbor:"12,keyasint,omitempty"`
+	Answers       []answer         `cbor:"13,keyasint,omitempty"` // of calls that had been suspected
 }
 
 // replicaSummary is a fleet.Summary.
@@ -167,15 +169,11 @@
 }
 
 // splitMessage distributes tasks over copies of msg, each small enough for one packet. They may arrive in any order.
-// Only the first one carries the crashes.
 func splitMessage(msg message, tasks []fleet.RemoteTask, now time.Time) []message {
 	var out []message
 	for first := true; first || len(tasks) > 0; first = false {
 		num := min(len(tasks), maxTasksPerMessage)
 		part := msg
-		if !first {
-			part.Crashes = nil
-		}
 		for _, rem := range tasks[:num] {
 			if rem.ProgressOnly {
 				part.Progress = append(part.Progress,
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
+	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -38,7 +39,6 @@
 	removePeerAfter    = 5 * time.Minute
 	maxTasksPerMessage = 40 // so that a datagram fits into one packet
 	maxDatagramBytes   = 64 << 10
-	crashReportSends   = 3 // full updates that carry each crash, since datagrams may be lost
 )
 
 // Options configure an Exchange.
@@ -57,9 +57,10 @@
 	OnDigest func(topic string, dig follow.Digest)
 	// OnStoreAnswers is called when the store answers a peer again after an outage; nil for none.
 	OnStoreAnswers func()
-	// OnCrash is called with the fingerprint of a call at whose start a replica closed the connection to another
-	// process.
-	OnCrash func(fingerprint uint64)
+	// OnCrash is called with a crash that a peer has observed; nil for none.
+	OnCrash func(rpt cause.Report)
+	// OnAnswers is called with answers of suspected calls that a peer has seen; nil for none.
+	OnAnswers func(list []cause.Answer)
 }
 
 // Exchange sends the load of one process to its peers and receives theirs. It is safe for concurrent use.
@@ -71,9 +72,11 @@
 	mu             sync.Mutex
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
-	crashes        []crashReport
+	crashes        []unsentCrash
 	cellSizes      map[string]cellSize // by data centre
 	flushScheduled bool                // sendChanges is going to run
+
+	crashesScheduled bool // sendCrashes is going to run
 }
 
 // peer is another process.
@@ -86,12 +89,6 @@
 	inactiveSince time.Time // when it was added or timed out
 }
 
-// crashReport is a crash that the next full updates carry.
-type crashReport struct {
-	fingerprint uint64
-	sendsLeft   int
-}
-
 // Start opens the socket and runs the exchange in grp. It returns a trace.ConnectionProblem error if the socket cannot
 // be opened.
 func Start(grp *group.Group, opts Options) (*Exchange, error) {
@@ -116,6 +113,7 @@
 		for round := 1; opts.Clock.Sleep(ctx, fullUpdateInterval) == nil; round++ {
 			exc.expirePeers()
 			exc.sendFullUpdate(round%greetAllRounds == 0)
+			exc.sendCrashes()
 		}
 		return nil
 	})
@@ -149,7 +147,7 @@
 // sendAllTasks introduces this process to a peer and sends it the tasks that concern it. The data centre of the peer is
 // empty if it is not known.
 func (exc *Exchange) sendAllTasks(addr *net.UDPAddr, dataCentre string) {
-	exc.sendTasks([]*net.UDPAddr{addr}, exc.greeting(nil), exc.tasksFor(dataCentre, exc.opts.Fleet.LocalTasks()))
+	exc.sendTasks([]*net.UDPAddr{addr}, exc.greeting(), exc.tasksFor(dataCentre, exc.opts.Fleet.LocalTasks()))
 }
 
 // getOrAddPeer returns the peer with an address, and adds it if needed. The caller must hold the lock.
@@ -263,9 +261,7 @@
 		tasks = append(tasks, msg.Progress[idx].toRemoteTask())
 	}
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
-	for _, fpr := range msg.Crashes {
-		exc.opts.OnCrash(fpr)
-	}
+	exc.applyCrashes(msg)
 }
 
 // expirePeers drops the tasks of peers that have timed out, and removes peers that have been inactive for long.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/group"
 	"github.com/tarragonwheel/tarragonwheel/peers"
@@ -21,7 +22,7 @@
 	exc     *peers.Exchange
 	addr    string
 	group   *group.Group
-	crashes chan uint64
+	crashes chan cause.Report
 }
 
 // freeAddress returns a UDP address that is not in use.
@@ -51,12 +52,12 @@
 	clk := timer.New()
 	prc := &process{
 		flt: fleet.New(clk, logr.Discard(), nil), addr: addr, group: group.New(context.Background(), name),
-		crashes: make(chan uint64, 10),
+		crashes: make(chan cause.Report, 10),
 	}
 	t.Cleanup(func() { _ = prc.group.Stop() })
 	exc, err := peers.Start(prc.group, peers.Options{
 		Name: name, DataCentre: dataCentre, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
-		OnCrash: func(fpr uint64) { prc.crashes <- fpr },
+		OnCrash: func(rpt cause.Report) { prc.crashes <- rpt },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -113,8 +114,10 @@
 	iis := is.New(t)
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
 	one.exc.AddPeer(two.addr)
-	one.exc.SendCrash(42)
-	iis.Equal(<-two.crashes, uint64(42))
+	one.exc.SendCrash(cause.Report{Replica: 7, At: time.Now(), Call: cause.Call{Fingerprint: 42}})
+	rpt := <-two.crashes
+	iis.Equal(rpt.Replica, uint64(7))
+	iis.Equal(rpt.Call, cause.Call{Fingerprint: 42})
 }
 
 // TestDamagedDatagramsAreDropped guards against a process that stops receiving after a datagram that is not a message.
--- a/peers/send.go
+++ b/peers/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
@@ -35,15 +34,6 @@
 	return min(max(time.Duration(num)*batchDelayPerPeer, minBatchDelay), maxBatchDelay)
 }
 
-// SendCrash sends the fingerprint of a call at whose start a replica closed the connection. It is sent at once with a
-// full update, and repeated in the next ones.
-func (exc *Exchange) SendCrash(fingerprint uint64) {
-	exc.mu.Lock()
-	exc.crashes = append(exc.crashes, crashReport{fingerprint: fingerprint, sendsLeft: crashReportSends})
-	exc.mu.Unlock()
-	exc.sendFullUpdate(true)
-}
-
 // sendChanges sends the queued changes to the peers that place calls on the replicas concerned.
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
@@ -79,30 +69,24 @@
 	return out
 }
 
-// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. Recent
-// crashes go to all peers. With greetAll, all peers get a message, even one without tasks.
+// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. With greetAll,
+// all peers get a message, even one without tasks.
 func (exc *Exchange) sendFullUpdate(greetAll bool) {
 	exc.mu.Lock()
 	to := exc.audiences(func(*peer) bool { return true })
-	var crashes []uint64
-	for idx := range exc.crashes {
-		crashes = append(crashes, exc.crashes[idx].fingerprint)
-		exc.crashes[idx].sendsLeft--
-	}
-	exc.crashes = slices.DeleteFunc(exc.crashes, func(crs crashReport) bool { return crs.sendsLeft <= 0 })
 	exc.mu.Unlock()
 	all := exc.opts.Fleet.LocalTasks()
 	for dataCentre, addrs := range to {
 		tasks := exc.tasksFor(dataCentre, all)
-		if greetAll || len(tasks) > 0 || len(crashes) > 0 || exc.isNearDataCentre(dataCentre) {
-			exc.sendTasks(addrs, exc.greeting(crashes), tasks)
+		if greetAll || len(tasks) > 0 || exc.isNearDataCentre(dataCentre) {
+			exc.sendTasks(addrs, exc.greeting(), tasks)
 		}
 	}
 }
 
 // greeting returns a message that introduces this process.
-func (exc *Exchange) greeting(crashes []uint64) message {
-	return message{Name: exc.opts.Name, DataCentre: exc.opts.DataCentre, Crashes: crashes}
+func (exc *Exchange) greeting() message {
+	return message{Name: exc.opts.Name, DataCentre: exc.opts.DataCentre}
 }
 
 // sendTasks sends a message with the given tasks, in as many datagrams as needed.
--- a/peers/summary.go
+++ b/peers/summary.go
@@ -46,7 +46,7 @@
 	exc.mu.Unlock()
 	list := exc.opts.Fleet.Summaries(exc.opts.DataCentre)
 	rand.Shuffle(len(list), func(one, two int) { list[one], list[two] = list[two], list[one] })
-	msg := exc.withSender(exc.greeting(nil))
+	msg := exc.withSender(exc.greeting())
 	msg.Live = live
 	for idx := range list[:min(len(list), maxSummaries)] {
 		msg.Summaries = append(msg.Summaries, toReplicaSummary(&list[idx]))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -265,33 +264,6 @@
 	}
 }
 
-// recordAnswer records that the replica has answered the call, at least in part, so that a later crash of the replica
-// has another cause.
-func (att *attempt) recordAnswer() {
-	att.answered = true
-	att.hdl.opts.Crashes.RecordSuccess(att.hdl.cal, att.hdl.account)
-}
-
-// recordCrash records that the replica closed the connection before its answer: the whole response, or the first event
-// of a stream.
-func (att *attempt) recordCrash() {
-	hdl, rep := att.hdl, att.placement.Primary.Replica
-	switch {
-	case att.replyReceived:
-		rep.RecordFailure()
-	case !att.con.Reused(): // A used connection may also be closed because it was idle.
-		rep.RecordUnreachable()
-	}
-	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
-	hdl.opts.Metrics.CountEvent("closed-before-answer")
-	hdl.opts.Log.Info("relay: replica closed the connection before its answer", "call", hdl.cal.ID,
-		"replica", att.placement.Primary.ID, "crash", !leaving, "reused", att.con.Reused(),
-		"head", att.replyReceived, "body-bytes", len(hdl.cal.Body), "fingerprint", strconv.FormatUint(callFingerprint(hdl.cal, hdl.account), 16))
-	if !leaving {
-		hdl.opts.Crashes.RecordCrash(hdl.cal, hdl.account, att.placement.Primary.ID)
-	}
-}
-
 // enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
 // calls with lower numbers first.
 func enginePriority(target time.Duration) int {
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -23,7 +23,7 @@
 	if left < minAttemptTime {
 		return place.Placement{}, reasonTimeLimit
 	}
-	if hdl.opts.Crashes.Blocked(hdl.cal, hdl.account) {
+	if hdl.crashesReplicas() {
 		return place.Placement{}, reasonCrashesReplicas
 	}
 	plc, ok := hdl.placeInCells(left)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/tarragonwheel/tarragonwheel/call"
+	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/place"
@@ -43,7 +44,7 @@
 	Fleet         *fleet.Fleet
 	Pool          *pool.Pool
 	Reserver      *Reserver
-	Crashes       *CrashTracker
+	Crashes       *cause.Tracker
 	RetryLimits   func() retry.SharedLimits // limits of the retry budget that all processes share
 	LoadUnknown   func() bool               // whether the load from other processes is still unknown; nil for never
 	BudgetSharers func() int                // number of processes that share the retry budget
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/place"
@@ -143,7 +144,7 @@
 	rig.opts = relay.Options{
 		Clock: clk, Log: logr.Discard(), Metrics: metric.New(), Rules: rig.rules.Load, Fleet: rig.flt,
 		Pool: pool.New(clk), Reserver: relay.NewReserver(clk, logr.Discard(), relay.ReplicaAPI{}),
-		Crashes: relay.NewCrashTracker(clk, nil), Policy: place.OnEngine, DataCentre: "z",
+		Crashes: cause.New(cause.Options{Clock: clk}), Policy: place.OnEngine, DataCentre: "z",
 		BudgetSharers: func() int { return 1 },
 		RetryLimits: func() retry.SharedLimits {
 			return retry.SharedLimits{
