Tell fronts that have been started which calls are blocked

Callers saw, or would see: after a restart of a front, a call that all others refuse crashes two more replicas through this one.

Cause: crashes are kept in memory only, and a new front got none of them.

Change: a peer that is heard of for the first time gets the reports because of which calls are blocked. peers.TestRestartedPeerGetsCrashes waited in vain before. Culprits are found in one pass over the suspects, so that many crashes at once cost little.

--- a/cause/cause.go
+++ b/cause/cause.go
@@ -112,7 +112,7 @@
 	trk.expire(now)
 	trk.suspect(rpt.Call.Fingerprint)
 	crs := trk.findCrash(rpt)
-	if crs.hasCall(rpt.Call.Fingerprint) || len(crs.calls) >= maxCalls {
+	if hasCall(crs.calls, rpt.Call.Fingerprint) || len(crs.calls) >= maxCalls {
 		return
 	}
 	crs.calls = append(crs.calls, rpt.Call)
@@ -155,10 +155,6 @@
 	return crs
 }
 
-func (crs *crash) hasCall(fingerprint uint64) bool {
-	return slices.ContainsFunc(crs.calls, func(cal Call) bool { return cal.Fingerprint == fingerprint })
-}
-
 // RecordAnswer records that a replica has answered a call, at least in part.
 func (trk *Tracker) RecordAnswer(cal Call) {
 	if !trk.Active() {
@@ -255,15 +251,21 @@
 	}
 }
 
-// Reports returns reports of all crashes that are remembered, for a process that has none of them.
-func (trk *Tracker) Reports() []Report {
+// BlockingReports returns the reports because of which calls are blocked, for a process that has none of them.
+func (trk *Tracker) BlockingReports() []Report {
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
-	trk.expire(trk.opts.Clock.Now())
+	now := trk.opts.Clock.Now()
+	trk.expire(now)
+	trk.findCulprits(now)
 	var list []Report
-	for _, crs := range trk.crashes {
-		for _, cal := range crs.calls {
-			list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal})
+	for _, cul := range trk.culprits {
+		for _, crs := range cul.crashes {
+			for _, cal := range crs.calls {
+				if cul.matches(cal) {
+					list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal})
+				}
+			}
 		}
 	}
 	return list
--- a/cause/explain.go
+++ b/cause/explain.go
@@ -1,6 +1,7 @@
 package cause
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -22,25 +23,21 @@
 
 func (cul *culprit) matches(cal Call) bool { return cal.Fingerprint == cul.fingerprint }
 
-// explain returns the calls that explain the crashes best. A call that explains most crashes goes first; the other
-// calls of these crashes are then no suspects of them any more.
+// explain returns the calls that explain the crashes best. A call that is a suspect of most crashes goes first; the
+// other calls of these crashes are then no suspects of them any more.
 func explain(crashes []*crash) []culprit {
 	suspects := make([][]Call, len(crashes))
 	for idx, crs := range crashes {
 		suspects[idx] = slices.Clone(crs.calls)
 	}
 	var culprits []culprit
-	blocked := make(map[uint64]bool) // by fingerprint
-	for {
-		fingerprint, indices := mostFrequentCall(suspects, blocked)
-		if len(indices) < crashesToBlock {
-			return culprits
-		}
-		blocked[fingerprint] = true
-		if len(indices) < crashesToBlockAny && hasRival(suspects, indices, fingerprint) {
+	for _, cand := range repeatedCalls(suspects) {
+		indices := slices.DeleteFunc(cand.indices, func(idx int) bool { return !hasCall(suspects[idx], cand.fingerprint) })
+		if len(indices) < crashesToBlock ||
+			(len(indices) < crashesToBlockAny && hasRival(suspects, indices, cand.fingerprint)) {
 			continue
 		}
-		cul := culprit{fingerprint: fingerprint}
+		cul := culprit{fingerprint: cand.fingerprint}
 		for _, idx := range indices {
 			cul.crashes = append(cul.crashes, crashes[idx])
 			suspects[idx] = slices.DeleteFunc(suspects[idx], func(cal Call) bool { return !cul.matches(cal) })
@@ -48,44 +45,46 @@
 		cul.until = blockedUntil(cul.crashes, crashesToBlock)
 		culprits = append(culprits, cul)
 	}
+	return culprits
+}
+
+// candidate is a call that is a suspect of several crashes.
+type candidate struct {
+	fingerprint uint64
+	indices     []int // of the crashes
 }
 
-// mostFrequentCall returns the call that is a suspect of most crashes and is not to be left out, and the indices of
-// these crashes.
-func mostFrequentCall(suspects [][]Call, leaveOut map[uint64]bool) (fingerprint uint64, indices []int) {
+// repeatedCalls returns the calls that are suspects of enough crashes to be blocked, those of most crashes first.
+func repeatedCalls(suspects [][]Call) []candidate {
 	byCall := make(map[uint64][]int)
 	for idx, calls := range suspects {
 		for _, cal := range calls {
-			if !leaveOut[cal.Fingerprint] {
-				byCall[cal.Fingerprint] = append(byCall[cal.Fingerprint], idx)
-			}
+			byCall[cal.Fingerprint] = append(byCall[cal.Fingerprint], idx)
 		}
 	}
-	for fpr, list := range byCall {
-		if len(list) > len(indices) || (len(list) == len(indices) && fpr < fingerprint) {
-			fingerprint, indices = fpr, list
+	var list []candidate
+	for fpr, indices := range byCall {
+		if len(indices) >= crashesToBlock {
+			list = append(list, candidate{fingerprint: fpr, indices: indices})
 		}
 	}
-	return fingerprint, indices
+	slices.SortFunc(list, func(one, two candidate) int {
+		return cmp.Or(cmp.Compare(len(two.indices), len(one.indices)), cmp.Compare(one.fingerprint, two.fingerprint))
+	})
+	return list
 }
 
-// hasRival reports whether another call is a suspect of all the given crashes too.
-func hasRival(suspects [][]Call, indices []int, fingerprint uint64) bool {
-	for _, cal := range suspects[indices[0]] {
-		if cal.Fingerprint != fingerprint && isInAll(suspects, indices, cal.Fingerprint) {
-			return true
-		}
-	}
-	return false
+func hasCall(calls []Call, fingerprint uint64) bool {
+	return slices.ContainsFunc(calls, func(cal Call) bool { return cal.Fingerprint == fingerprint })
 }
 
-func isInAll(suspects [][]Call, indices []int, fingerprint uint64) bool {
-	for _, idx := range indices {
-		if !slices.ContainsFunc(suspects[idx], func(cal Call) bool { return cal.Fingerprint == fingerprint }) {
-			return false
-		}
-	}
-	return true
+// hasRival reports whether another call is a suspect of all the given crashes too.
+func hasRival(suspects [][]Call, indices []int, fingerprint uint64) bool {
+	return slices.ContainsFunc(suspects[indices[0]], func(cal Call) bool {
+		return cal.Fingerprint != fingerprint && !slices.ContainsFunc(indices, func(idx int) bool {
+			return !hasCall(suspects[idx], cal.Fingerprint)
+		})
+	})
 }
 
 // blockedUntil returns until when what explains the given crashes is refused. Each crash beyond those that suffice
--- a/front/peers.go
+++ b/front/peers.go
@@ -31,7 +31,7 @@
 	exc, err := peers.Start(frt.group, peers.Options{
 		Name: config.ProcessName.Of(frt.startSettings), DataCentre: config.ProcessDataCentre.Of(frt.startSettings),
 		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddReport,
-		OnAnswers:     frt.crashes.AddAnswers,
+		OnAnswers: frt.crashes.AddAnswers, KnownCrashes: frt.crashes.BlockingReports,
 		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer, OnDigest: frt.applyDigest,
 		OnStoreAnswers: frt.retryStore,
 	})
--- a/peers/crash.go
+++ b/peers/crash.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// sendKnownCrashes sends the crashes because of which calls are blocked to a peer that may know none.
+func (exc *Exchange) sendKnownCrashes(addr *net.UDPAddr) {
+	if exc.opts.KnownCrashes != nil {
+		exc.sendReports([]*net.UDPAddr{addr}, exc.opts.KnownCrashes())
+	}
+}
+
 // SendAnswers sends all peers that suspected calls have been answered.
 func (exc *Exchange) SendAnswers(list []cause.Answer) {
 	exc.mu.Lock()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -23,6 +23,7 @@
 	addr    string
 	group   *group.Group
 	crashes chan cause.Report
+	known   []cause.Report // crashes that the process remembers
 }
 
 // freeAddress returns a UDP address that is not in use.
@@ -58,6 +59,7 @@
 	exc, err := peers.Start(prc.group, peers.Options{
 		Name: name, DataCentre: dataCentre, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
 		OnCrash: func(rpt cause.Report) { prc.crashes <- rpt },
+		KnownCrashes: func() []cause.Report { return prc.known },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -120,6 +122,17 @@
 	iis.Equal(rpt.Call, cause.Call{Fingerprint: 42})
 }
 
+// TestRestartedPeerGetsCrashes guards against a front that has been restarted and sends a call on that all others refuse.
+func TestRestartedPeerGetsCrashes(t *testing.T) {
+	iis := is.New(t)
+	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
+	one.known = []cause.Report{{Replica: 7, At: time.Now().Add(-time.Minute), Call: cause.Call{Fingerprint: 42}}}
+	two.exc.AddPeer(one.addr)
+	rpt := <-two.crashes
+	iis.Equal(rpt.Call, one.known[0].Call)
+	iis.True(time.Since(rpt.At) >= time.Minute)
+}
+
 // TestDamagedDatagramsAreDropped guards against a process that stops receiving after a datagram that is not a message.
 func TestDamagedDatagramsAreDropped(t *testing.T) {
 	iis := is.New(t)
