--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -47,6 +47,12 @@
 	req.Header.Set("Tarragonwheel-Request-Id", "c1")
 	req.Header.Set("Tarragonwheel-Request-Deadline-Ms", "5000")
 	req.Header.Set("Api-Key", "k")
+	return roundTrip(t, req)
+}
+
+// roundTrip sends a request and returns the status of the response.
+func roundTrip(t *testing.T, req *http.Request) int {
+	t.Helper()
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -125,6 +131,49 @@
 	}
 }
 
+// TestPromptPartThatCrashesReplicasIsRefused guards against calls that crash one replica after another because they share
+// a part of their prompts, though no two of them are alike. Sound calls that share their other parts must be served.
+func TestPromptPartThatCrashesReplicasIsRefused(t *testing.T) {
+	iis := is.New(t)
+	var crashes atomic.Int64
+	answer := func(con net.Conn, req request) bool {
+		if strings.Contains(req.Header.Get("Tarragonwheel-Prompt-Prefix"), "dead:") {
+			crashes.Add(1)
+			_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n"+signedHeaders(req)+
+				"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			return false
+		}
+		return stream(con, req, 1, 2, true)
+	}
+	var replicas []*replica
+	for range 8 {
+		replicas = append(replicas, newReplica(t, answer))
+	}
+	rig := newRig(t, replicas...)
+	for num := range 12 {
+		rig.sendPrompt(t, fmt.Sprintf("5a:40,dead:60,%x:900", 1000+num))
+		iis.Equal(rig.sendPrompt(t, fmt.Sprintf("5a:40,7e:60,%x:900", 2000+num)), http.StatusOK)
+	}
+	iis.True(crashes.Load() <= 5)
+	iis.Equal(rig.sendPrompt(t, "5a:40,3000:900"), http.StatusOK)
+	iis.Equal(rig.sendPrompt(t, "3001:900"), http.StatusOK)
+}
+
+// sendPrompt sends a call for a stream whose prompt has the given parts and returns the status of the response.
+func (rig *rig) sendPrompt(t *testing.T, parts string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+"/stream/x", strings.NewReader(parts))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Tarragonwheel-Request-Id", "c1")
+	req.Header.Set("Tarragonwheel-Request-Deadline-Ms", "5000")
+	req.Header.Set("Tarragonwheel-Token-Usage", "1000,80")
+	req.Header.Set("Tarragonwheel-Prompt-Prefix", parts)
+	req.Header.Set("Api-Key", "k")
+	return roundTrip(t, req)
+}
+
 // addIdleConn leaves a connection in the pool on which the replica has answered a call.
 func (rig *rig) addIdleConn(t *testing.T, id string, rep *replica) {
 	t.Helper()
