--- a/peers/peers.go
+++ b/peers/peers.go
@@ -59,7 +59,8 @@
 	OnStoreAnswers func()
 	// OnCrash is called with a crash that a peer has observed; nil for none.
 	OnCrash func(rpt cause.Report)
-	// KnownCrashes returns the crashes because of which calls are blocked, for peers that have been started; nil for none.
+	// KnownCrashes returns the crashes because of which calls are blocked, for peers that have been started; nil for
+	// none.
 	KnownCrashes func() []cause.Report
 	// OnAnswers is called with answers of suspected calls that a peer has seen; nil for none.
 	OnAnswers func(list []cause.Answer)
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 	addr    string
 	group   *group.Group
 	crashes chan cause.Report
-	known   []cause.Report // crashes that the process remembers
+	known   atomic.Pointer[cause.Report] // crash that the process remembers
 }
 
 // freeAddress returns a UDP address that is not in use.
@@ -58,8 +59,8 @@
 	t.Cleanup(func() { _ = prc.group.Stop() })
 	exc, err := peers.Start(prc.group, peers.Options{
 		Name: name, DataCentre: dataCentre, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
-		OnCrash: func(rpt cause.Report) { prc.crashes <- rpt },
-		KnownCrashes: func() []cause.Report { return prc.known },
+		OnCrash:      func(rpt cause.Report) { prc.crashes <- rpt },
+		KnownCrashes: prc.knownCrashes,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -68,6 +69,14 @@
 	return prc
 }
 
+// knownCrashes returns the crash that the process remembers, if any.
+func (prc *process) knownCrashes() []cause.Report {
+	if rpt := prc.known.Load(); rpt != nil {
+		return []cause.Report{*rpt}
+	}
+	return nil
+}
+
 // waitTokens returns when the process counts want tokens of KV memory at the replica.
 func (prc *process) waitTokens(t *testing.T, want int) {
 	t.Helper()
@@ -122,14 +131,16 @@
 	iis.Equal(rpt.Call, cause.Call{Fingerprint: 42})
 }
 
-// TestRestartedPeerGetsCrashes guards against a front that has been restarted and sends a call on that all others refuse.
+// TestRestartedPeerGetsCrashes guards against a front that has been restarted and sends a call on that all others
+// refuse.
 func TestRestartedPeerGetsCrashes(t *testing.T) {
 	iis := is.New(t)
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
-	one.known = []cause.Report{{Replica: 7, At: time.Now().Add(-time.Minute), Call: cause.Call{Fingerprint: 42}}}
+	known := cause.Report{Replica: 7, At: time.Now().Add(-time.Minute), Call: cause.Call{Fingerprint: 42}}
+	one.known.Store(&known)
 	two.exc.AddPeer(one.addr)
 	rpt := <-two.crashes
-	iis.Equal(rpt.Call, one.known[0].Call)
+	iis.Equal(rpt.Call, known.Call)
 	iis.True(time.Since(rpt.At) >= time.Minute)
 }
 
--- a/peers/send.go
+++ b/peers/send.go
@@ -69,8 +69,8 @@
 	return out
 }
 
-// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. With greetAll,
-// all peers get a message, even one without tasks.
+// sendFullUpdate sends all tasks of this process to the peers that place calls on the replicas concerned. With
+// greetAll, all peers get a message, even one without tasks.
 func (exc *Exchange) sendFullUpdate(greetAll bool) {
 	exc.mu.Lock()
 	to := exc.audiences(func(*peer) bool { return true })
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -111,8 +111,10 @@
 func TestCrashAfterHeadCounts(t *testing.T) {
 	for _, tst := range []struct{ name, path, head string }{
 		{"stream", "/stream/x", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"},
-		{"stream within its first event", "/stream/x",
-			"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n"},
+		{
+			"stream within its first event", "/stream/x",
+			"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n",
+		},
 		{"body", "/safe/x", "Content-Length: 5\r\n\r\nso"},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
@@ -131,8 +133,9 @@
 	}
 }
 
-// TestPromptPartThatCrashesReplicasIsRefused guards against calls that crash one replica after another because they share
-// a part of their prompts, though no two of them are alike. Sound calls that share their other parts must be served.
+// TestPromptPartThatCrashesReplicasIsRefused guards against calls that crash one replica after another because they
+// share a part of their prompts, though no two of them are alike. Sound calls that share their other parts must be
+// served.
 func TestPromptPartThatCrashesReplicasIsRefused(t *testing.T) {
 	iis := is.New(t)
 	var crashes atomic.Int64
