Refuse calls with a part of their prompts that crashes replicas

Callers saw: with 5 in 100 short calls sharing a deadly part, a replica crashed every 0.3 s, a third of the 23 replicas was down at any time, and about half of all calls were served late or not at all.

Cause: a call was recognised by its whole content, and the parts of a prompt were not decoded.

Change: the parts that a prompt shares with others are suspects of a crash like the call itself. A part is blocked after three crashes of different calls; parts that always occur together are refused only together. A part with which a call was answered after the crash or in the second before it is no suspect, so the loss of several replicas at once does not point to a part that most calls have. Parts are kept by service.

--- a/call/call.go
+++ b/call/call.go
@@ -27,11 +27,21 @@
 	HasLastEventID bool
 }
 
-// Prompt holds the sizes, in tokens, that a call to a model engine states.
+// Prompt holds what a call to a model engine states about its prompt and output. Sizes are in tokens.
 type Prompt struct {
 	Tokens         int // length of the prompt
 	MaxOutput      int // longest output that the client allows
 	OutputEstimate int // the client's estimate of the output, often inaccurate; 0 for none
+	// Parts are the IDs of the parts of the prompt, in order. Calls share parts; the last one is the call's own.
+	Parts []string
+}
+
+// SharedParts returns the IDs of the parts of the prompt that other calls may have too.
+func (prm *Prompt) SharedParts() []string {
+	if len(prm.Parts) == 0 {
+		return nil
+	}
+	return prm.Parts[:len(prm.Parts)-1]
 }
 
 // Attempt holds what a call carries in addition when it is sent to a replica.
--- a/cause/announce.go
+++ b/cause/announce.go
@@ -22,7 +22,7 @@
 	trk.mu.Lock()
 	var list []Answer
 	for feature := range trk.unsent {
-		if at := trk.answers[feature]; !at.IsZero() {
+		if at, ok := trk.answers[feature]; ok {
 			list = append(list, Answer{Feature: feature, At: at})
 		}
 	}
--- a/cause/cause.go
+++ b/cause/cause.go
@@ -1,18 +1,21 @@
-// Package cause finds the calls that crash replicas, so that they can be refused.
+// Package cause finds the calls, and the parts of prompts, that crash replicas, so that calls with them can be refused.
 //
 // A replica that crashes breaks the connections of all calls that it has begun. Each of them is a suspect of the crash,
-// at whichever process its connection was; the processes send each other reports. A call that a replica answers is no
-// suspect of earlier crashes, since a call that crashes replicas is never answered. A call is blocked when it is the
-// best explanation of several crashes; the other calls of these crashes are then no suspects of them any more.
+// at whichever process its connection was, and so are the parts of its prompt; the processes send each other reports. A
+// call that a replica answers is no suspect of earlier crashes, nor are its parts, since what crashes replicas is never
+// answered. A call or a part is blocked when it is the best explanation of several crashes; the other calls of these
+// crashes are then no suspects of them any more.
 package cause
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -26,14 +29,21 @@
 	// blockTime is how long a call is refused after the crash that blocked it. Each further crash doubles it.
 	blockTime    = time.Minute
 	maxBlockTime = time.Hour
-	maxCrashes   = 128
-	maxCalls     = 64 // suspects of one crash
-	maxAnswers   = 4096
+	// recentAnswer is the time before a crash in which an answer shows that a feature is no suspect of it. Parts that
+	// most calls have are thus not suspected when several replicas are lost at the same moment.
+	recentAnswer = time.Second
+	// answerTime is how long an answer is kept at least, while there is room.
+	answerTime = 10 * time.Second
+	maxCrashes = 128
+	maxCalls   = 64 // suspects of one crash
+	maxParts   = 16 // suspects of one call
+	maxAnswers = 4096
 )
 
 // Call identifies a call by what may crash replicas.
 type Call struct {
-	Fingerprint uint64 // hash of all that the call consists of
+	Fingerprint uint64   // hash of all that the call consists of
+	Parts       []uint64 // hashes of the parts of its prompt that other calls may have too
 }
 
 // Report states that a replica broke the connection of a call before it had answered it.
@@ -43,15 +53,16 @@
 	Call    Call
 }
 
-// Answer states that a replica answered calls that had been suspected.
+// Answer states that a replica answered calls with a feature that had been suspected.
 type Answer struct {
-	Feature uint64 // fingerprint of the call
+	Feature uint64 // fingerprint of the call, or hash of a part
 	At      time.Time
 }
 
 // Options configure a Tracker.
 type Options struct {
 	Clock *timer.Service
+	Log   logr.Logger
 	// OnCrash is called with each crash that this process has observed, so that others can be informed; nil for none.
 	OnCrash func(rpt Report)
 	// OnAnswers is called with calls that other processes suspect and this one has seen answered; nil for none.
@@ -65,7 +76,8 @@
 
 	mu         sync.Mutex
 	crashes    []*crash
-	answers    map[uint64]time.Time // when a suspect was last answered; zero if it has not been
+	suspected  map[uint64]bool      // features of the calls in crashes, and some that were
+	answers    map[uint64]time.Time // when calls with a feature were last answered
 	culprits   []culprit
 	outdated   bool                // culprits must be found again
 	unsent     map[uint64]struct{} // features of answers that the other processes lack
@@ -88,56 +100,80 @@
 	if opts.OnAnswers == nil {
 		opts.OnAnswers = func([]Answer) {}
 	}
-	return &Tracker{opts: opts, answers: make(map[uint64]time.Time), unsent: make(map[uint64]struct{})}
+	return &Tracker{
+		opts: opts, suspected: make(map[uint64]bool), answers: make(map[uint64]time.Time),
+		unsent: make(map[uint64]struct{}),
+	}
 }
 
-// Active reports whether there are crashes. If not, no call is blocked and answers need not be recorded.
+// Active reports whether there are crashes. If not, no call is blocked.
 func (trk *Tracker) Active() bool { return trk.active.Load() }
 
 // RecordCrash records that a replica broke the connection of a call before it had answered it.
 func (trk *Tracker) RecordCrash(replica string, cal Call) {
 	rpt := Report{Replica: xxhash.Sum64String(replica), At: trk.opts.Clock.Now(), Call: cal}
-	trk.AddReport(rpt)
+	trk.mu.Lock()
+	trk.addReport(rpt)
+	rpt.Call = trk.withoutAnswered(rpt)
+	trk.mu.Unlock()
 	trk.opts.OnCrash(rpt)
 }
 
-// AddReport records a crash that this or another process has observed. A report that is already known has no effect.
+// AddReport records a crash that another process has observed. A report that is already known has no effect.
 func (trk *Tracker) AddReport(rpt Report) {
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
+	trk.addReport(rpt)
+}
+
+// addReport adds the call of a report to the suspects of its crash.
+func (trk *Tracker) addReport(rpt Report) {
 	now := trk.opts.Clock.Now()
-	if now.Sub(rpt.At) > maxBlockTime || trk.answeredSince(rpt.Call.Fingerprint, rpt.At) {
+	trk.expire(now)
+	if now.Sub(rpt.At) > maxBlockTime || trk.wasAnswered(rpt.Call.Fingerprint, rpt.At) {
 		return
 	}
-	trk.expire(now)
-	trk.suspect(rpt.Call.Fingerprint)
 	crs := trk.findCrash(rpt)
 	if hasCall(crs.calls, rpt.Call.Fingerprint) || len(crs.calls) >= maxCalls {
 		return
 	}
-	crs.calls = append(crs.calls, rpt.Call)
+	cal := trk.withoutAnswered(rpt)
+	for _, feature := range cal.features() {
+		trk.suspected[feature] = true
+	}
+	crs.calls = append(crs.calls, cal)
 	trk.outdated = true
 	trk.active.Store(true)
 }
 
-// answeredSince reports whether a call with the given feature was answered after the given time.
-func (trk *Tracker) answeredSince(feature uint64, at time.Time) bool {
-	return trk.answers[feature].After(at)
+func hasCall(calls []Call, fingerprint uint64) bool {
+	return slices.ContainsFunc(calls, func(cal Call) bool { return cal.Fingerprint == fingerprint })
 }
 
-// suspect begins to record answers of calls with a feature. If there have been some since an earlier crash, the other
-// processes may not know of them and are informed.
-func (trk *Tracker) suspect(feature uint64) {
-	if answeredAt, ok := trk.answers[feature]; ok {
-		if !answeredAt.IsZero() {
-			trk.queueAnswer(feature)
+// features returns all that may crash replicas in the call.
+func (cal *Call) features() []uint64 { return append([]uint64{cal.Fingerprint}, cal.Parts...) }
+
+// withoutAnswered returns the call of a report without the parts that are no suspects because calls with them have been
+// answered.
+func (trk *Tracker) withoutAnswered(rpt Report) Call {
+	cal := Call{Fingerprint: rpt.Call.Fingerprint}
+	for _, part := range rpt.Call.Parts[:min(len(rpt.Call.Parts), maxParts)] {
+		if !trk.wasAnswered(part, rpt.At) {
+			cal.Parts = append(cal.Parts, part)
 		}
-		return
 	}
-	if len(trk.answers) >= maxAnswers {
-		clear(trk.answers)
+	return cal
+}
+
+// wasAnswered reports whether a call with the given feature was answered after a crash, or so recently before it that
+// the feature is no suspect. The other processes may not know of the answer and are informed.
+func (trk *Tracker) wasAnswered(feature uint64, crashedAt time.Time) bool {
+	at, ok := trk.answers[feature]
+	if !ok || !at.After(crashedAt.Add(-recentAnswer)) {
+		return false
 	}
-	trk.answers[feature] = time.Time{}
+	trk.queueAnswer(feature)
+	return true
 }
 
 // findCrash returns the crash of a report, and adds it if it is new.
@@ -157,12 +193,15 @@
 
 // RecordAnswer records that a replica has answered a call, at least in part.
 func (trk *Tracker) RecordAnswer(cal Call) {
-	if !trk.Active() {
-		return
-	}
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
-	trk.clearFeature(cal.Fingerprint, trk.opts.Clock.Now())
+	now := trk.opts.Clock.Now()
+	if trk.suspected[cal.Fingerprint] { // Other calls are not likely to come again.
+		trk.clearFeature(cal.Fingerprint, now)
+	}
+	for _, part := range cal.Parts {
+		trk.clearFeature(part, now)
+	}
 }
 
 // AddAnswers records answers that another process has seen.
@@ -177,23 +216,53 @@
 
 // clearFeature removes the suspicion from calls with a feature that were answered at the given time.
 func (trk *Tracker) clearFeature(feature uint64, at time.Time) {
-	answeredAt, suspected := trk.answers[feature]
-	if !suspected || !at.After(answeredAt) {
+	answeredAt, ok := trk.answers[feature]
+	if !ok {
+		trk.evictAnswers()
+	}
+	if !at.After(answeredAt) {
 		return
 	}
 	trk.answers[feature] = at
+	if !trk.suspected[feature] {
+		return
+	}
 	for _, crs := range trk.crashes {
-		if crs.at.Before(at) && crs.clear(feature) {
+		if crs.at.Before(at.Add(recentAnswer)) && crs.clear(feature) {
 			trk.outdated = true
 		}
 	}
 }
 
-// clear removes the suspicion from calls with a feature. It returns false if there are none.
+// evictAnswers makes room for one more answer if there are too many.
+func (trk *Tracker) evictAnswers() {
+	if len(trk.answers) < maxAnswers {
+		return
+	}
+	now := trk.opts.Clock.Now()
+	for feature, at := range trk.answers {
+		if now.Sub(at) > answerTime {
+			delete(trk.answers, feature)
+		}
+	}
+	if len(trk.answers) >= maxAnswers {
+		clear(trk.answers)
+	}
+}
+
+// clear removes the suspicion from a feature. It returns false if there was none.
 func (crs *crash) clear(feature uint64) bool {
 	num := len(crs.calls)
 	crs.calls = slices.DeleteFunc(crs.calls, func(cal Call) bool { return cal.Fingerprint == feature })
-	return len(crs.calls) < num
+	found := len(crs.calls) < num
+	for idx := range crs.calls {
+		cal := &crs.calls[idx]
+		if pos := slices.Index(cal.Parts, feature); pos >= 0 {
+			cal.Parts = slices.Delete(cal.Parts, pos, pos+1)
+			found = true
+		}
+	}
+	return found
 }
 
 // Blocked reports whether a call must be refused because it crashes replicas.
@@ -206,7 +275,9 @@
 	now := trk.opts.Clock.Now()
 	trk.expire(now)
 	trk.findCulprits(now)
-	return slices.ContainsFunc(trk.culprits, func(cul culprit) bool { return cul.matches(cal) && now.Before(cul.until) })
+	return slices.ContainsFunc(trk.culprits, func(cul culprit) bool {
+		return cul.matches(cal) && now.Before(cul.until)
+	})
 }
 
 // findCulprits finds the culprits if the crashes have changed. Their crashes are kept while they are blocked and for
@@ -216,8 +287,14 @@
 		return
 	}
 	trk.outdated = false
+	known := trk.culprits
 	trk.culprits = explain(trk.crashes)
 	for _, cul := range trk.culprits {
+		if !slices.ContainsFunc(known, cul.equal) {
+			trk.opts.Log.Info("cause: calls are refused because they crash replicas", "fingerprint",
+				strconv.FormatUint(cul.fingerprint, 16), "parts", len(cul.parts), "crashes", len(cul.crashes),
+				"for", cul.until.Sub(now))
+		}
 		for _, crs := range cul.crashes {
 			crs.until = cul.until.Add(suspectTime)
 		}
@@ -225,7 +302,7 @@
 	trk.scheduleExpiry(now)
 }
 
-// expire removes crashes that are forgotten and the answers of calls that are no longer suspected.
+// expire removes crashes that are forgotten.
 func (trk *Tracker) expire(now time.Time) {
 	if now.Before(trk.nextExpiry) {
 		return
@@ -234,10 +311,10 @@
 	num := len(trk.crashes)
 	trk.crashes = slices.DeleteFunc(trk.crashes, func(crs *crash) bool { return !now.Before(crs.until) })
 	trk.outdated = trk.outdated || len(trk.crashes) < num
+	trk.active.Store(len(trk.crashes) > 0)
 	if len(trk.crashes) == 0 {
-		clear(trk.answers)
+		clear(trk.suspected)
 	}
-	trk.active.Store(len(trk.crashes) > 0)
 	trk.scheduleExpiry(now)
 }
 
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -11,11 +11,18 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-// call returns the call that a letter stands for.
-func call(letter rune) cause.Call { return cause.Call{Fingerprint: uint64(letter)} }
+// call returns the call that a text stands for: a letter, and after a colon a letter for each part of its prompt.
+func call(text string) cause.Call {
+	name, parts, _ := strings.Cut(text, ":")
+	cal := cause.Call{Fingerprint: uint64(name[0])}
+	for _, letter := range parts {
+		cal.Parts = append(cal.Parts, uint64(letter)<<8)
+	}
+	return cal
+}
 
-// applySteps applies steps 100 ms apart: "1+abc" is a crash of replica 1 that breaks the calls a, b and c, "-a" is an
-// answer to call a, "+5s" is a pause.
+// applySteps applies steps 100 ms apart: "1+a,b:PQ" is a crash of replica 1 that breaks call a and call b with the
+// parts P and Q, "-a" is an answer to call a, "+5s" is a pause.
 func applySteps(t *testing.T, trk *cause.Tracker, man *timer.Manual, steps string) {
 	t.Helper()
 	for _, step := range strings.Fields(steps) {
@@ -26,11 +33,11 @@
 		case isCrash && replica == "" && err == nil:
 			man.Advance(pause)
 		case isCrash:
-			for _, letter := range rest {
-				trk.RecordCrash(replica, call(letter))
+			for text := range strings.SplitSeq(rest, ",") {
+				trk.RecordCrash(replica, call(text))
 			}
 		default:
-			trk.RecordAnswer(call(rune(step[1])))
+			trk.RecordAnswer(call(step[1:]))
 		}
 	}
 }
@@ -39,7 +46,7 @@
 func blockedCalls(trk *cause.Tracker) string {
 	var out strings.Builder
 	for letter := 'a'; letter <= 'z'; letter++ {
-		if trk.Blocked(call(letter)) {
+		if trk.Blocked(call(string(letter))) {
 			out.WriteRune(letter)
 		}
 	}
@@ -50,15 +57,15 @@
 func TestBlockedCalls(t *testing.T) {
 	for _, tst := range []struct{ name, steps, blocked string }{
 		{"one crash blocks no call", "1+k", ""},
-		{"two crashes block their only common call", "1+kab 2+kc", "k"},
+		{"two crashes block their only common call", "1+k,a,b 2+k,c", "k"},
 		{"repeated reports of one crash count once", "1+k 1+k 1+k", ""},
 		{"a replica that is started again may crash again", "1+k +5s 1+k", "k"},
 		{"an answered call is no suspect of earlier crashes", "1+k -k 2+k", ""},
 		{"an answer to another call clears nothing", "1+k -a 2+k", "k"},
-		{"two calls that took part in both crashes wait for a third", "1+ka 2+ka", ""},
-		{"the third crash decides", "1+ka 2+ka 3+kb", "k"},
-		{"an answer decides", "1+ka 2+ka -a", "k"},
-		{"calls beside a blocked one are no suspects", "1+ka 2+kb 3+kab", "k"},
+		{"two calls that took part in both crashes wait for a third", "1+k,a 2+k,a", ""},
+		{"the third crash decides", "1+k,a 2+k,a 3+k,b", "k"},
+		{"an answer decides", "1+k,a 2+k,a -a", "k"},
+		{"calls beside a blocked one are no suspects", "1+k,a 2+k,b 3+k,a,b", "k"},
 		{"a block does not explain crashes without the call", "1+k 2+k 3+a 4+a", "ak"},
 		{"a block ends", "1+k 2+k +65s", ""},
 		{"one more crash blocks again, for longer", "1+k 2+k +65s 3+k +100s", "k"},
@@ -74,6 +81,40 @@
 	}
 }
 
+// TestBlockedParts guards against calls that are not refused though they share the part that crashes replicas, and
+// against sound ones that are refused because they share other parts.
+func TestBlockedParts(t *testing.T) {
+	for _, tst := range []struct{ name, steps, blocked, free string }{
+		{"the common part of different calls is blocked", "1+a:AP 2+b:BP 3+c:CP", "x:DP", "y:A y:DB"},
+		{"two crashes do not suffice", "1+a:AP 2+b:BP", "", "x:DP"},
+		{"one call alone says nothing about its parts", "1+a:P 2+a:P 3+a:P", "a:P", "x:P"},
+		{"parts of answered calls are no suspects", "1+a:AP 2+b:AP -z:A 3+c:AP", "x:BP", "y:A"},
+		{"parts that always occur together are refused together", "1+a:AP 2+b:AP 3+c:AP", "x:AP", "x:BP y:A"},
+		{"a crash without the one tells them apart", "1+a:AP 2+b:AP 3+c:AP 4+d:BP", "x:CP", "y:A"},
+		{"an answer tells them apart", "1+a:AP 2+b:AP 3+c:AP -z:A", "x:CP", "y:A"},
+		{"replicas that are lost at once say nothing about a common part", "-z:A 1+a:A 2+b:A 3+c:A", "", "y:A"},
+		{
+			"calls beside a blocked part are no suspects", "1+a:P,k:Q 2+b:P,k:Q 3+c:P,k:Q,l:Q", "x:P",
+			"k:Q l:Q y:Q",
+		},
+		{"a part that is answered again is free", "1+a:AP 2+b:BP 3+c:CP -d:P", "", "x:P"},
+		{"two parts are found at the same time", "1+a:P 2+b:Q 3+c:P 4+d:Q 5+e:P 6+f:Q", "x:P x:Q", "y:A"},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			iis := is.New(t)
+			clk, man := timer.NewManual(time.Unix(1700000000, 0))
+			trk := cause.New(cause.Options{Clock: clk})
+			applySteps(t, trk, man, tst.steps)
+			for _, text := range strings.Fields(tst.blocked) {
+				iis.True(trk.Blocked(call(text)))
+			}
+			for _, text := range strings.Fields(tst.free) {
+				iis.True(!trk.Blocked(call(text)))
+			}
+		})
+	}
+}
+
 // TestRepeatedReportsCountOnce guards against a call that is refused by every process but one after a single crash,
 // because the report of it is sent several times against loss.
 func TestRepeatedReportsCountOnce(t *testing.T) {
@@ -82,12 +123,12 @@
 	trk := cause.New(cause.Options{Clock: clk})
 	at := clk.Now()
 	for range 3 {
-		trk.AddReport(cause.Report{Replica: 1, At: at.Add(7 * time.Millisecond), Call: call('k')})
+		trk.AddReport(cause.Report{Replica: 1, At: at.Add(7 * time.Millisecond), Call: call("k")})
 		man.Advance(2 * time.Second)
 	}
-	iis.True(!trk.Blocked(call('k')))
-	trk.AddReport(cause.Report{Replica: 2, At: clk.Now(), Call: call('k')})
-	iis.True(trk.Blocked(call('k')))
+	iis.True(!trk.Blocked(call("k")))
+	trk.AddReport(cause.Report{Replica: 2, At: clk.Now(), Call: call("k")})
+	iis.True(trk.Blocked(call("k")))
 }
 
 // TestAnswersReachOtherProcesses guards against a call that is refused by a process that has seen none of its answers.
@@ -101,10 +142,10 @@
 	})
 	two = cause.New(cause.Options{Clock: clk})
 	applySteps(t, one, man, "1+a -a 2+a")
-	iis.True(two.Blocked(call('a')))
+	iis.True(two.Blocked(call("a")))
 	man.Advance(time.Second)
-	iis.True(!two.Blocked(call('a')))
-	iis.True(!one.Blocked(call('a')))
+	iis.True(!two.Blocked(call("a")))
+	iis.True(!one.Blocked(call("a")))
 }
 
 // TestAnswerBeforeReportCounts guards against a call that is suspected again by a report that comes late.
@@ -115,9 +156,9 @@
 	at := clk.Now()
 	applySteps(t, trk, man, "1+k -k")
 	for replica := range uint64(3) {
-		trk.AddReport(cause.Report{Replica: replica, At: at, Call: call('k')})
+		trk.AddReport(cause.Report{Replica: replica, At: at, Call: call("k")})
 	}
-	iis.True(!trk.Blocked(call('k')))
+	iis.True(!trk.Blocked(call("k")))
 }
 
 // TestReportsRestoreBlocks guards against a process that has been restarted and sends a call on that the others refuse.
@@ -125,7 +166,7 @@
 	iis := is.New(t)
 	clk, man := timer.NewManual(time.Unix(1700000000, 0))
 	one, two := cause.New(cause.Options{Clock: clk}), cause.New(cause.Options{Clock: clk})
-	applySteps(t, one, man, "1+ka 2+kb -a")
+	applySteps(t, one, man, "1+k,a 2+k,b -a")
 	for _, rpt := range one.BlockingReports() {
 		two.AddReport(rpt)
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -86,7 +86,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
-	frt.crashes = cause.New(cause.Options{Clock: clk, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
+	frt.crashes = cause.New(cause.Options{Clock: clk, Log: log, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
 	if err := frt.startPeers(); err != nil {
 		return nil, err
 	}
--- a/peers/crash.go
+++ b/peers/crash.go
@@ -23,6 +23,7 @@
 	_       struct{} `cbor:",toarray"`
 	Replica uint64
 	Call    uint64
+	Parts   []uint64
 	AgeMs   int64
 }
 
@@ -81,7 +82,8 @@
 		msg := exc.withSender(exc.greeting())
 		for _, rpt := range chunk {
 			msg.Crashes = append(msg.Crashes, crashReport{
-				Replica: rpt.Replica, Call: rpt.Call.Fingerprint, AgeMs: now.Sub(rpt.At).Milliseconds(),
+				Replica: rpt.Replica, Call: rpt.Call.Fingerprint, Parts: rpt.Call.Parts,
+				AgeMs: now.Sub(rpt.At).Milliseconds(),
 			})
 		}
 		exc.send(to, &msg)
@@ -117,7 +119,8 @@
 	if exc.opts.OnCrash != nil {
 		for _, rpt := range msg.Crashes {
 			exc.opts.OnCrash(cause.Report{
-				Replica: rpt.Replica, At: ago(rpt.AgeMs), Call: cause.Call{Fingerprint: rpt.Call},
+				Replica: rpt.Replica, At: ago(rpt.AgeMs),
+				Call: cause.Call{Fingerprint: rpt.Call, Parts: rpt.Parts},
 			})
 		}
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -125,10 +125,11 @@
 	iis := is.New(t)
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
 	one.exc.AddPeer(two.addr)
-	one.exc.SendCrash(cause.Report{Replica: 7, At: time.Now(), Call: cause.Call{Fingerprint: 42}})
+	cal := cause.Call{Fingerprint: 42, Parts: []uint64{43, 44}}
+	one.exc.SendCrash(cause.Report{Replica: 7, At: time.Now(), Call: cal})
 	rpt := <-two.crashes
 	iis.Equal(rpt.Replica, uint64(7))
-	iis.Equal(rpt.Call, cause.Call{Fingerprint: 42})
+	iis.Equal(rpt.Call, cal)
 }
 
 // TestRestartedPeerGetsCrashes guards against a front that has been restarted and sends a call on that all others
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,25 +14,54 @@
 const crashRetryAfter = 30 * time.Second
 
 // causeCall returns what may crash replicas in this call: the hash of its method, target, client account and body, by
-// which it is recognized when its client sends it again.
+// which it is recognized when its client sends it again, and the parts of its prompt that it shares with others.
 func (hdl *callHandler) causeCall() cause.Call {
 	cal, dig := hdl.cal, xxhash.New()
 	_, _ = dig.WriteString(cal.Method + "\x00" + cal.Target + "\x00" + hdl.account + "\x00") // It never fails.
 	_, _ = dig.Write(cal.Body)                                                               // It never fails.
-	return cause.Call{Fingerprint: dig.Sum64()}
+	if len(cal.Body) == 0 {
+		_, _ = dig.WriteString(strings.Join(cal.Prompt.Parts, ",")) // It never fails.
+	}
+	return cause.Call{Fingerprint: dig.Sum64(), Parts: hdl.causeParts()}
+}
+
+// causeParts returns the hashes of the parts of the prompt that other calls may have too. A part may crash the replicas
+// of one service and not those of another.
+func (hdl *callHandler) causeParts() []uint64 {
+	shared := hdl.cal.Prompt.SharedParts()
+	if len(shared) == 0 {
+		return nil
+	}
+	parts := make([]uint64, 0, len(shared))
+	for _, part := range shared {
+		parts = append(parts, xxhash.Sum64String(hdl.service+"\x00"+part))
+	}
+	return parts
 }
 
 // crashesReplicas tells whether the call must be refused because it crashes replicas.
 func (hdl *callHandler) crashesReplicas() bool {
-	return hdl.opts.Crashes.Active() && hdl.opts.Crashes.Blocked(hdl.causeCall())
+	if !hdl.opts.Crashes.Active() {
+		return false
+	}
+	cal := hdl.causeCall()
+	if !hdl.opts.Crashes.Blocked(cal) {
+		return false
+	}
+	hdl.opts.Log.Info("relay: call is refused because it crashes replicas", "call", hdl.cal.ID,
+		"parts", strings.Join(hdl.cal.Prompt.Parts, ","), "fingerprint", strconv.FormatUint(cal.Fingerprint, 16))
+	return true
 }
 
 // recordAnswer records that the replica has answered the call, at least in part, so that a later crash of the replica
 // has another cause.
 func (att *attempt) recordAnswer() {
 	att.answered = true
-	if crashes := att.hdl.opts.Crashes; crashes.Active() {
-		crashes.RecordAnswer(att.hdl.causeCall())
+	hdl := att.hdl
+	if hdl.opts.Crashes.Active() {
+		hdl.opts.Crashes.RecordAnswer(hdl.causeCall())
+	} else {
+		hdl.opts.Crashes.RecordAnswer(cause.Call{Parts: hdl.causeParts()}) // The fingerprint is costly.
 	}
 }
 
@@ -50,7 +80,7 @@
 	hdl.opts.Metrics.CountEvent("closed-before-answer")
 	hdl.opts.Log.Info("relay: replica closed the connection before its answer", "call", hdl.cal.ID,
 		"replica", att.placement.Primary.ID, "crash", !leaving, "reused", att.con.Reused(),
-		"head", att.replyReceived, "body-bytes", len(hdl.cal.Body),
+		"head", att.replyReceived, "body-bytes", len(hdl.cal.Body), "parts", strings.Join(hdl.cal.Prompt.Parts, ","),
 		"fingerprint", strconv.FormatUint(cal.Fingerprint, 16))
 	if !leaving {
 		hdl.opts.Crashes.RecordCrash(att.placement.Primary.ID, cal)
