Keep the list of entries due until a report is sent

Cause: building a report marked the list of entries, which is due every 5 s, as sent. The report loop builds a report after each poll of the engine, once a second, and drops it if nothing urgent has changed. Polls that come shortly before the heartbeats thus take the list each time, and no heartbeat has it. Evidence: a dump of the hung agent shows no loop that is stuck.

Change: the list is added to a report that is going to be sent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -154,7 +154,7 @@
 		Metrics: agt.metrics,
 		Log:     agt.log,
 		Heartbeats: link.NewHeartbeats(grp, agt.clock, func() (proto.Kind, any) {
-			return proto.KindReport, agt.report()
+			return proto.KindReport, agt.config.addEntries(agt.report())
 		}),
 		OnFrame: agt.config.onFrame,
 		OnOpen:  agt.serve,
@@ -175,7 +175,7 @@
 	agt.mu.Lock()
 	agt.conns[con] = struct{}{}
 	agt.mu.Unlock()
-	_ = con.Send(proto.KindReport, agt.report())
+	_ = con.Send(proto.KindReport, agt.config.addEntries(agt.report()))
 	go func() {
 		<-con.Done()
 		agt.mu.Lock()
--- a/agent/config.go
+++ b/agent/config.go
@@ -73,11 +73,16 @@
 	connected := cfg.exchange.Versions(proto.RoleEntry)
 	rep.EntryCount = len(connected)
 	rep.Demands = cfg.demands.ofConnected(connected)
+	rep.Draining = rep.Draining || cfg.drained()
+	return rep
+}
+
+// addEntries adds the connected entries, if they are due, to a report that is going to be sent.
+func (cfg *configuration) addEntries(rep proto.Report) proto.Report {
 	// Entries take turns in recording a crash in the log. Each derives its turn from the names in this list.
 	if cfg.entriesDue(rep.StateVersion) || len(rep.Crashes) > 0 {
-		rep.Entries = connected
+		rep.Entries = cfg.exchange.Versions(proto.RoleEntry)
 	}
-	rep.Draining = rep.Draining || cfg.drained()
 	return rep
 }
 
--- a/agent/report.go
+++ b/agent/report.go
@@ -86,6 +86,7 @@
 func (agt *Agent) broadcastReport() { agt.broadcast(agt.report()) }
 
 func (agt *Agent) broadcast(rep proto.Report) {
+	rep = agt.config.addEntries(rep)
 	for _, con := range agt.connections() {
 		_ = con.Send(proto.KindReport, rep)
 	}
