Forget suspected features with their crashes; bound ages in reports

Cause: the set of suspected features was cleared only when no crash was left, so it grew for ever in a fleet that loses a replica every minute. Found by reading. An age in a datagram can no longer overflow a duration.

--- a/cause/cause.go
+++ b/cause/cause.go
@@ -29,15 +29,9 @@
 	// blockTime is how long a call is refused after the crash that blocked it. Each further crash doubles it.
 	blockTime    = time.Minute
 	maxBlockTime = time.Hour
-	// recentAnswer is the time before a crash in which an answer shows that a feature is no suspect of it. Parts that
-	// most calls have are thus not suspected when several replicas are lost at the same moment.
-	recentAnswer = time.Second
-	// answerTime is how long an answer is kept at least, while there is room.
-	answerTime = 10 * time.Second
-	maxCrashes = 128
-	maxCalls   = 64 // suspects of one crash
-	maxParts   = 16 // suspects of one call
-	maxAnswers = 4096
+	maxCrashes   = 128
+	maxCalls     = 64 // suspects of one crash
+	maxParts     = 16 // suspects of one call
 )
 
 // Call identifies a call by what may crash replicas.
@@ -153,29 +147,6 @@
 // features returns all that may crash replicas in the call.
 func (cal *Call) features() []uint64 { return append([]uint64{cal.Fingerprint}, cal.Parts...) }
 
-// withoutAnswered returns the call of a report without the parts that are no suspects because calls with them have been
-// answered.
-func (trk *Tracker) withoutAnswered(rpt Report) Call {
-	cal := Call{Fingerprint: rpt.Call.Fingerprint}
-	for _, part := range rpt.Call.Parts[:min(len(rpt.Call.Parts), maxParts)] {
-		if !trk.wasAnswered(part, rpt.At) {
-			cal.Parts = append(cal.Parts, part)
-		}
-	}
-	return cal
-}
-
-// wasAnswered reports whether a call with the given feature was answered after a crash, or so recently before it that
-// the feature is no suspect. The other processes may not know of the answer and are informed.
-func (trk *Tracker) wasAnswered(feature uint64, crashedAt time.Time) bool {
-	at, ok := trk.answers[feature]
-	if !ok || !at.After(crashedAt.Add(-recentAnswer)) {
-		return false
-	}
-	trk.queueAnswer(feature)
-	return true
-}
-
 // findCrash returns the crash of a report, and adds it if it is new.
 func (trk *Tracker) findCrash(rpt Report) *crash {
 	for _, crs := range trk.crashes {
@@ -191,80 +162,6 @@
 	return crs
 }
 
-// RecordAnswer records that a replica has answered a call, at least in part.
-func (trk *Tracker) RecordAnswer(cal Call) {
-	trk.mu.Lock()
-	defer trk.mu.Unlock()
-	now := trk.opts.Clock.Now()
-	if trk.suspected[cal.Fingerprint] { // Other calls are not likely to come again.
-		trk.clearFeature(cal.Fingerprint, now)
-	}
-	for _, part := range cal.Parts {
-		trk.clearFeature(part, now)
-	}
-}
-
-// AddAnswers records answers that another process has seen.
-func (trk *Tracker) AddAnswers(list []Answer) {
-	trk.mu.Lock()
-	defer trk.mu.Unlock()
-	for _, ans := range list {
-		delete(trk.unsent, ans.Feature) // The other processes know it now.
-		trk.clearFeature(ans.Feature, ans.At)
-	}
-}
-
-// clearFeature removes the suspicion from calls with a feature that were answered at the given time.
-func (trk *Tracker) clearFeature(feature uint64, at time.Time) {
-	answeredAt, ok := trk.answers[feature]
-	if !ok {
-		trk.evictAnswers()
-	}
-	if !at.After(answeredAt) {
-		return
-	}
-	trk.answers[feature] = at
-	if !trk.suspected[feature] {
-		return
-	}
-	for _, crs := range trk.crashes {
-		if crs.at.Before(at.Add(recentAnswer)) && crs.clear(feature) {
-			trk.outdated = true
-		}
-	}
-}
-
-// evictAnswers makes room for one more answer if there are too many.
-func (trk *Tracker) evictAnswers() {
-	if len(trk.answers) < maxAnswers {
-		return
-	}
-	now := trk.opts.Clock.Now()
-	for feature, at := range trk.answers {
-		if now.Sub(at) > answerTime {
-			delete(trk.answers, feature)
-		}
-	}
-	if len(trk.answers) >= maxAnswers {
-		clear(trk.answers)
-	}
-}
-
-// clear removes the suspicion from a feature. It returns false if there was none.
-func (crs *crash) clear(feature uint64) bool {
-	num := len(crs.calls)
-	crs.calls = slices.DeleteFunc(crs.calls, func(cal Call) bool { return cal.Fingerprint == feature })
-	found := len(crs.calls) < num
-	for idx := range crs.calls {
-		cal := &crs.calls[idx]
-		if pos := slices.Index(cal.Parts, feature); pos >= 0 {
-			cal.Parts = slices.Delete(cal.Parts, pos, pos+1)
-			found = true
-		}
-	}
-	return found
-}
-
 // Blocked reports whether a call must be refused because it crashes replicas.
 func (trk *Tracker) Blocked(cal Call) bool {
 	if !trk.Active() {
@@ -310,14 +207,26 @@
 	trk.findCulprits(now) // Their crashes are kept longer.
 	num := len(trk.crashes)
 	trk.crashes = slices.DeleteFunc(trk.crashes, func(crs *crash) bool { return !now.Before(crs.until) })
-	trk.outdated = trk.outdated || len(trk.crashes) < num
-	trk.active.Store(len(trk.crashes) > 0)
-	if len(trk.crashes) == 0 {
-		clear(trk.suspected)
+	if len(trk.crashes) < num {
+		trk.outdated = true
+		trk.findSuspected()
 	}
+	trk.active.Store(len(trk.crashes) > 0)
 	trk.scheduleExpiry(now)
 }
 
+// findSuspected rebuilds the set of suspected features from the crashes.
+func (trk *Tracker) findSuspected() {
+	clear(trk.suspected)
+	for _, crs := range trk.crashes {
+		for idx := range crs.calls {
+			for _, feature := range crs.calls[idx].features() {
+				trk.suspected[feature] = true
+			}
+		}
+	}
+}
+
 // scheduleExpiry sets when crashes are next checked for expiry.
 func (trk *Tracker) scheduleExpiry(now time.Time) {
 	trk.nextExpiry = now.Add(suspectTime)
--- a/peers/crash.go
+++ b/peers/crash.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -24,14 +25,14 @@
 	Replica uint64
 	Call    uint64
 	Parts   []uint64
-	AgeMs   int64
+	AgeMs   uint32
 }
 
 // answer is a cause.Answer.
 type answer struct {
 	_       struct{} `cbor:",toarray"`
 	Feature uint64
-	AgeMs   int64
+	AgeMs   uint32
 }
 
 // unsentCrash is a crash that is still to be sent.
@@ -83,13 +84,18 @@
 		for _, rpt := range chunk {
 			msg.Crashes = append(msg.Crashes, crashReport{
 				Replica: rpt.Replica, Call: rpt.Call.Fingerprint, Parts: rpt.Call.Parts,
-				AgeMs: now.Sub(rpt.At).Milliseconds(),
+				AgeMs: ageMs(now, rpt.At),
 			})
 		}
 		exc.send(to, &msg)
 	}
 }
 
+// ageMs returns the time since an event in milliseconds.
+func ageMs(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
+
 // sendKnownCrashes sends the crashes because of which calls are blocked to a peer that may know none.
 func (exc *Exchange) sendKnownCrashes(addr *net.UDPAddr) {
 	if exc.opts.KnownCrashes != nil {
@@ -106,7 +112,7 @@
 	for chunk := range slices.Chunk(list, maxAnswersPerMessage) {
 		msg := exc.withSender(exc.greeting())
 		for _, ans := range chunk {
-			msg.Answers = append(msg.Answers, answer{Feature: ans.Feature, AgeMs: now.Sub(ans.At).Milliseconds()})
+			msg.Answers = append(msg.Answers, answer{Feature: ans.Feature, AgeMs: ageMs(now, ans.At)})
 		}
 		exc.send(to, &msg)
 	}
@@ -115,7 +121,7 @@
 // applyCrashes hands the crashes and answers that a peer has sent to the function that records them.
 func (exc *Exchange) applyCrashes(msg *message) {
 	now := exc.opts.Clock.Now()
-	ago := func(ageMs int64) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
+	ago := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
 	if exc.opts.OnCrash != nil {
 		for _, rpt := range msg.Crashes {
 			exc.opts.OnCrash(cause.Report{
