--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -54,3 +55,30 @@
 	iis.True(err != nil)
 	iis.True(strings.HasPrefix(events(1, 3), body))
 }
+
+// TestStreamThatEndsWithItsConnection guards against a stream without length or chunks that is taken for broken at its
+// end, and against one that ends within an event and is taken for complete.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	iis := is.New(t)
+	unframed := func(con net.Conn, req request, body string) bool {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n"+signedHeaders(req)+"Content-Type: text/event-stream\r\n\r\n"+body)
+		return false
+	}
+	whole := newReplica(t, func(con net.Conn, req request) bool { return unframed(con, req, events(1, 3)) })
+	status, body, err := newRig(t, whole).send(t, "/stream/x")
+	iis.NoErr(err)
+	iis.Equal(status, 200)
+	iis.Equal(body, events(1, 3))
+	iis.Equal(whole.calls.Load(), int64(1))
+
+	cut := newReplica(t, func(con net.Conn, req request) bool {
+		if req.Header.Get("Last-Event-Id") == "2" {
+			return unframed(con, req, events(3, 4))
+		}
+		return unframed(con, req, events(1, 2)+"id: 3\ndata: pie")
+	})
+	status, body, err = newRig(t, cut).send(t, "/stream/x")
+	iis.NoErr(err)
+	iis.Equal(status, 200)
+	iis.Equal(body, events(1, 4))
+}
