Let the soak send calls that crash replicas

A client sends one such call again and again through random fronts, another one from each fault phase on; the replica that executes it stops with all its connections, and another one is started after a second. New invariant: not more than three replicas crash under it later than 3 s after its third crash. TestViolationsAreDetected has a case for it.

--- a/soak/check.go
+++ b/soak/check.go
@@ -22,6 +22,7 @@
 	invariantPlannedStop = "a planned stop aborts no calls"
 	invariantRecovery    = "all fronts serve again after the faults"
 	invariantNoExit      = "no front exits unless it is stopped"
+	invariantCrashes     = "a call that crashes replicas is refused"
 )
 
 // slack is added to time limits, because a busy machine may delay what this process observes.
@@ -58,7 +59,8 @@
 	drainingSince map[string]time.Time // when the replica was registered as draining, by replica ID
 	publishTimes  []time.Time          // of each configuration version, the first at index 0
 	faults        []interval
-	checkCounts   map[string]int // by invariant
+	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
+	checkCounts   map[string]int         // by invariant
 	violations    []string
 }
 
@@ -66,7 +68,7 @@
 	return &checker{
 		runs: make(map[string][]plsim.Run), runEnds: make(map[string]time.Time),
 		lastArrivals: make(map[string]time.Time), drainingSince: make(map[string]time.Time),
-		checkCounts: make(map[string]int),
+		crashes: make(map[string][]time.Time), checkCounts: make(map[string]int),
 	}
 }
 
@@ -88,6 +90,7 @@
 			defer chk.mu.Unlock()
 			chk.runEnds[run.ID] = at
 		},
+		OnCrash: chk.recordCrash,
 	}
 }
 
@@ -131,6 +134,7 @@
 		chk.verifyCall(&chk.calls[idx])
 	}
 	chk.verifyConfigOrder()
+	chk.verifyCrashes()
 	for replica, since := range chk.drainingSince {
 		last := chk.lastArrivals[replica]
 		limit := since.Add(drainTime + slack)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -43,6 +43,11 @@
 				Status: 200, Mismatch: "of another call",
 			}})
 		},
+		invariantCrashes: func(chk *checker) {
+			for second := range 10 {
+				chk.recordCrash(plsim.Run{Path: "/safe/deadly-1", At: sec(second)})
+			}
+		},
 		invariantDrain: func(chk *checker) {
 			chk.drainingSince["i"] = at(0)
 			chk.observer().OnArrival("i", at(drainTime+time.Second))
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -61,6 +61,7 @@
 // runFaultPhase injects faults in quick succession, so that they overlap.
 func (sok *Soak) runFaultPhase() {
 	sok.chk.recordFault(faultPhaseTime)
+	sok.faultPhases.Add(1)
 	for end := time.Now().Add(faultPhaseTime); time.Now().Before(end); {
 		sok.injectFault(time.Until(end))
 		time.Sleep(time.Duration(100+sok.rnd.IntN(900)) * time.Millisecond)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,9 +46,10 @@
 	proxy         *fault.Proxy
 	fronts        []*front
 	started       time.Time
-	configVersion int // last one published
-	replicaCount  int // replicas started so far; numbers their IDs
+	configVersion int          // last one published
+	faultPhases   atomic.Int64 // started so far
 	mu            sync.Mutex
+	replicaCount  int        // replicas started so far, numbers their IDs; guarded by mu
 	live          []*replica // guarded by mu
 }
 
@@ -95,6 +97,7 @@
 	for num := range opts.Clients {
 		clients.Go(func() { sok.runClient(clientCtx, num) })
 	}
+	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
 		sok.runPlannedPhase()
 		sok.runFaultPhase()
@@ -162,9 +165,13 @@
 
 // addReplica starts a replica behind a proxy route and registers it.
 func (sok *Soak) addReplica(srv string) error {
+	sok.mu.Lock()
 	sok.replicaCount++
 	id := fmt.Sprint("i-", sok.replicaCount)
-	srr, err := plsim.StartReplica(id, srv, serviceTime, sok.chk.observer())
+	sok.mu.Unlock()
+	obs := sok.chk.observer()
+	obs.OnCrash = sok.replaceCrashed
+	srr, err := plsim.StartReplica(id, srv, serviceTime, obs)
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
@@ -274,7 +281,7 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop, invariantRecovery,
-		invariantNoExit,
+		invariantCrashes, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,7 +15,7 @@
 // TestSoak runs a short soak with processes of the real program.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
-		t.Skip("runs processes for a quarter of a minute")
+		t.Skip("runs processes for three quarters of a minute")
 	}
 	iis := is.New(t)
 	dir := t.TempDir()
@@ -26,7 +26,7 @@
 	}
 	var text strings.Builder
 	err = soak.Run(t.Context(), soak.Options{
-		Seed: 1, Duration: 10 * time.Second, Fronts: 2, Clients: 8, Program: program, Dir: dir, Out: &text,
+		Seed: 1, Duration: 18 * time.Second, Fronts: 2, Clients: 8, Program: program, Dir: dir, Out: &text,
 	})
 	t.Log(text.String())
 	iis.NoErr(err)
