--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -16,25 +16,18 @@
 // all others. A function returns the number of deadly calls that they have received.
 func newCrashingReplicas(t *testing.T, num int) (replicas []*replica, deadlyCalls func() int64) {
 	t.Helper()
+	var deadly atomic.Int64
 	var list []*replica
 	for range num {
-		var rep *replica
-		rep = newReplica(t, func(con net.Conn, req request) bool {
+		list = append(list, newReplica(t, func(con net.Conn, req request) bool {
 			if strings.Contains(req.URL.Path, "deadly") {
+				deadly.Add(1)
 				return false
 			}
-			rep.calls.Add(-1) // Only the deadly ones count.
 			return reply(con, req, 200, "sound")
-		})
-		list = append(list, rep)
-	}
-	return list, func() int64 {
-		sum := int64(0)
-		for _, rep := range list {
-			sum += rep.calls.Load()
-		}
-		return sum
+		}))
 	}
+	return list, deadly.Load
 }
 
 // sendRequest sends a call and returns the status of the response.
