--- a/fleet/cell_test.go
+++ b/fleet/cell_test.go
@@ -98,3 +98,30 @@
 	flt.Unregister("i-1")
 	iis.True(!flt.IsHeartbeat(registration("i-1", 1, 5)))
 }
+
+// TestWiderViewsDiffer guards against all processes of a busy cell that choose the same few replicas elsewhere.
+func TestWiderViewsDiffer(t *testing.T) {
+	iis := is.New(t)
+	flt, _, _ := newFleet()
+	addReplicas(flt, "own", 30)
+	addReplicas(flt, "other", 90)
+	addReplicas(flt, "unheard", 90)
+	flt.ApplySummaries(flt.Summaries("other"))
+	elsewhere := make(map[string]int)
+	for range 50 {
+		own := 0
+		for _, vie := range flt.ReplicaSet("s").WiderViews("own") {
+			if vie.Cell == "own" {
+				own++
+				continue
+			}
+			iis.Equal(vie.Cell, "other") // Nothing is known of the load of the others.
+			elsewhere[vie.ID]++
+		}
+		iis.Equal(own, 30)
+	}
+	iis.True(len(elsewhere) > 80) // almost all at some time
+	for _, times := range elsewhere {
+		iis.True(times < 25) // none always
+	}
+}
