--- a/soak/check.go
+++ b/soak/check.go
@@ -168,9 +168,10 @@
 func (chk *checker) verifyCancelAndStop(cal *call, ran bool) {
 	disconnected := !cal.disconnectedAt.IsZero()
 	if disconnected && ran && chk.faultFree(cal.sent, cal.disconnectedAt.Add(time.Second)) {
-		overrun := chk.runEnds[cal.id].Sub(cal.disconnectedAt)
-		chk.recordCheck(invariantCancel, overrun < cancelTime+slack,
-			"%s kept running for %v after its client disconnected", cal.id, overrun)
+		ended, hasEnded := chk.runEnds[cal.id]
+		overrun := ended.Sub(cal.disconnectedAt)
+		chk.recordCheck(invariantCancel, hasEnded && overrun < cancelTime+slack,
+			"%s kept running for %v after its client disconnected, ended: %v", cal.id, overrun, hasEnded)
 	}
 	if cal.duringPlannedStop && ran && !disconnected && chk.faultFree(cal.sent, cal.ended) {
 		chk.recordCheck(invariantPlannedStop, cal.outcome.Complete, "%s was aborted: %v", cal.id, cal.outcome.Err)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// TestEndlessRunIsDetected guards against a run that goes on for ever after its client has disconnected, and passes
+// because it has no end.
+func TestEndlessRunIsDetected(t *testing.T) {
+	iis := is.New(t)
+	chk := newChecker()
+	now := time.Now()
+	chk.observer().OnRunStart(plsim.Run{ID: "c", Path: "/safe/x", Body: "body of c"})
+	chk.recordCall(call{id: "c", path: "/safe/x", sent: now, disconnectedAt: now, ended: now})
+	chk.verifyAll()
+	iis.Equal(len(chk.violations), 1)
+	iis.True(strings.HasPrefix(chk.violations[0], invariantCancel))
+}
+
 // TestTimeLimitsAreNotCheckedAfterFaults guards against checks of time limits while a fault has not yet settled.
 func TestTimeLimitsAreNotCheckedAfterFaults(t *testing.T) {
 	iis := is.New(t)
