--- a/simlog/log.go
+++ b/simlog/log.go
@@ -59,7 +59,7 @@
 func New(opts Options) *Log {
 	lim := rate.NewLimiter(rate.Inf, 0)
 	if opts.AppendRate > 0 {
-		lim = rate.NewLimiter(rate.Limit(opts.AppendRate), int(opts.AppendRate))
+		lim = rate.NewLimiter(rate.Limit(opts.AppendRate), max(int(opts.AppendRate), 1))
 	}
 	return &Log{opts: opts, limiter: lim, streams: make(map[string]*stream)}
 }
--- a/simlog/log_test.go
+++ b/simlog/log_test.go
@@ -40,6 +40,16 @@
 	is.Equal(bat.Next, int64(4))
 }
 
+// TestLowAppendRate guards against a simulator with a limit below one append per second that refuses all of them.
+func TestLowAppendRate(t *testing.T) {
+	iis := is.New(t)
+	_, cli := start(t, simlog.Options{Clock: timer.New(), AppendRate: 0.1})
+	_, err := cli.Append(t.Context(), "config", []byte{1})
+	iis.NoErr(err)
+	_, err = cli.Append(t.Context(), "config", []byte{2})
+	iis.True(err != nil)
+}
+
 // Guards against a simulator that loses the record together with the response. Clients would then never be tested with
 // appends that took effect although they failed.
 func TestLostAnswerTakesEffect(t *testing.T) {
