--- a/simeng/command.go
+++ b/simeng/command.go
@@ -56,7 +56,7 @@
 		return
 	}
 	// Loading continues if the sender disconnects.
-	_ = eng.clock.Sleep(context.WithoutCancel(req.Context()), eng.commands.opts.LoadTime)
+	_ = eng.clock.Sleep(context.WithoutCancel(req.Context()), eng.loadTime())
 	eng.commands.mu.Lock()
 	defer eng.commands.mu.Unlock()
 	if cmd.Version == eng.commands.opts.FailingVersion {
@@ -67,6 +67,13 @@
 	eng.commands.loads++
 }
 
+// loadTime returns the time to load a version.
+func (eng *Engine) loadTime() time.Duration {
+	eng.commands.mu.Lock()
+	defer eng.commands.mu.Unlock()
+	return eng.commands.opts.LoadTime
+}
+
 // acceptFence records the fencing token of a command. It returns a trace.CompareFailed error for a stale token.
 func (eng *Engine) acceptFence(cmd engine.Command) error {
 	eng.commands.mu.Lock()
