Keep the crashes because of which calls are blocked when there are many

Cause: with more crashes than are kept, the oldest was dropped, also one that blocks a call, which then ran again. And reports for a front that has been started shared their list of parts with the tracker, which changes it. Both found by reading. TestBlocksOutlastOtherCrashes and TestReportsThatAreReadLaterStayAsTheyAre failed before.

--- a/cause/answer.go
+++ b/cause/answer.go
@@ -55,11 +55,15 @@
 	if !trk.suspected[feature] {
 		return
 	}
+	stillSuspected := false
 	for _, crs := range trk.crashes {
-		if crs.at.Before(at.Add(recentAnswer)) && crs.clear(feature) {
+		if !crs.at.Before(at.Add(recentAnswer)) {
+			stillSuspected = true
+		} else if crs.clear(feature) {
 			trk.outdated = true
 		}
 	}
+	trk.suspected[feature] = stillSuspected
 }
 
 // evictAnswers makes room for one more answer if there are too many.
--- a/cause/cause.go
+++ b/cause/cause.go
@@ -24,7 +24,7 @@
 const (
 	// crashSpan is the time within which reports of the same replica are of one crash. No replica starts again sooner.
 	crashSpan = time.Second
-	// suspectTime is how long a crash is kept that no blocked call explains.
+	// suspectTime is how long a crash is kept that no blocked call explains, from the first report of it.
 	suspectTime = time.Minute
 	// blockTime is how long a call is refused after the crash that blocked it. Each further crash doubles it.
 	blockTime    = time.Minute
@@ -70,7 +70,7 @@
 
 	mu         sync.Mutex
 	crashes    []*crash
-	suspected  map[uint64]bool      // features of the calls in crashes, and some that were
+	suspected  map[uint64]bool      // features of the calls in crashes, and some that no longer are
 	answers    map[uint64]time.Time // when calls with a feature were last answered
 	culprits   []culprit
 	outdated   bool                // culprits must be found again
@@ -154,14 +154,27 @@
 			return crs
 		}
 	}
-	crs := &crash{replica: rpt.Replica, at: rpt.At, until: rpt.At.Add(suspectTime)}
-	trk.crashes = append(trk.crashes, crs)
-	if len(trk.crashes) > maxCrashes {
-		trk.crashes = slices.Delete(trk.crashes, 0, 1)
+	if len(trk.crashes) >= maxCrashes {
+		trk.evictCrash()
 	}
+	crs := &crash{replica: rpt.Replica, at: rpt.At, until: trk.opts.Clock.Now().Add(suspectTime)}
+	trk.crashes = append(trk.crashes, crs)
 	return crs
 }
 
+// evictCrash removes the crash that would be forgotten first. Those because of which calls are blocked are kept
+// longest.
+func (trk *Tracker) evictCrash() {
+	first := 0
+	for idx, crs := range trk.crashes {
+		if crs.until.Before(trk.crashes[first].until) {
+			first = idx
+		}
+	}
+	trk.crashes = slices.Delete(trk.crashes, first, first+1)
+	trk.outdated = true
+}
+
 // Blocked reports whether a call must be refused because it crashes replicas.
 func (trk *Tracker) Blocked(cal Call) bool {
 	if !trk.Active() {
@@ -249,6 +262,7 @@
 		for _, crs := range cul.crashes {
 			for _, cal := range crs.calls {
 				if cul.matches(cal) {
+					cal.Parts = slices.Clone(cal.Parts) // The tracker removes parts from its own list.
 					list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal})
 				}
 			}
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -173,6 +173,33 @@
 	iis.Equal(blockedCalls(two), "k")
 }
 
+// TestBlocksOutlastOtherCrashes guards against a call that runs again because many replicas have crashed for other
+// reasons since.
+func TestBlocksOutlastOtherCrashes(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	trk := cause.New(cause.Options{Clock: clk})
+	applySteps(t, trk, man, "1+k 2+k")
+	iis.Equal(blockedCalls(trk), "k")
+	for num := range uint64(500) {
+		trk.AddReport(cause.Report{Replica: num, At: clk.Now(), Call: cause.Call{Fingerprint: 1000 + num}})
+	}
+	iis.Equal(blockedCalls(trk), "k")
+}
+
+// TestReportsThatAreReadLaterStayAsTheyAre guards against reports whose parts change while they are being sent.
+func TestReportsThatAreReadLaterStayAsTheyAre(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	trk := cause.New(cause.Options{Clock: clk})
+	applySteps(t, trk, man, "1+a:PQ 2+b:PQ 3+c:PQ")
+	reports := trk.BlockingReports()
+	applySteps(t, trk, man, "-z:P")
+	for _, rpt := range reports {
+		iis.Equal(rpt.Call.Parts, call("a:PQ").Parts)
+	}
+}
+
 // TestBounds guards against memory that grows with the number of crashes and calls.
 func TestBounds(t *testing.T) {
 	iis := is.New(t)
