--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -61,7 +61,8 @@
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
 	iis := is.New(t)
 	unframed := func(con net.Conn, req request, body string) bool {
-		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n"+signedHeaders(req)+"Content-Type: text/event-stream\r\n\r\n"+body)
+		head := "HTTP/1.1 200 OK\r\n" + signedHeaders(req) + "Content-Type: text/event-stream\r\n\r\n"
+		_, _ = io.WriteString(con, head+body)
 		return false
 	}
 	whole := newReplica(t, func(con net.Conn, req request) bool { return unframed(con, req, events(1, 3)) })
