Pick each port of a soak once

Cause: a port that nobody listens on yet may be offered again; 33023 and 45983 each stand in two of the 40 settings files.

--- a/soak/process.go
+++ b/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -35,38 +34,29 @@
 
 // newProcess picks free ports for a front and writes its settings file to dir. The front reaches the store at the given
 // address. It is not started yet.
-func newProcess(program, dir string, num int, store string) (*process, error) {
-	host := loopback()
-	var ports [4]int
-	for idx := range ports {
-		lis, err := net.Listen("tcp", host+":0") //nolint:noctx // Only the number of the port is wanted.
+func newProcess(prt *ports, program, dir string, num int, store string) (*process, error) {
+	var addrs [4]string
+	for idx := range addrs {
+		addr, err := prt.next()
 		if err != nil {
-			return nil, fmt.Errorf("soak: find a port: %w", err)
+			return nil, err
 		}
-		ports[idx] = lis.Addr().(*net.TCPAddr).Port //nolint:errcheck // A TCP listener has a TCP address.
-		_ = lis.Close()
+		addrs[idx] = addr
 	}
 	prc := &process{
-		name: fmt.Sprint("front-", num), program: program, address: fmt.Sprint(host, ":", ports[0]),
+		name: fmt.Sprint("front-", num), program: program, address: addrs[0],
 	}
 	prc.settings = filepath.Join(dir, prc.name+".ini")
 	prc.log = filepath.Join(dir, prc.name+".log")
-	text := fmt.Sprintf("[process]\nname = %s\ndata-centre = z\nlisten = %s\ngrace = %s\nmetrics = %s:%d\n"+
-		"[front]\nready = %s:%d\nstore = %s\npeers = %s:%d\ndrain-time = %s\nconfig-time = %s\n",
-		prc.name, prc.address, graceTime, host, ports[1], host, ports[2], store, host, ports[3], drainTime, configTime)
+	text := fmt.Sprintf("[process]\nname = %s\ndata-centre = z\nlisten = %s\ngrace = %s\nmetrics = %s\n"+
+		"[front]\nready = %s\nstore = %s\npeers = %s\ndrain-time = %s\nconfig-time = %s\n",
+		prc.name, prc.address, graceTime, addrs[1], addrs[2], store, addrs[3], drainTime, configTime)
 	if err := os.WriteFile(prc.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("soak: write settings: %w", err)
 	}
 	return prc, nil
 }
 
-// loopback returns a loopback address derived from this process's ID. The ports of a front are free while it is down;
-// with separate addresses, another soak on the machine cannot take them.
-func loopback() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
-}
-
 // start starts a run of the process. It calls onUnexpectedExit if the run exits without terminate.
 func (prc *process) start(onUnexpectedExit func(err error)) error {
 	out, err := os.OpenFile(prc.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -112,12 +112,13 @@
 // start starts the store, the replicas and the front processes.
 func (sok *Soak) start() error {
 	srv := httptest.NewServer(sok.store)
+	prt := newPorts()
 	for num := range sok.opts.Fronts {
 		rte, err := sok.proxy.Add(fmt.Sprint("store-", num), "127.0.0.1:0", strings.TrimPrefix(srv.URL, "http://"))
 		if err != nil {
 			return fmt.Errorf("soak: %w", err)
 		}
-		prc, err := newProcess(sok.opts.Program, sok.opts.Dir, num, rte.Address())
+		prc, err := newProcess(prt, sok.opts.Program, sok.opts.Dir, num, rte.Address())
 		if err != nil {
 			return err
 		}
