Log which check denies a further attempt, and streams that go on after a silence

The lines of a call that ends after a failed attempt did not say why no other attempt followed, nor whether a silent stream would have gone on. No change of logic.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -207,7 +207,8 @@
 			return
 		}
 		hdl.failedReplicas = append(hdl.failedReplicas, plc.Primary.ID)
-		if !hdl.mayRetry(out) {
+		if denied := hdl.denyRetry(out); denied != "" {
+			hdl.logDeniedRetry(out, denied)
 			hdl.failCall(out.reason)
 			return
 		}
@@ -215,21 +216,6 @@
 	}
 }
 
-// mayRetry tells whether the call may be sent again after an attempt with the given outcome.
-func (hdl *callHandler) mayRetry(out outcome) bool {
-	if hdl.ctx.Err() != nil || hdl.opts.Clock.Now().Add(minAttemptTime).After(hdl.deadline) ||
-		hdl.attempts >= maxTotalAttempts {
-		return false
-	}
-	if out.mayHaveRun && (!hdl.rte.Retryable() || hdl.possibleRuns >= hdl.rte.MaxAttempts) {
-		return false
-	}
-	if out.notSent {
-		return true // No replica received it, so it takes nothing from the retry budget.
-	}
-	return hdl.relay.retryBudget(hdl.service).TakeRetry()
-}
-
 // missedTarget tells whether the call has already missed the latency or gap target of its route.
 func (hdl *callHandler) missedTarget() bool {
 	if hdl.rte.GapTarget > 0 && hdl.longestGap > hdl.rte.GapTarget {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -61,7 +61,13 @@
 func (wtc *stallWatch) recordEvent() {
 	wtc.mu.Lock()
 	defer wtc.mu.Unlock()
-	wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
+	now := wtc.att.hdl.opts.Clock.Now()
+	if silent := now.Sub(wtc.dueBy); silent >= wtc.limit {
+		wtc.att.hdl.opts.Metrics.CountEvent("stream-resumed-by-itself")
+		wtc.att.hdl.opts.Log.Info("relay: stream goes on after a silence", "call", wtc.att.hdl.cal.ID,
+			"replica", wtc.att.placement.Primary.ID, "silent", silent)
+	}
+	wtc.dueBy = now
 }
 
 // stop ends the watch.
