Do not take a stream for stalled while its client reads slowly

What callers saw: a client that stopped reading for half of its idle timeout got a closed connection in the middle of its stream, or its call ran a second time at another replica.

Cause: the stall watch measured the time since the last event had been received, also while that event waited to be sent to the client. Once the sockets were full, the replica could not send either, and reported a sound run.

Change: no silence is counted while an event is on its way to the client.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -36,6 +36,7 @@
 	mu      sync.Mutex
 	dueBy   time.Time // when the next event was due at the latest
 	timer   *timer.Subscription
+	sending bool // an event is on its way to the client, so that no other is awaited
 	stopped bool
 	stalled bool
 }
@@ -57,17 +58,32 @@
 	return wtc
 }
 
-// recordEvent records that the replica has sent an event.
+// recordEvent records that the replica has sent an event, which is now sent to the client. A slow client may delay that.
 func (wtc *stallWatch) recordEvent() {
 	wtc.mu.Lock()
 	defer wtc.mu.Unlock()
-	now := wtc.att.hdl.opts.Clock.Now()
-	if silent := now.Sub(wtc.dueBy); silent >= wtc.limit {
+	if silent := wtc.att.hdl.opts.Clock.Since(wtc.dueBy); silent >= wtc.limit {
 		wtc.att.hdl.opts.Metrics.CountEvent("stream-resumed-by-itself")
 		wtc.att.hdl.opts.Log.Info("relay: stream goes on after a silence", "call", wtc.att.hdl.cal.ID,
 			"replica", wtc.att.placement.Primary.ID, "silent", silent)
 	}
-	wtc.dueBy = now
+	wtc.sending = true
+}
+
+// awaitEvent records that the next event is awaited from now on.
+func (wtc *stallWatch) awaitEvent() {
+	wtc.mu.Lock()
+	defer wtc.mu.Unlock()
+	wtc.sending = false
+	wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
+}
+
+// silence returns how long an event has been overdue, and 0 while none is awaited. The lock must be held.
+func (wtc *stallWatch) silence() time.Duration {
+	if wtc.sending {
+		return 0
+	}
+	return wtc.att.hdl.opts.Clock.Since(wtc.dueBy)
 }
 
 // stop ends the watch.
@@ -92,15 +108,14 @@
 	wtc.mu.Lock()
 	defer wtc.mu.Unlock()
 	if !wtc.stopped {
-		clk := wtc.att.hdl.opts.Clock
-		wtc.timer = clk.After(wtc.dueBy.Add(wtc.limit).Sub(clk.Now()), wtc.examine)
+		wtc.timer = wtc.att.hdl.opts.Clock.After(wtc.limit-wtc.silence(), wtc.examine)
 	}
 }
 
 // examine ends the attempt if the stream has stalled.
 func (wtc *stallWatch) examine() {
 	wtc.mu.Lock()
-	silent := wtc.att.hdl.opts.Clock.Since(wtc.dueBy)
+	silent := wtc.silence()
 	stopped := wtc.stopped
 	wtc.mu.Unlock()
 	if stopped {
@@ -112,11 +127,11 @@
 	}
 	stalled := wtc.hasStalled(silent)
 	wtc.mu.Lock()
-	if wtc.stopped || wtc.att.hdl.opts.Clock.Since(wtc.dueBy) < wtc.limit {
+	if wtc.stopped || wtc.silence() < wtc.limit {
 		stalled = false // An event has come meanwhile.
 	}
 	wtc.stalled = stalled
-	if !stalled {
+	if !stalled && !wtc.sending {
 		wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
 	}
 	wtc.mu.Unlock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -106,15 +106,20 @@
 			att.tasks.markDecoding()
 			att.recordAnswer()
 		}
-		if evt.hasID && att.hdl.hasLastEventID && evt.id <= att.hdl.lastEventID {
-			continue // The client already has it.
-		}
-		if err := att.sendEvent(rep, evt, evr.reader.Buffered() == 0); err != nil {
-			return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
+		if !att.hdl.clientHas(evt) {
+			if err := att.sendEvent(rep, evt, evr.reader.Buffered() == 0); err != nil {
+				return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
+			}
 		}
+		att.stall.awaitEvent()
 	}
 }
 
+// clientHas tells whether an earlier attempt has sent the event to the client.
+func (hdl *callHandler) clientHas(evt event) bool {
+	return evt.hasID && hdl.hasLastEventID && evt.id <= hdl.lastEventID
+}
+
 // sendEvent sends one event to the client.
 func (att *attempt) sendEvent(rep call.Reply, evt event, flush bool) error {
 	hdl := att.hdl
