Give up a silent run only for a secured retry

What callers saw: a stream whose sound replica was silent for a second was closed in the middle of its answer, or ended with 502 before its first event. Neither the rest nor a refusal came.

Cause: the stall watch closed the connection to the replica on one report, or on none, and only then were attempts, time, the retry budget and another replica looked for. The class of fault: giving up the only copy of some work before its replacement is certain.

Change: a run that may go on is given up only once attempts, time, the configuration, another replica and a retry in the budget are secured, and not before a sound replica could be expected to go on. Otherwise it is kept. Only a run that its replica does not report any more is ended at once.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -23,6 +23,7 @@
 	notSent    bool   // no replica received any of the call
 	reason     string // one of the reason constants
 	err        error
+	next       *place.Placement // secured for another attempt before this one was given up; nil for none
 }
 
 // errorText returns the text of the error, or an empty string.
@@ -61,13 +62,16 @@
 	defer mem.watchUse(ctx, hdl.opts.ReservationUseTimeout, att.abortUnusedReservation).Stop()
 	defer att.queryLatencyIfOverdue().Stop()
 	att.stall = att.watchStall()
-	defer att.stall.stop()
 	out := att.roundTrip(&call.Attempt{
 		Replica: plc.Primary.ID, Account: hdl.account, TimeLeft: hdl.deadline.Sub(hdl.opts.Clock.Now()),
 		Helpers:     mem.helpers,
 		Priority:    enginePriority(hdl.rte.LatencyTarget),
 		LastEventID: hdl.lastEventID, HasLastEventID: hdl.hasLastEventID,
 	})
+	att.stall.stop()
+	if out.reason == reasonStalled {
+		out.next = att.stall.next
+	}
 	if out.mayHaveRun {
 		hdl.possibleRuns++
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -30,13 +30,14 @@
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	attempts       int
-	possibleRuns   int        // attempts that may have run
-	failedReplicas []string   // IDs of the replicas on which the call failed
-	fallback       *fullReply // a replica's complete error response, sent if no retry succeeds
-	headSent       bool       // status and headers of the response have been sent
-	eventsSent     int        // events sent to the client
-	lastEventID    int64      // ID of the last event that the client has
-	hasLastEventID bool       // lastEventID is set
+	possibleRuns   int              // attempts that may have run
+	triedReplicas  []string         // IDs of the replicas of all attempts
+	secured        *place.Placement // of the next attempt, if it was secured before the latest one was given up
+	fallback       *fullReply       // a replica's complete error response, sent if no retry succeeds
+	headSent       bool             // status and headers of the response have been sent
+	eventsSent     int              // events sent to the client
+	lastEventID    int64            // ID of the last event that the client has
+	hasLastEventID bool             // lastEventID is set
 
 	lastEventAt time.Time
 	firstEvent  time.Duration // time from the arrival of the call to its first event
@@ -101,7 +102,11 @@
 		hdl.sendError(http.StatusUnauthorized, reasonUnknownKey, 0)
 		return false
 	}
-	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, rte.PickService(hdl.cal.ID)
+	service := rte.PickService(hdl.cal.ID)
+	if service != hdl.service {
+		hdl.secured = nil // It is of the old service.
+	}
+	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, service
 	limit := hdl.cal.TimeLeft
 	if limit <= 0 {
 		limit = defaultTimeLimit
@@ -186,7 +191,7 @@
 		if !hdl.headSent && !hdl.applyRules() {
 			return
 		}
-		plc, reason := hdl.choosePlacement()
+		plc, reason := hdl.nextPlacement()
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
 		}
@@ -198,6 +203,7 @@
 			return
 		}
 		hdl.placement, hdl.placedAt = plc, hdl.opts.Clock.Now()
+		hdl.triedReplicas = append(hdl.triedReplicas, plc.Primary.ID)
 		hdl.logPlacement(&plc)
 		out := hdl.sendAttempt(&plc)
 		hdl.opts.Log.V(1).Info("relay: attempt ended", "call", hdl.cal.ID, "replica", plc.Primary.ID,
@@ -206,12 +212,12 @@
 			hdl.recordEnd(out.status, out.reason)
 			return
 		}
-		hdl.failedReplicas = append(hdl.failedReplicas, plc.Primary.ID)
 		if denied := hdl.denyRetry(out); denied != "" {
 			hdl.logDeniedRetry(out, denied)
 			hdl.failCall(out.reason)
 			return
 		}
+		hdl.secured = out.next
 		hdl.opts.Metrics.CountRetry(out.reason)
 	}
 }
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -58,8 +58,8 @@
 	reps *fleet.ReplicaSet, views []fleet.View, left time.Duration,
 ) (place.Placement, bool) {
 	req := hdl.placementRequest(left)
-	if len(views) == len(hdl.failedReplicas) {
-		req.ExcludeReplicas = nil // The call has failed once on each replica, so all are equal again.
+	if len(views) == len(hdl.triedReplicas) {
+		req.ExcludeReplicas = nil // The call was sent once to each replica, so all are equal again.
 	}
 	srv := hdl.set.Service(hdl.service)
 	if srv == nil || srv.Engine == nil {
@@ -74,7 +74,7 @@
 	req := place.Request{
 		Now: hdl.opts.Clock.Now(), PromptTokens: prm.Tokens, OutputTokens: hdl.expectedOutputTokens(),
 		GapTarget: hdl.rte.GapTarget, TimeLeft: left,
-		DataCentre: hdl.opts.DataCentre, ExcludeReplicas: hdl.failedReplicas, Jitter: rand.Float64,
+		DataCentre: hdl.opts.DataCentre, ExcludeReplicas: hdl.triedReplicas, Jitter: rand.Float64,
 	}
 	if hdl.opts.LoadUnknown != nil {
 		req.LoadUnknown = hdl.opts.LoadUnknown()
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -1,5 +1,10 @@
 package relay
 
+import (
+	"github.com/tarragonwheel/tarragonwheel/place"
+	"github.com/tarragonwheel/tarragonwheel/rules"
+)
+
 // Checks that keep a call from being sent again, as they appear in logs and metrics.
 const (
 	deniedClientLeft   = "client-left"
@@ -7,11 +12,25 @@
 	deniedAttempts     = "attempts"
 	deniedNotRetryable = "not-retryable"
 	deniedBudget       = "budget"
+	deniedNewRules     = "new-configuration"
 )
 
 // denyRetry returns why the call must not be sent again after an attempt with the given outcome, as one of the denied
 // constants, or an empty string if it may be. It then has taken the retry from the budget.
 func (hdl *callHandler) denyRetry(out outcome) string {
+	if out.next != nil {
+		return "" // The retry was secured before the attempt was ended.
+	}
+	denied := hdl.denyAttempt(out.mayHaveRun, hdl.possibleRuns)
+	if denied != "" || out.notSent { // One that no replica received takes nothing from the retry budget.
+		return denied
+	}
+	return hdl.takeRetry()
+}
+
+// denyAttempt returns why the call must not be sent again after an attempt that may have run or not. The given number
+// of attempts may have run so far.
+func (hdl *callHandler) denyAttempt(mayHaveRun bool, possibleRuns int) string {
 	switch {
 	case hdl.ctx.Err() != nil:
 		return deniedClientLeft
@@ -19,18 +38,70 @@
 		return deniedNoTime
 	case hdl.attempts >= maxTotalAttempts:
 		return deniedAttempts
-	case out.mayHaveRun && !hdl.rte.Retryable():
+	case mayHaveRun && !hdl.rte.Retryable():
 		return deniedNotRetryable
-	case out.mayHaveRun && hdl.possibleRuns >= hdl.rte.MaxAttempts:
+	case mayHaveRun && possibleRuns >= hdl.rte.MaxAttempts:
 		return deniedAttempts
-	case out.notSent:
-		return "" // No replica received it, so it takes nothing from the retry budget.
-	case !hdl.relay.retryBudget(hdl.service).TakeRetry():
+	}
+	return ""
+}
+
+// takeRetry takes a retry from the budget. It returns deniedBudget if none is left.
+func (hdl *callHandler) takeRetry() string {
+	if !hdl.relay.retryBudget(hdl.service).TakeRetry() {
 		return deniedBudget
 	}
 	return ""
 }
 
+// secureRetry makes certain that another attempt may follow before the one with the given placement is given up. It
+// returns the placement of the other attempt, for which it has taken the retry from the budget, or nil if none may
+// follow.
+func (hdl *callHandler) secureRetry(current *place.Placement) *place.Placement {
+	denied := hdl.denyAttempt(true, hdl.possibleRuns+1)
+	if denied == "" && hdl.eventsSent == 0 && !hdl.isPermitted(hdl.opts.Rules()) {
+		denied = deniedNewRules
+	}
+	var plc place.Placement
+	if denied == "" {
+		plc, denied = hdl.choosePlacement()
+	}
+	switch {
+	case denied != "":
+	case plc.ShouldDefer() || (plc.CausesOverload() && hdl.eventsSent == 0):
+		denied = reasonOverload
+	case plc.Primary.ID == current.Primary.ID:
+		denied = reasonNoReplica
+	default:
+		denied = hdl.takeRetry()
+	}
+	if denied != "" {
+		hdl.opts.Log.Info("relay: silent run is kept", "call", hdl.cal.ID, "replica", current.Primary.ID,
+			"denied", denied)
+		return nil
+	}
+	return &plc
+}
+
+// isPermitted tells whether a configuration permits the call.
+func (hdl *callHandler) isPermitted(set *rules.Set) bool {
+	rte := set.Match(hdl.cal.Host, stripQuery(hdl.cal.Target))
+	if rte == nil {
+		return false
+	}
+	_, ok := set.AuthorizeKey(rte, hdl.cal.APIKey)
+	return ok
+}
+
+// nextPlacement returns the placement that was secured for the next attempt, or chooses one.
+func (hdl *callHandler) nextPlacement() (place.Placement, string) {
+	if plc := hdl.secured; plc != nil {
+		hdl.secured = nil
+		return *plc, ""
+	}
+	return hdl.choosePlacement()
+}
+
 // logDeniedRetry logs that no further attempt follows after one with the given outcome.
 func (hdl *callHandler) logDeniedRetry(out outcome, denied string) {
 	hdl.opts.Metrics.CountEvent("retry-denied-" + denied)
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -1,73 +1,98 @@
 package relay
 
 import (
-	"context"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-// Times after which a stream without events is examined.
+// Shares of the client idle timeout without an event.
 const (
-	// stallShare is the share of the client idle timeout without an event after which a stream is examined. The rest
-	// is left for another replica.
-	stallShare = 0.5
-	// defaultStallTime applies to routes without a client idle timeout.
-	defaultStallTime = 5 * time.Second
+	// examineShare is the share after which the replica is asked how it is.
+	examineShare = 0.5
+	// giveUpShare is the share after which a run may be given up at the latest. The rest is left for another replica.
+	giveUpShare = 0.7
+	// abandonShare is the share after which a client that is still connected cannot be waiting for an event.
+	abandonShare = 3.0
+	// recheckShare is the share between two examinations of a run that cannot be given up yet.
+	recheckShare = 0.1
 )
 
-// slowLatencyRatio is the reported latency ratio from which missing events are put down to a slow replica.
-const slowLatencyRatio = 2.0
+const (
+	// soundSilence is how long sound replicas may be silent. A run is not given up sooner if its client still waits.
+	soundSilence = 1500 * time.Millisecond
+	// defaultIdleTimeout takes the place of the client idle timeout on routes without one.
+	defaultIdleTimeout = 10 * time.Second
+)
+
+// stallTimes are the times without an event after which something is done.
+type stallTimes struct {
+	examine time.Duration
+	giveUp  time.Duration
+	abandon time.Duration
+	recheck time.Duration // between examinations from giveUp on
+}
 
-// Report is what a replica says of itself.
-type Report struct {
-	LatencyRatio float64 // observed over expected time; above 1 the replica is slow
-	Running      int     // calls in progress
-	Queued       int     // calls that wait for a slot
+// newStallTimes returns the times for a client idle timeout, 0 for clients that do not disconnect.
+func newStallTimes(idle time.Duration) stallTimes {
+	abandon := share(idle, abandonShare)
+	if idle <= 0 {
+		idle, abandon = defaultIdleTimeout, math.MaxInt64
+	}
+	examine := share(idle, examineShare)
+	return stallTimes{
+		examine: examine, giveUp: min(max(examine, soundSilence), share(idle, giveUpShare)), abandon: abandon,
+		recheck: share(idle, recheckShare),
+	}
 }
 
-// stallWatch ends an attempt at a stream that has stalled: its replica lives, or at least its connection does, but
-// sends no events, though perhaps single bytes or comments. A stream that is slow because its replica is busy or slow
-// is left alone.
+func share(dur time.Duration, part float64) time.Duration { return time.Duration(part * float64(dur)) }
+
+// stallWatch watches a stream whose replica sends no events, though perhaps single bytes or comments. A sound replica
+// may be silent for a while and go on, so its run is given up only once another attempt is certain to follow.
 type stallWatch struct {
-	att     *attempt
-	limit   time.Duration // without an event, after which the stream is examined
-	mu      sync.Mutex
-	dueBy   time.Time // when the next event was due at the latest
-	timer   *timer.Subscription
-	sending bool // an event is on its way to the client, so that no other is awaited
-	stopped bool
-	stalled bool
+	att         *attempt
+	times       stallTimes
+	mu          sync.Mutex
+	dueBy       time.Time // when the next event was due at the latest
+	silentSince time.Time // when the latest event came, or when the attempt began
+	timer       *timer.Subscription
+	sending     bool // an event is on its way to the client, so that no other is awaited
+	examined    bool // since the latest event
+	stopped     bool
+	stalled     bool
+	next        *place.Placement // of the attempt for which the run was given up; nil if no other may follow
 }
 
 // watchStall starts to watch the attempt if it is a stream.
 func (att *attempt) watchStall() *stallWatch {
 	hdl := att.hdl
-	wtc := &stallWatch{att: att, limit: defaultStallTime}
-	if hdl.rte.ClientIdleTimeout > 0 {
-		wtc.limit = time.Duration(stallShare * float64(hdl.rte.ClientIdleTimeout))
-	}
-	// The engine may have predicted prefill before the first event.
-	wtc.dueBy = hdl.opts.Clock.Now().Add(att.placement.FirstEvent)
-	if !hdl.rte.IsStream() {
-		wtc.stopped = true
-		return wtc
+	now := hdl.opts.Clock.Now()
+	wtc := &stallWatch{
+		att: att, times: newStallTimes(hdl.rte.ClientIdleTimeout), stopped: !hdl.rte.IsStream(), silentSince: now,
+		dueBy: now.Add(att.placement.FirstEvent), // The engine may have predicted prefill before the first event.
 	}
-	wtc.schedule()
+	wtc.mu.Lock()
+	defer wtc.mu.Unlock()
+	wtc.schedule(wtc.times.examine - wtc.silence())
 	return wtc
 }
 
-// recordEvent records that the replica has sent an event, which is now sent to the client. A slow client may delay that.
+// recordEvent records that the replica has sent an event, which is now sent to the client. A slow client may delay
+// that.
 func (wtc *stallWatch) recordEvent() {
 	wtc.mu.Lock()
 	defer wtc.mu.Unlock()
-	if silent := wtc.att.hdl.opts.Clock.Since(wtc.dueBy); silent >= wtc.limit {
-		wtc.att.hdl.opts.Metrics.CountEvent("stream-resumed-by-itself")
-		wtc.att.hdl.opts.Log.Info("relay: stream goes on after a silence", "call", wtc.att.hdl.cal.ID,
-			"replica", wtc.att.placement.Primary.ID, "silent", silent)
+	if wtc.examined {
+		hdl := wtc.att.hdl
+		hdl.opts.Metrics.CountEvent("stream-resumed-by-itself")
+		hdl.opts.Log.Info("relay: stream goes on after a silence", "call", hdl.cal.ID,
+			"replica", wtc.att.placement.Primary.ID, "silent", hdl.opts.Clock.Since(wtc.silentSince))
 	}
-	wtc.sending = true
+	wtc.sending, wtc.examined = true, false
 }
 
 // awaitEvent records that the next event is awaited from now on.
@@ -76,14 +101,7 @@
 	defer wtc.mu.Unlock()
 	wtc.sending = false
 	wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
-}
-
-// silence returns how long an event has been overdue, and 0 while none is awaited. The lock must be held.
-func (wtc *stallWatch) silence() time.Duration {
-	if wtc.sending {
-		return 0
-	}
-	return wtc.att.hdl.opts.Clock.Since(wtc.dueBy)
+	wtc.silentSince = wtc.dueBy
 }
 
 // stop ends the watch.
@@ -103,68 +121,71 @@
 	return wtc.stalled
 }
 
-// schedule sets the timer for the time at which the stream is to be examined unless an event comes.
-func (wtc *stallWatch) schedule() {
-	wtc.mu.Lock()
-	defer wtc.mu.Unlock()
+// silence returns how long an event has been overdue, and 0 while none is awaited. The lock must be held.
+func (wtc *stallWatch) silence() time.Duration {
+	if wtc.sending {
+		return 0
+	}
+	return wtc.att.hdl.opts.Clock.Since(wtc.dueBy)
+}
+
+// schedule sets the timer for the next examination. The lock must be held.
+func (wtc *stallWatch) schedule(after time.Duration) {
 	if !wtc.stopped {
-		wtc.timer = wtc.att.hdl.opts.Clock.After(wtc.limit-wtc.silence(), wtc.examine)
+		wtc.timer = wtc.att.hdl.opts.Clock.After(after, wtc.examine)
 	}
 }
 
-// examine ends the attempt if the stream has stalled.
+// examine asks the replica of a silent stream how it is, and decides whether its run goes on.
 func (wtc *stallWatch) examine() {
 	wtc.mu.Lock()
 	silent := wtc.silence()
-	stopped := wtc.stopped
-	wtc.mu.Unlock()
-	if stopped {
-		return
-	}
-	if silent < wtc.limit {
-		wtc.schedule()
-		return
-	}
-	stalled := wtc.hasStalled(silent)
-	wtc.mu.Lock()
-	if wtc.stopped || wtc.silence() < wtc.limit {
-		stalled = false // An event has come meanwhile.
-	}
-	wtc.stalled = stalled
-	if !stalled && !wtc.sending {
-		wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
+	isDue := !wtc.stopped && silent >= wtc.times.examine
+	if !isDue {
+		wtc.schedule(wtc.times.examine - silent)
 	}
 	wtc.mu.Unlock()
-	if stalled {
-		_ = wtc.att.con.Close() // Cancels the call at the replica and ends reads.
+	if !isDue {
 		return
 	}
-	wtc.schedule()
+	state := wtc.att.queryRun(silent)
+	wtc.mu.Lock()
+	defer wtc.mu.Unlock()
+	wtc.decide(state)
 }
 
-// hasStalled asks the replica how it is, and tells whether the stream has stalled there.
-func (wtc *stallWatch) hasStalled(silent time.Duration) bool {
-	att := wtc.att
-	hdl, rep := att.hdl, att.placement.Primary.Replica
-	hdl.opts.Metrics.CountEvent("stream-examined")
-	ctx, cancel := hdl.opts.Clock.WithTimeout(context.WithoutCancel(att.ctx), replicaAPITimeout)
-	defer cancel()
-	rpt, err := hdl.opts.Reserver.api.Report(ctx, rep.Registration().Address)
-	longPrefill := rep.HadLongPrefill(silent + wtc.limit)
-	stalled := false
+// decide ends the attempt or goes on watching it. The lock must be held. It keeps the call from being used meanwhile,
+// because an event that arrives is recorded first.
+func (wtc *stallWatch) decide(state runState) {
+	silent := wtc.silence()
+	if wtc.stopped || silent < wtc.times.examine { // An event has come meanwhile.
+		wtc.schedule(wtc.times.examine - silent)
+		return
+	}
+	wtc.examined = true
 	switch {
-	case err != nil:
-		// The replica may only be silent for a while. Its work is given up only if another replica can go on, because
-		// the client disconnects soon.
-		stalled = hdl.rte.Retryable()
-	case rpt.Running+rpt.Queued == 0:
-		stalled = true
+	case state == runDelayed:
+		wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
+		wtc.schedule(wtc.times.examine)
+	case state == runLost, silent >= wtc.times.abandon:
+		wtc.endAttempt()
+	case silent < wtc.times.giveUp:
+		wtc.schedule(wtc.times.giveUp - silent)
 	default:
-		rep.SetReportedLatencyRatio(rpt.LatencyRatio)
-		stalled = rpt.LatencyRatio < slowLatencyRatio && rpt.Queued == 0 && !longPrefill
+		if wtc.next = wtc.att.hdl.secureRetry(wtc.att.placement); wtc.next == nil {
+			wtc.schedule(wtc.times.recheck)
+			return
+		}
+		wtc.endAttempt()
 	}
-	hdl.opts.Log.Info("relay: stream without events", "call", hdl.cal.ID, "replica", att.placement.Primary.ID,
-		"silent", silent, "reported", err == nil, "running", rpt.Running,
-		"queued", rpt.Queued, "latency-ratio", rpt.LatencyRatio, "long-prefill", longPrefill, "stalled", stalled)
-	return stalled
+}
+
+// endAttempt ends the attempt. The lock must be held.
+func (wtc *stallWatch) endAttempt() {
+	wtc.stalled, wtc.stopped = true, true
+	hdl := wtc.att.hdl
+	hdl.opts.Metrics.CountEvent("stream-given-up")
+	hdl.opts.Log.Info("relay: stream given up", "call", hdl.cal.ID, "replica", wtc.att.placement.Primary.ID,
+		"silent", hdl.opts.Clock.Since(wtc.silentSince), "retry-secured", wtc.next != nil)
+	_ = wtc.att.con.Close() // Cancels the call at the replica and ends reads.
 }
