Send a retry on a new connection

What callers saw: a call whose first attempt had failed ended with 502, or with a closed connection in the middle of its stream, although its second replica was sound.

Cause: the retry was sent on an idle connection to a replica that had been restarted. The replica closed it, which counts as an attempt that may have run, so that MaxAttempts was reached.

Change: an attempt after one that may have run uses a new connection, as calls that are not retryable do.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,7 +49,8 @@
 	ctx, cancel := hdl.opts.Clock.WithTimeout(hdl.ctx, hdl.deadline.Sub(now))
 	defer cancel()
 	rep := plc.Primary.Replica
-	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, !hdl.rte.Retryable())
+	needsNewConn := !hdl.rte.Retryable() || hdl.possibleRuns > 0 // Another retry may be denied.
+	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, needsNewConn)
 	if err != nil {
 		if ctx.Err() == nil {
 			rep.RecordUnreachable()
