Close the connection of a call whose client has left

What callers saw: a client that had closed only its sending side got an empty success without a signature, or a stream that ended as if its last event had been sent.

Cause: the HTTP server cancels a call when it reads the end of the client's data, and the handler then returned without an answer. The server completes such a response.

Evidence: TestNoAnswerLooksCompleteToAClientThatStoppedSending failed on the code before in both cases.

Change: such a call ends by closing its connection, as other calls without a complete response do.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -208,7 +208,10 @@
 		out := hdl.sendAttempt(&plc)
 		hdl.opts.Log.V(1).Info("relay: attempt ended", "call", hdl.cal.ID, "replica", plc.Primary.ID,
 			"outcome", out.reason, "error", out.errorText())
-		if out.final {
+		switch {
+		case out.reason == reasonClientLeft:
+			hdl.abort(reasonClientLeft)
+		case out.final:
 			hdl.recordEnd(out.status, out.reason)
 			return
 		}
@@ -239,10 +242,9 @@
 func (hdl *callHandler) failCall(reason string) {
 	switch {
 	case hdl.ctx.Err() != nil:
-		hdl.recordEnd(0, reasonClientLeft)
+		hdl.abort(reasonClientLeft)
 	case hdl.headSent:
-		hdl.recordEnd(0, reasonStreamBroken)
-		panic(http.ErrAbortHandler) // Closes the connection, so that the client sees an incomplete stream.
+		hdl.abort(reasonStreamBroken)
 	case hdl.fallback != nil:
 		hdl.sendReply(hdl.fallback)
 		hdl.recordEnd(hdl.fallback.reply.Status, reasonReplicaFailed)
@@ -262,6 +264,13 @@
 	}
 }
 
+// abort ends the call without a complete response. It closes the connection, since the server would else complete the
+// response, and a client that has only stopped sending would take it for a whole one. It does not return.
+func (hdl *callHandler) abort(reason string) {
+	hdl.recordEnd(0, reason)
+	panic(http.ErrAbortHandler)
+}
+
 // randomRetryAfter returns a short Retry-After time for a refused call.
 func randomRetryAfter() time.Duration {
 	return withJitter(minRetryAfter, retryAfterJitter)
