Close an idle connection without cutting a call that has just been read

What callers saw: a call on a kept connection got no answer, and might have been sent to a replica. When many connections expire at once, as after a configuration with a shorter idle timeout, it happened often.

Cause: the connections that had expired were collected under a lock and closed after it, so that calls that the server had read meanwhile were cut.

Change: an expired connection gets a read deadline that has passed, so that the server itself closes it unless a request came first.

--- a/front/clients.go
+++ b/front/clients.go
@@ -29,6 +29,7 @@
 	clock     *timer.Service
 	mu        sync.Mutex
 	idleSince map[net.Conn]time.Time // holds only connections that are idle now
+	expired   map[net.Conn]bool      // idle connections that are being closed
 }
 
 // startClientServer listens on addr and serves hdl in grp. It returns a trace.ConnectionProblem error if the listener
@@ -39,7 +40,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", trace.ConnectionProblem(err, "%s", addr))
 	}
-	srv := &clientServer{listener: lis, clock: clk, idleSince: make(map[net.Conn]time.Time)}
+	srv := &clientServer{
+		listener: lis, clock: clk, idleSince: make(map[net.Conn]time.Time), expired: make(map[net.Conn]bool),
+	}
 	srv.server = &http.Server{
 		Handler: hdl, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ConnState: srv.recordConnState,
 	}
@@ -65,24 +68,28 @@
 		return
 	}
 	delete(srv.idleSince, con)
+	if srv.expired[con] {
+		delete(srv.expired, con)
+		_ = con.SetReadDeadline(time.Time{}) // A request came first. A closed connection has no deadline.
+	}
 }
 
 // closeExpired closes the connections that have been idle for longer than limit. A limit of 0 closes none. The limit
 // may differ from call to call, which http.Server.IdleTimeout does not allow.
+//
+// It lets the server close them by a read deadline that has passed. The server may have read a request meanwhile, whose
+// connection must stay open.
 func (srv *clientServer) closeExpired(limit time.Duration) {
 	if limit <= 0 {
 		return
 	}
 	now := srv.clock.Now()
 	srv.mu.Lock()
-	var expired []net.Conn
+	defer srv.mu.Unlock()
 	for con, since := range srv.idleSince {
 		if now.Sub(since) > limit {
-			expired = append(expired, con)
+			srv.expired[con] = true
+			_ = con.SetReadDeadline(now) // The error means that the connection is closed.
 		}
 	}
-	srv.mu.Unlock()
-	for _, con := range expired {
-		_ = con.Close() // No request is in flight on it.
-	}
 }
