--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,7 +60,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
 	defer stop()
 	att := &attempt{hdl: hdl, con: con, placement: plc, tasks: tasks, ctx: ctx}
-	defer mem.watchUse(ctx, hdl.opts.ReservationUseTimeout, att.abortUnusedReservation).Stop()
+	defer mem.watchUse(
+		ctx, hdl.opts.ReservationUseTimeout, att.firstEventReceived.Load, att.abortUnusedReservation,
+	).Stop()
 	defer att.queryLatencyIfOverdue().Stop()
 	att.stall = att.watchStall()
 	out := att.roundTrip(&call.Attempt{
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -111,27 +111,46 @@
 	go mem.reserver.releaseAll(context.WithoutCancel(ctx), mem.reservations)
 }
 
-// watchUse calls onUnused if the call does not use all of the memory after useCheckShare of the limit, or if a replica
-// does not confirm that it does.
-func (mem *attemptMemory) watchUse(ctx context.Context, limit time.Duration, onUnused func()) *timer.Subscription {
+var errUnused = errors.New("relay: reserved memory is not used")
+
+// watchUse calls onUnused if a replica states after useCheckShare of the limit that the call does not use the memory
+// reserved there. One that does not answer is asked again until the call has begun.
+func (mem *attemptMemory) watchUse(
+	ctx context.Context, limit time.Duration, hasBegun func() bool, onUnused func(),
+) *timer.Subscription {
 	if len(mem.reservations) == 0 {
 		return &timer.Subscription{}
 	}
-	return mem.reserver.clock.After(time.Duration(float64(limit)*useCheckShare), func() {
-		err := mem.reserver.forEach(ctx, mem.reservations, func(ctx context.Context, rsv Reservation) error {
-			used, err := mem.reserver.api.InUse(ctx, rsv)
-			if err == nil && !used {
-				err = errors.New("relay: reserved memory is not used")
+	rsr := mem.reserver
+	return rsr.clock.After(time.Duration(float64(limit)*useCheckShare), func() {
+		for !hasBegun() {
+			err := rsr.forEach(ctx, mem.reservations, rsr.checkUse)
+			if err == nil || ctx.Err() != nil {
+				return
+			}
+			if errors.Is(err, errUnused) {
+				rsr.log.Info("relay: reservation given up", "error", err.Error())
+				onUnused()
+				return
+			}
+			rsr.log.Info("relay: use of a reservation not known", "error", err.Error())
+			if rsr.clock.Sleep(ctx, renewInterval) != nil {
+				return
 			}
-			return err
-		})
-		if err != nil && ctx.Err() == nil {
-			mem.reserver.log.Info("relay: reservation given up", "error", err.Error())
-			onUnused()
 		}
 	})
 }
 
+// checkUse returns errUnused if the call does not use the reserved memory, and another error if the replica does not
+// answer.
+func (rsr *Reserver) checkUse(ctx context.Context, rsv Reservation) error {
+	used, err := rsr.api.InUse(ctx, rsv)
+	if err == nil && !used {
+		return errUnused
+	}
+	return err
+}
+
 // forEach calls do for all reservations concurrently and returns the joined errors.
 func (rsr *Reserver) forEach(
 	ctx context.Context, list []Reservation, do func(ctx context.Context, rsv Reservation) error,
