Do not send a deferred call whose client has left

What callers saw: nothing; a replica worked for a client that had disconnected while its call waited for a better placement.

Cause: the wait ended with the client's connection, and the attempt was sent on an idle connection before the cancelled context closed it.

Found by reading.

Change: the call ends before an attempt begins if its client has left.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math"
-	"math/rand"
 	"net/http"
 	"time"
 
@@ -195,6 +194,9 @@
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
 		}
+		if hdl.ctx.Err() != nil {
+			reason = reasonClientLeft
+		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
 			reason = reasonOverload
 		}
@@ -271,16 +273,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// randomRetryAfter returns a short Retry-After time for a refused call.
-func randomRetryAfter() time.Duration {
-	return withJitter(minRetryAfter, retryAfterJitter)
-}
-
-// withJitter returns base plus a random time below jitter, so that refused clients do not retry at the same moment.
-func withJitter(base, jitter time.Duration) time.Duration {
-	return base + time.Duration(rand.Int63n(int64(jitter)))
-}
-
 // noRulesRetryAfter returns the Retry-After time while the process has no configuration. Just after its start, one will
 // arrive at any moment; later on, the store must be unavailable, which lasts for seconds.
 func (rly *Relay) noRulesRetryAfter() time.Duration {
--- a/relay/leave_test.go
+++ b/relay/leave_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/place"
+	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
 // TestNoAnswerLooksCompleteToAClientThatStoppedSending guards against a client that closes only its sending side and
@@ -48,3 +55,41 @@
 		})
 	}
 }
+
+// TestDeferredCallIsNotSentAfterItsClientLeft guards against a replica that works for a client that has disconnected
+// while the call waited for a better placement.
+func TestDeferredCallIsNotSentAfterItsClientLeft(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return reply(con, req, http.StatusOK, "served") })
+	rig := newRig(t, rep)
+	spc := testRules()
+	spc.Services = []rules.Service{{Name: "s", Engine: smallEngine()}}
+	rig.rules.Store(rules.New(spc))
+	var defers atomic.Bool
+	rig.opts.Policy = func(
+		_ place.Request, _ *cost.Engine, views []fleet.View, _ fleet.PrefillLoads,
+	) (place.Placement, bool) {
+		plc := place.Placement{Primary: views[0], Value: 1, NetValue: 1}
+		if defers.Load() {
+			plc.Slack, plc.Penalty = time.Minute, 1000
+		}
+		return plc, true
+	}
+	rig.start(t)
+	for range 20 {
+		defers.Store(false)
+		_, _, err := rig.send(t, "/stream/x") // Leaves a connection on which the next call could be sent.
+		iis.NoErr(err)
+		sent := rep.calls.Load()
+		defers.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, rig.url+"/stream/x", nil)
+		iis.NoErr(err)
+		req.Header.Set("Api-Key", "k")
+		_, err = http.DefaultClient.Do(req) //nolint:bodyclose // There is no response.
+		iis.True(err != nil)
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+		iis.Equal(rep.calls.Load(), sent)
+	}
+}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"math/rand"
+	"time"
+)
 
 // Reasons why calls are refused, why attempts fail and how calls end, as they appear in error responses, logs and
 // metrics.
@@ -66,3 +69,13 @@
 // maxTotalAttempts bounds the attempts of a call, including those in which it did not run. The route's MaxAttempts
 // limits only the attempts in which it may have run.
 const maxTotalAttempts = 5
+
+// randomRetryAfter returns a short Retry-After time for a refused call.
+func randomRetryAfter() time.Duration {
+	return withJitter(minRetryAfter, retryAfterJitter)
+}
+
+// withJitter returns base plus a random time below jitter, so that refused clients do not retry at the same moment.
+func withJitter(base, jitter time.Duration) time.Duration {
+	return base + time.Duration(rand.Int63n(int64(jitter)))
+}
