--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -23,6 +23,7 @@
 	notSent    bool   // no replica received any of the call
 	reason     string // one of the reason constants
 	err        error
+	next       *place.Placement // secured for another attempt before this one was given up; nil for none
 }
 
 // errorText returns the text of the error, or an empty string.
@@ -48,7 +49,8 @@
 	ctx, cancel := hdl.opts.Clock.WithTimeout(hdl.ctx, hdl.deadline.Sub(now))
 	defer cancel()
 	rep := plc.Primary.Replica
-	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, !hdl.rte.Retryable())
+	needsNewConn := !hdl.rte.Retryable() || hdl.possibleRuns > 0 // Another retry may be denied.
+	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, needsNewConn)
 	if err != nil {
 		if ctx.Err() == nil {
 			rep.RecordUnreachable()
@@ -58,16 +60,21 @@
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
 	defer stop()
 	att := &attempt{hdl: hdl, con: con, placement: plc, tasks: tasks, ctx: ctx}
-	defer mem.watchUse(ctx, hdl.opts.ReservationUseTimeout, att.abortUnusedReservation).Stop()
+	defer mem.watchUse(
+		ctx, hdl.opts.ReservationUseTimeout, att.firstEventReceived.Load, att.abortUnusedReservation,
+	).Stop()
 	defer att.queryLatencyIfOverdue().Stop()
 	att.stall = att.watchStall()
-	defer att.stall.stop()
 	out := att.roundTrip(&call.Attempt{
 		Replica: plc.Primary.ID, Account: hdl.account, TimeLeft: hdl.deadline.Sub(hdl.opts.Clock.Now()),
 		Helpers:     mem.helpers,
 		Priority:    enginePriority(hdl.rte.LatencyTarget),
 		LastEventID: hdl.lastEventID, HasLastEventID: hdl.hasLastEventID,
 	})
+	att.stall.stop()
+	if out.reason == reasonStalled {
+		out.next = att.stall.next
+	}
 	if out.mayHaveRun {
 		hdl.possibleRuns++
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math"
-	"math/rand"
 	"net/http"
 	"time"
 
@@ -30,13 +29,14 @@
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	attempts       int
-	possibleRuns   int        // attempts that may have run
-	failedReplicas []string   // IDs of the replicas on which the call failed
-	fallback       *fullReply // a replica's complete error response, sent if no retry succeeds
-	headSent       bool       // status and headers of the response have been sent
-	eventsSent     int        // events sent to the client
-	lastEventID    int64      // ID of the last event that the client has
-	hasLastEventID bool       // lastEventID is set
+	possibleRuns   int              // attempts that may have run
+	triedReplicas  []string         // IDs of the replicas of all attempts
+	secured        *place.Placement // of the next attempt, if it was secured before the latest one was given up
+	fallback       *fullReply       // a replica's complete error response, sent if no retry succeeds
+	headSent       bool             // status and headers of the response have been sent
+	eventsSent     int              // events sent to the client
+	lastEventID    int64            // ID of the last event that the client has
+	hasLastEventID bool             // lastEventID is set
 
 	lastEventAt time.Time
 	firstEvent  time.Duration // time from the arrival of the call to its first event
@@ -101,7 +101,11 @@
 		hdl.sendError(http.StatusUnauthorized, reasonUnknownKey, 0)
 		return false
 	}
-	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, rte.PickService(hdl.cal.ID)
+	service := rte.PickService(hdl.cal.ID)
+	if service != hdl.service {
+		hdl.secured = nil // It is of the old service.
+	}
+	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, service
 	limit := hdl.cal.TimeLeft
 	if limit <= 0 {
 		limit = defaultTimeLimit
@@ -186,10 +190,13 @@
 		if !hdl.headSent && !hdl.applyRules() {
 			return
 		}
-		plc, reason := hdl.choosePlacement()
+		plc, reason := hdl.nextPlacement()
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
 		}
+		if hdl.ctx.Err() != nil {
+			reason = reasonClientLeft
+		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
 			reason = reasonOverload
 		}
@@ -198,38 +205,28 @@
 			return
 		}
 		hdl.placement, hdl.placedAt = plc, hdl.opts.Clock.Now()
+		hdl.triedReplicas = append(hdl.triedReplicas, plc.Primary.ID)
 		hdl.logPlacement(&plc)
 		out := hdl.sendAttempt(&plc)
 		hdl.opts.Log.V(1).Info("relay: attempt ended", "call", hdl.cal.ID, "replica", plc.Primary.ID,
 			"outcome", out.reason, "error", out.errorText())
-		if out.final {
+		switch {
+		case out.reason == reasonClientLeft:
+			hdl.abort(reasonClientLeft)
+		case out.final:
 			hdl.recordEnd(out.status, out.reason)
 			return
 		}
-		hdl.failedReplicas = append(hdl.failedReplicas, plc.Primary.ID)
-		if !hdl.mayRetry(out) {
+		if denied := hdl.denyRetry(out); denied != "" {
+			hdl.logDeniedRetry(out, denied)
 			hdl.failCall(out.reason)
 			return
 		}
+		hdl.secured = out.next
 		hdl.opts.Metrics.CountRetry(out.reason)
 	}
 }
 
-// mayRetry tells whether the call may be sent again after an attempt with the given outcome.
-func (hdl *callHandler) mayRetry(out outcome) bool {
-	if hdl.ctx.Err() != nil || hdl.opts.Clock.Now().Add(minAttemptTime).After(hdl.deadline) ||
-		hdl.attempts >= maxTotalAttempts {
-		return false
-	}
-	if out.mayHaveRun && (!hdl.rte.Retryable() || hdl.possibleRuns >= hdl.rte.MaxAttempts) {
-		return false
-	}
-	if out.notSent {
-		return true // No replica received it, so it takes nothing from the retry budget.
-	}
-	return hdl.relay.retryBudget(hdl.service).TakeRetry()
-}
-
 // missedTarget tells whether the call has already missed the latency or gap target of its route.
 func (hdl *callHandler) missedTarget() bool {
 	if hdl.rte.GapTarget > 0 && hdl.longestGap > hdl.rte.GapTarget {
@@ -247,10 +244,9 @@
 func (hdl *callHandler) failCall(reason string) {
 	switch {
 	case hdl.ctx.Err() != nil:
-		hdl.recordEnd(0, reasonClientLeft)
+		hdl.abort(reasonClientLeft)
 	case hdl.headSent:
-		hdl.recordEnd(0, reasonStreamBroken)
-		panic(http.ErrAbortHandler) // Closes the connection, so that the client sees an incomplete stream.
+		hdl.abort(reasonStreamBroken)
 	case hdl.fallback != nil:
 		hdl.sendReply(hdl.fallback)
 		hdl.recordEnd(hdl.fallback.reply.Status, reasonReplicaFailed)
@@ -270,14 +266,11 @@
 	}
 }
 
-// randomRetryAfter returns a short Retry-After time for a refused call.
-func randomRetryAfter() time.Duration {
-	return withJitter(minRetryAfter, retryAfterJitter)
-}
-
-// withJitter returns base plus a random time below jitter, so that refused clients do not retry at the same moment.
-func withJitter(base, jitter time.Duration) time.Duration {
-	return base + time.Duration(rand.Int63n(int64(jitter)))
+// abort ends the call without a complete response. It closes the connection, since the server would else complete the
+// response, and a client that has only stopped sending would take it for a whole one. It does not return.
+func (hdl *callHandler) abort(reason string) {
+	hdl.recordEnd(0, reason)
+	panic(http.ErrAbortHandler)
 }
 
 // noRulesRetryAfter returns the Retry-After time while the process has no configuration. Just after its start, one will
