State the store's era in positions and log it

Nothing in the logs told in which era of the store an offset had been learned, so that a read from an offset of an earlier era could not be told from a read without news, and an announcement of a peer that was dropped left no line.

Logged are the position of each listing, an answer of another era than that of the listing, the position after an outage, and a read because a peer has a newer configuration. No decision depends on the era yet.

--- a/follow/digest.go
+++ b/follow/digest.go
@@ -40,17 +40,17 @@
 func (flw *Follower) Receive(dig Digest) {
 	flw.mu.Lock()
 	defer flw.mu.Unlock()
-	if !flw.listed || flw.inOutage || flw.opts.Sharing.Paused() || dig.From > flw.next {
+	if !flw.listed || flw.inOutage || flw.opts.Sharing.Paused() || dig.From > flw.next.Offset {
 		return
 	}
 	asOf := flw.opts.Clock.Now().Add(-dig.Age)
-	if dig.To > flw.next {
-		flw.next = dig.To
+	if dig.To > flw.next.Offset {
+		flw.next.Offset = dig.To
 		for _, rec := range dig.Records {
 			flw.opts.OnChange(rec)
 		}
 	}
-	if dig.To >= flw.next && asOf.After(flw.asOf) {
+	if dig.To >= flw.next.Offset && asOf.After(flw.asOf) {
 		flw.asOf = asOf
 		share := minFollowerShare + (maxFollowerShare-minFollowerShare)*rand.Float64()
 		flw.readAt = asOf.Add(time.Duration(share * float64(flw.opts.ReadInterval)))
--- a/follow/digest_test.go
+++ b/follow/digest_test.go
@@ -28,7 +28,8 @@
 // startSharing starts a follower whose source has no records of its own after the listing up to offset 10. The
 // function read, if not nil, replaces the reads.
 func startSharing(
-	t *testing.T, interval time.Duration, read func(from int64) ([]follow.Record, int64, error),
+	t *testing.T, interval time.Duration,
+	read func(from follow.Position) ([]follow.Record, follow.Position, error),
 ) *sharingFollower {
 	t.Helper()
 	grp := group.New(context.Background(), "test")
@@ -37,8 +38,12 @@
 	shr.Follower = follow.Start(grp, follow.Options{
 		Name: "test", Clock: timer.New(), Log: logr.Discard(), ReadInterval: interval, ResponseTimeout: time.Minute,
 		Source: follow.Source{
-			List: func(context.Context) ([]follow.Record, int64, error) { return nil, 10, nil },
-			Read: func(_ context.Context, from int64, _ time.Duration) ([]follow.Record, int64, error) {
+			List: func(context.Context) ([]follow.Record, follow.Position, error) {
+				return nil, follow.Position{Offset: 10}, nil
+			},
+			Read: func(
+				_ context.Context, from follow.Position, _ time.Duration,
+			) ([]follow.Record, follow.Position, error) {
 				shr.reads.Add(1)
 				if read != nil {
 					return read(from)
@@ -86,8 +91,8 @@
 func TestDigestMovesOn(t *testing.T) {
 	iis := is.New(t)
 	from := make(chan int64, 100)
-	shr := startSharing(t, 300*time.Millisecond, func(pos int64) ([]follow.Record, int64, error) {
-		from <- pos
+	shr := startSharing(t, 300*time.Millisecond, func(pos follow.Position) ([]follow.Record, follow.Position, error) {
+		from <- pos.Offset
 		return nil, pos, nil
 	})
 	shr.Receive(follow.Digest{From: 11, To: 13, Records: []follow.Record{{Key: "gap", Value: []byte("v")}}})
@@ -103,13 +108,13 @@
 func TestDigestHoldsWhatMatters(t *testing.T) {
 	iis := is.New(t)
 	var reads atomic.Int64
-	shr := startSharing(t, 100*time.Millisecond, func(from int64) ([]follow.Record, int64, error) {
+	shr := startSharing(t, 100*time.Millisecond, func(from follow.Position) ([]follow.Record, follow.Position, error) {
 		if reads.Add(1) != 2 { // The first read after the listing is not shared.
 			return nil, from, nil
 		}
 		return []follow.Record{
 			{Key: "alive", Value: []byte("heartbeat")}, {Key: "left"}, {Key: "left", Value: []byte("back")},
-		}, from + 3, nil
+		}, follow.Position{Offset: from.Offset + 3}, nil
 	})
 	dig := <-shr.sent
 	iis.Equal(dig.From, int64(10))
@@ -123,9 +128,9 @@
 func TestNoSharingAroundAnOutage(t *testing.T) {
 	iis := is.New(t)
 	var down atomic.Bool
-	shr := startSharing(t, 50*time.Millisecond, func(from int64) ([]follow.Record, int64, error) {
+	shr := startSharing(t, 50*time.Millisecond, func(from follow.Position) ([]follow.Record, follow.Position, error) {
 		if down.Load() {
-			return nil, 0, errors.New("store unavailable")
+			return nil, follow.Position{}, errors.New("store unavailable")
 		}
 		return nil, from, nil
 	})
@@ -153,7 +158,7 @@
 // goes unnoticed, although other processes have it.
 func TestCatchUpEndsALongPoll(t *testing.T) {
 	iis := is.New(t)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, int64, error))}
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
 	var flw *follow.Follower
 	seen := make(chan string, 100)
 	grp := group.New(context.Background(), "test")
@@ -204,14 +209,18 @@
 		Name: "test", Clock: timer.New(), Log: logr.Discard(), ReadInterval: time.Millisecond,
 		ResponseTimeout: time.Minute,
 		Source: follow.Source{
-			List: func(context.Context) ([]follow.Record, int64, error) { return nil, 0, nil },
-			Read: func(ctx context.Context, from int64, _ time.Duration) ([]follow.Record, int64, error) {
+			List: func(context.Context) ([]follow.Record, follow.Position, error) {
+				return nil, follow.Position{}, nil
+			},
+			Read: func(
+				ctx context.Context, from follow.Position, _ time.Duration,
+			) ([]follow.Record, follow.Position, error) {
 				reading <- true
 				select {
 				case until := <-resume:
-					return list[from:until], int64(until), nil
+					return list[from.Offset:until], follow.Position{Offset: int64(until)}, nil
 				case <-ctx.Done():
-					return nil, 0, ctx.Err()
+					return nil, follow.Position{}, ctx.Err()
 				}
 			},
 		},
@@ -250,7 +259,7 @@
 // store answers others again, and against one that calls the store for each such message.
 func TestRetryEndsABackoff(t *testing.T) {
 	iis := is.New(t)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, int64, error))}
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
 	seen := make(chan string, 100)
 	grp := group.New(context.Background(), "test")
 	t.Cleanup(func() { _ = grp.Stop() })
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -28,11 +28,11 @@
 
 // Source reads one topic.
 type Source struct {
-	// List returns the newest record of each key, and the offset from which Read continues.
-	List func(ctx context.Context) (list []Record, next int64, err error)
-	// Read returns the records from an offset on, and the offset after them. If there are none, it waits for one up to
-	// the given time.
-	Read func(ctx context.Context, from int64, wait time.Duration) (list []Record, next int64, err error)
+	// List returns the newest record of each key, and the position from which Read continues.
+	List func(ctx context.Context) (list []Record, next Position, err error)
+	// Read returns the records from a position on, and the position after them, in the era in which the store has
+	// answered. If there are none, it waits for one up to the given time.
+	Read func(ctx context.Context, from Position, wait time.Duration) (list []Record, next Position, err error)
 }
 
 // Options configure a Follower.
@@ -73,7 +73,7 @@
 	lastResponse time.Time  // when the store last answered
 	outageStart  time.Time  // time of the first failed call
 	mu           sync.Mutex // guards the fields below
-	next         int64      // offset of the next read
+	next         Position   // of the next read
 	listed       bool       // false until the first listing and after a trim
 	inOutage     bool
 	justListed   bool               // nothing has been read since the listing
@@ -174,12 +174,16 @@
 		return err
 	}
 	flw.recordResponse()
-	if next < flw.next {
+	if next.Era != flw.next.Era {
+		flw.opts.Log.Info("follow: the store has answered in another era", "topic", flw.opts.Name, "era", next.Era,
+			"listed-in-era", flw.next.Era, "from", from.Offset, "records", len(list))
+	}
+	if next.Offset < flw.next.Offset {
 		return nil // A digest of another process, received meanwhile, is newer.
 	}
 	// Records before flw.next have been applied from a digest meanwhile.
-	dig := Digest{From: flw.next, To: next, Age: flw.opts.Clock.Since(sentAt)}
-	list = list[min(int(flw.next-from), len(list)):]
+	dig := Digest{From: flw.next.Offset, To: next.Offset, Age: flw.opts.Clock.Since(sentAt)}
+	list = list[min(int(flw.next.Offset-from.Offset), len(list)):]
 	flw.next = next
 	flw.scheduleRead(sentAt)
 	flw.applyAndShare(list, dig)
@@ -221,6 +225,8 @@
 	flw.mu.Lock()
 	defer flw.mu.Unlock()
 	flw.recordResponse()
+	flw.opts.Log.Info("follow: topic listed", "topic", flw.opts.Name, "era", next.Era, "offset", next.Offset,
+		"records", len(list))
 	flw.next, flw.listed, flw.justListed = next, true, true
 	flw.scheduleRead(sentAt)
 	flw.opts.OnList(list)
@@ -233,7 +239,8 @@
 	if flw.inOutage {
 		flw.inOutage = false
 		outage := now.Sub(flw.outageStart)
-		flw.opts.Log.Info("follow: store answers again", "topic", flw.opts.Name, "outage", outage)
+		flw.opts.Log.Info("follow: store answers again", "topic", flw.opts.Name, "outage", outage,
+			"listed-in-era", flw.next.Era, "offset", flw.next.Offset)
 		if flw.opts.OnRecovered != nil {
 			flw.opts.OnRecovered(outage)
 		}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -19,29 +19,32 @@
 type scriptedSource struct {
 	mu    sync.Mutex
 	lists int // number of listings
-	reads chan func() ([]follow.Record, int64, error)
+	reads chan func() ([]follow.Record, follow.Position, error)
 	from  []int64         // of each read
 	waits []time.Duration // of each read
 }
 
 func (src *scriptedSource) source() follow.Source {
 	return follow.Source{
-		List: func(context.Context) ([]follow.Record, int64, error) {
+		List: func(context.Context) ([]follow.Record, follow.Position, error) {
 			src.mu.Lock()
 			defer src.mu.Unlock()
 			src.lists++
-			return []follow.Record{{Key: "listed", Value: []byte("v")}}, int64(10 * src.lists), nil
+			next := follow.Position{Offset: int64(10 * src.lists)}
+			return []follow.Record{{Key: "listed", Value: []byte("v")}}, next, nil
 		},
-		Read: func(ctx context.Context, from int64, wait time.Duration) ([]follow.Record, int64, error) {
+		Read: func(
+			ctx context.Context, from follow.Position, wait time.Duration,
+		) ([]follow.Record, follow.Position, error) {
 			src.mu.Lock()
-			src.from = append(src.from, from)
+			src.from = append(src.from, from.Offset)
 			src.waits = append(src.waits, wait)
 			src.mu.Unlock()
 			select {
 			case result := <-src.reads:
 				return result()
 			case <-ctx.Done():
-				return nil, 0, ctx.Err()
+				return nil, follow.Position{}, ctx.Err()
 			}
 		},
 	}
@@ -64,25 +67,25 @@
 }
 
 // records returns the result of a read: records with the given keys, and the next offset.
-func records(next int64, keys ...string) func() ([]follow.Record, int64, error) {
-	return func() ([]follow.Record, int64, error) {
+func records(next int64, keys ...string) func() ([]follow.Record, follow.Position, error) {
+	return func() ([]follow.Record, follow.Position, error) {
 		var list []follow.Record
 		for _, key := range keys {
 			list = append(list, follow.Record{Key: key, Value: []byte("v")})
 		}
-		return list, next, nil
+		return list, follow.Position{Offset: next}, nil
 	}
 }
 
 // failure returns the result of a read that fails.
-func failure(err error) func() ([]follow.Record, int64, error) {
-	return func() ([]follow.Record, int64, error) { return nil, 0, err }
+func failure(err error) func() ([]follow.Record, follow.Position, error) {
+	return func() ([]follow.Record, follow.Position, error) { return nil, follow.Position{}, err }
 }
 
 // TestFollowsFromTheListing guards against losing changes between the listing and the first read.
 func TestFollowsFromTheListing(t *testing.T) {
 	iis := is.New(t)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, int64, error))}
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
 	seen := start(t, src, nil)
 	iis.Equal(<-seen, "listing")
 	src.reads <- records(12, "a", "b")
@@ -98,7 +101,7 @@
 // TestListsAgainAfterTrim guards against keeping keys whose removal was in trimmed records that were never read.
 func TestListsAgainAfterTrim(t *testing.T) {
 	iis := is.New(t)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, int64, error))}
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
 	seen := start(t, src, nil)
 	iis.Equal(<-seen, "listing")
 	src.reads <- failure(follow.ErrTrimmed)
@@ -111,7 +114,7 @@
 func TestOutageKeepsThePosition(t *testing.T) {
 	iis := is.New(t)
 	recovered := make(chan time.Duration, 1)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, int64, error))}
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
 	seen := start(t, src, func(outage time.Duration) { recovered <- outage })
 	iis.Equal(<-seen, "listing")
 	src.reads <- failure(errors.New("store unavailable"))
@@ -128,7 +131,7 @@
 // its end by seconds.
 func TestReadsDoNotWaitDuringAnOutage(t *testing.T) {
 	iis := is.New(t)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, int64, error))}
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
 	seen := start(t, src, nil)
 	iis.Equal(<-seen, "listing")
 	src.reads <- failure(errors.New("store unavailable"))
--- /dev/null
+++ b/follow/position.go
@@ -0,0 +1,8 @@
+package follow
+
+// Position is a place in the log of a topic. Offsets name the same records only within one era: a store that is
+// restored from an older copy begins a new era, and gives out the offsets after the copy again.
+type Position struct {
+	Era    int64 // 0 if the store does not state one
+	Offset int64
+}
--- a/front/follow.go
+++ b/front/follow.go
@@ -147,7 +147,9 @@
 	delay := config.FrontConfigTime.Of(frt.startSettings) / catchUpShare
 	frt.clock.After(delay, func() {
 		frt.catchingUp.Store(false)
-		if version > frt.configVersion() {
+		if active := frt.configVersion(); version > active {
+			frt.log.Info("front: a peer has a newer configuration, reading the store", "active", active,
+				"version", version)
 			frt.configFollower.CatchUp()
 		}
 	})
