Reproduce a configuration that is skipped after a restore of the store

A front that is cut off while the store is restored from an older copy goes on reading at its old offset. Once the topic has grown to it again, the store answers 200 without records, and the newest configuration is never read.

front.TestConfigurationIsReadAfterARestore fails: "calls do not get 503".

The rig of the front tests is split so that a front can be started on any store.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -118,22 +118,28 @@
 		_, _ = io.WriteString(rw, "answer")
 	}))
 	t.Cleanup(rig.replica.Close)
-	srv := httptest.NewServer(rig.store)
+	rig.frt, rig.settings = startFront(t, rig.store, "")
+	return rig
+}
+
+// startFront starts a front on a store. The lines are added to its settings, which are returned.
+func startFront(t *testing.T, store http.Handler, lines string) (frt *front.Front, settings string) {
+	t.Helper()
+	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
-	text := fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = 1s\n"+
-		"[front]\nready = 127.0.0.1:0\nstore = %s\ndrain-time = 300ms\nconfig-time = 300ms\n", host(srv))
-	rig.settings = text
-	set, err := config.Parse(text, "front")
+	settings = fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = 1s\n"+
+		"[front]\nready = 127.0.0.1:0\nstore = %s\ndrain-time = 300ms\nconfig-time = 300ms\n", host(srv)) + lines
+	set, err := config.Parse(settings, "front")
 	if err != nil {
 		t.Fatal(err)
 	}
 	grp := group.New(context.Background(), "front")
 	t.Cleanup(func() { _ = grp.Stop() })
-	rig.frt, err = front.New(grp, set, timer.New(), logr.Discard(), metric.New())
+	frt, err = front.New(grp, set, timer.New(), logr.Discard(), metric.New())
 	if err != nil {
 		t.Fatal(err)
 	}
-	return rig
+	return frt, settings
 }
 
 func host(srv *httptest.Server) string { return strings.TrimPrefix(srv.URL, "http://") }
@@ -141,7 +147,13 @@
 // call sends a GET request through the front and returns the status of the response.
 func (rig *rig) call(t *testing.T) int {
 	t.Helper()
-	rawURL := "http://" + rig.frt.Address() + "/a/x"
+	return callFront(t, rig.frt)
+}
+
+// callFront sends a GET request through a front and returns the status of the response.
+func callFront(t *testing.T, frt *front.Front) int {
+	t.Helper()
+	rawURL := "http://" + frt.Address() + "/a/x"
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, rawURL, nil)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/front/restore_test.go
@@ -0,0 +1,95 @@
+package front_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/front"
+	"github.com/tarragonwheel/tarragonwheel/platform/plsim"
+)
+
+// link is the path of one front to a store, which can be cut.
+type link struct {
+	store http.Handler
+	isCut atomic.Bool
+}
+
+func (lnk *link) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	if lnk.isCut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	lnk.store.ServeHTTP(rw, req)
+}
+
+// restoreRig is a store that can be restored, and a replica of the service "s".
+type restoreRig struct {
+	store   *plsim.Store
+	replica *httptest.Server
+	calls   atomic.Int64 // that the replica got
+}
+
+func newRestoreRig(t *testing.T) *restoreRig {
+	t.Helper()
+	rig := &restoreRig{store: plsim.NewStore()}
+	rig.replica = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		rig.calls.Add(1)
+		rw.Header().Set("Tarragonwheel-Request-Id", req.Header.Get("Tarragonwheel-Request-Id"))
+		rw.Header().Set("Tarragonwheel-Replica-Signature", "sig")
+		_, _ = io.WriteString(rw, "answer")
+	}))
+	t.Cleanup(rig.replica.Close)
+	return rig
+}
+
+// putConfig writes a configuration whose only route leads to a service.
+func (rig *restoreRig) putConfig(version int, srv string) {
+	rig.store.PutConfig(version, []plsim.Route{{
+		Name: "r", Host: "127.0.0.1", PathPrefix: "/a/", Kind: "safe", Service: srv, MaxAttempts: 2, TimeoutMs: 1000,
+	}})
+}
+
+// putReplica writes the registration of the replica.
+func (rig *restoreRig) putReplica(draining bool, sequence int) {
+	rig.store.PutReplica("i-1", "s", host(rig.replica), draining, sequence, 1)
+}
+
+// waitForStatus waits until calls through the front get a status, and fails the test after a few seconds.
+func waitForStatus(t *testing.T, frt *front.Front, status int) {
+	t.Helper()
+	const limit = 5 * time.Second
+	for start := time.Now(); callFront(t, frt) != status; time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > limit {
+			t.Fatalf("calls do not get %d", status)
+		}
+	}
+}
+
+// TestConfigurationIsReadAfterARestore guards against a front that was frozen or cut off while the store was restored
+// from an older copy, and then reads on at an offset that the store has meanwhile given to another record: the newest
+// configuration, written before that offset, is skipped without an error.
+func TestConfigurationIsReadAfterARestore(t *testing.T) {
+	rig := newRestoreRig(t)
+	rig.putConfig(3, "s")
+	rig.putReplica(false, 1)
+	lnk := &link{store: rig.store}
+	frt, _ := startFront(t, lnk, "")
+	waitForStatus(t, frt, http.StatusOK)
+	copied := time.Now()
+	rig.putConfig(4, "s")
+	rig.putConfig(5, "s")
+	time.Sleep(400 * time.Millisecond) // until the front has read up to offset 3
+	lnk.isCut.Store(true)
+	time.Sleep(400 * time.Millisecond) // until its long poll has ended
+	rig.putConfig(6, "other")          // which has no replica
+	rig.store.Rewrite(rig.store.Restore(copied))
+	rig.store.PutNote("written after the restore") // The topic ends at offset 3 again.
+	lnk.isCut.Store(false)
+	waitForStatus(t, frt, http.StatusServiceUnavailable)
+	is.New(t).Equal(callFront(t, frt), http.StatusServiceUnavailable)
+}
