Use offsets only in the era of the store in which they were learned

Cause: a follower kept a bare offset. After a restore the store gives offsets out again. Once the topic had grown to the kept one, a read from there was answered with 200, and what had been written before it in the new era was never read. Announcements of peers led to more reads from the same offset, and digests of peers, which held bare offsets too, moved positions between eras.

Positions are valid in one era. An answer of another era than that of the listing is not used and the topic is listed again; so it is when another follower or a peer states a newer era, which also ends a long poll on a connection that shows nothing. Digests hold their era and are used in it only. A listing whose pages are of different eras is begun anew, and one that was under way when the era rose is not used. Listings are at least 300 ms apart, so that eras that keep changing lead to no calls without pause. A store without the header is in era 0; there, a topic that has become shorter was restored.

Changed in tests: stand-ins of the store stated 0 as the end of each topic, which is beyond none of the offsets that they were read from; they state the real one.

--- a/follow/digest.go
+++ b/follow/digest.go
@@ -9,6 +9,7 @@
 // Digest is what a process has learned from one read of a topic. Processes that follow the same topic send it to one
 // another, so that not each of them has to read.
 type Digest struct {
+	Era     int64         // of the store, in which the offsets are valid
 	From    int64         // offset up to which the process knew all records before
 	To      int64         // offset after the last record that was read
 	Age     time.Duration // since the read was sent; the digest holds all changes made before
@@ -35,12 +36,14 @@
 )
 
 // Receive uses the digest of another process. It is dropped if records between the last read of this process and the
-// digest are missing, or if the store does not answer this process, which then has to find out for itself what it has
-// missed.
+// digest are missing, if its offsets are of another era, or if the store does not answer this process, which then has
+// to find out for itself what it has missed. A digest of a newer era makes this process list the topic again.
 func (flw *Follower) Receive(dig Digest) {
 	flw.mu.Lock()
 	defer flw.mu.Unlock()
-	if !flw.listed || flw.inOutage || flw.opts.Sharing.Paused() || dig.From > flw.next.Offset {
+	flw.hearOfEra(dig.Era)
+	usable := flw.listed && !flw.inOutage && !flw.opts.Sharing.Paused()
+	if !usable || dig.Era != flw.next.Era || dig.From > flw.next.Offset {
 		return
 	}
 	asOf := flw.opts.Clock.Now().Add(-dig.Age)
@@ -62,11 +65,15 @@
 	for ctx.Err() == nil {
 		flw.mu.Lock()
 		left := flw.readAt.Sub(flw.opts.Clock.Now())
-		flw.mu.Unlock()
-		if left <= 0 {
+		if left <= 0 || !flw.listed {
+			flw.mu.Unlock()
 			return
 		}
-		_ = flw.opts.Clock.Sleep(ctx, left) // The loop checks whether ctx has ended.
+		turnCtx, cancel := context.WithCancel(ctx)
+		flw.endTurn = cancel
+		flw.mu.Unlock()
+		_ = flw.opts.Clock.Sleep(turnCtx, left) // The loop checks whether ctx has ended.
+		cancel()
 	}
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,7 +1,8 @@
 // Package follow keeps a process up to date with a keyed topic of the platform's store.
 //
 // It lists the newest record of each key once, and then reads the changes since the listing. If the store has trimmed
-// records that were not read yet, it lists the topic again. During an outage of the store the last records stay active.
+// records that were not read yet, or was restored from an older copy, it lists the topic again. During an outage of the
+// store the last records stay active.
 package follow
 
 import (
@@ -17,8 +18,13 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-// ErrTrimmed is returned by Source.Read when the store has trimmed the requested records.
-var ErrTrimmed = errors.New("follow: records are no longer in the store")
+// Errors after which the topic is listed again.
+var (
+	// ErrTrimmed is returned by Source.Read when the store has trimmed the requested records.
+	ErrTrimmed = errors.New("follow: records are no longer in the store")
+	// ErrRestored is returned by Source.List when the store was restored from an older copy between two pages.
+	ErrRestored = errors.New("follow: the store was restored from an older copy")
+)
 
 // Record is the newest value of a key. A nil Value means that the key was removed.
 type Record struct {
@@ -51,6 +57,9 @@
 	// MaxBackoff returns the longest backoff after a failed call; nil for a default. It may be longer where other
 	// processes tell this one that the store answers again.
 	MaxBackoff func() time.Duration
+	// OnEra, if not nil, is called with the era of each listing, before OnList. If restored is true, the store was
+	// restored from an older copy since the listing before: newer records may be missing, and older ones be back.
+	OnEra func(era int64, restored bool)
 	// OnList is called with the newest record of each key after each listing.
 	OnList func(list []Record)
 	// OnChange is called with each record that is read after the listing.
@@ -74,7 +83,10 @@
 	outageStart  time.Time  // time of the first failed call
 	mu           sync.Mutex // guards the fields below
 	next         Position   // of the next read
-	listed       bool       // false until the first listing and after a trim
+	listed       bool       // false until the first listing, and when the topic is to be listed again
+	everListed   bool       // next is the position of an earlier listing, if not of the last one
+	listedAt     time.Time  // when a listing was last answered
+	heardEra     int64      // newest era of the store that other followers or processes have stated
 	inOutage     bool
 	justListed   bool               // nothing has been read since the listing
 	asOf         time.Time          // all changes before this time are known
@@ -83,6 +95,7 @@
 	behind       bool               // the next read must not wait
 	behindSince  time.Time          // when behind was last set
 	endBackoff   context.CancelFunc // nil unless the follower waits after a failed call
+	endTurn      context.CancelFunc // nil unless the follower waits until its next read is due
 	retriedAt    time.Time          // when Retry last ended a backoff
 }
 
@@ -104,8 +117,8 @@
 		case err == nil:
 			backoff = minBackoff
 			flw.waitForTurn(ctx)
-		case errors.Is(err, ErrTrimmed):
-			flw.opts.Log.Info("follow: unread records were trimmed, listing again", "topic", flw.opts.Name)
+		case errors.Is(err, ErrTrimmed), errors.Is(err, ErrRestored):
+			flw.opts.Log.Info("follow: listing again", "topic", flw.opts.Name, "reason", err.Error())
 			flw.mu.Lock()
 			flw.listed = false
 			flw.mu.Unlock()
@@ -124,7 +137,7 @@
 	return flw.opts.MaxBackoff()
 }
 
-// sleep returns after the delay, or earlier when Retry is called or ctx ends.
+// sleep returns after the delay, or earlier when endBackoff is called or ctx ends.
 func (flw *Follower) sleep(ctx context.Context, delay time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -137,17 +150,6 @@
 	flw.mu.Unlock()
 }
 
-// Retry ends the backoff after a failed call, because the store is known to answer other processes.
-func (flw *Follower) Retry() {
-	flw.mu.Lock()
-	defer flw.mu.Unlock()
-	now := flw.opts.Clock.Now()
-	if flw.endBackoff != nil && now.Sub(flw.retriedAt) >= minCatchUpInterval {
-		flw.retriedAt = now
-		flw.endBackoff()
-	}
-}
-
 // listOrRead lists the topic if needed, and otherwise reads its next changes.
 func (flw *Follower) listOrRead(ctx context.Context) error {
 	flw.mu.Lock()
@@ -174,15 +176,19 @@
 		return err
 	}
 	flw.recordResponse()
-	if next.Era != flw.next.Era {
+	if next.Era != from.Era {
 		flw.opts.Log.Info("follow: the store has answered in another era", "topic", flw.opts.Name, "era", next.Era,
-			"listed-in-era", flw.next.Era, "from", from.Offset, "records", len(list))
+			"listed-in-era", from.Era, "from", from.Offset, "records", len(list))
+		return ErrRestored
+	}
+	if !flw.listed {
+		return nil // The era has changed meanwhile.
 	}
 	if next.Offset < flw.next.Offset {
 		return nil // A digest of another process, received meanwhile, is newer.
 	}
 	// Records before flw.next have been applied from a digest meanwhile.
-	dig := Digest{From: flw.next.Offset, To: next.Offset, Age: flw.opts.Clock.Since(sentAt)}
+	dig := Digest{Era: next.Era, From: flw.next.Offset, To: next.Offset, Age: flw.opts.Clock.Since(sentAt)}
 	list = list[min(int(flw.next.Offset-from.Offset), len(list)):]
 	flw.next = next
 	flw.scheduleRead(sentAt)
@@ -199,25 +205,17 @@
 	return flw.opts.LongPollTimeout()
 }
 
-// minCatchUpInterval limits the rate of calls to which other processes can lead by CatchUp, and by Retry.
-const minCatchUpInterval = 300 * time.Millisecond
-
-// CatchUp ends a long poll and reads at once, because the store is known to hold a newer record.
-func (flw *Follower) CatchUp() {
-	flw.mu.Lock()
-	defer flw.mu.Unlock()
-	now := flw.opts.Clock.Now()
-	if flw.endLongPoll == nil || now.Sub(flw.behindSince) < minCatchUpInterval {
-		return
-	}
-	flw.behind, flw.behindSince = true, now
-	flw.endLongPoll()
-}
-
 func (flw *Follower) list(ctx context.Context) error {
+	flw.mu.Lock()
+	pause := minListInterval - flw.opts.Clock.Since(flw.listedAt)
+	flw.mu.Unlock()
+	_ = flw.opts.Clock.Sleep(ctx, pause) // The call below fails if ctx has ended.
 	callCtx, cancel := flw.opts.Clock.WithTimeout(ctx, 2*flw.opts.ResponseTimeout)
 	defer cancel()
 	sentAt := flw.opts.Clock.Now()
+	flw.mu.Lock()
+	heardEra := flw.heardEra
+	flw.mu.Unlock()
 	list, next, err := flw.opts.Source.List(callCtx)
 	if err != nil {
 		return err
@@ -225,10 +223,18 @@
 	flw.mu.Lock()
 	defer flw.mu.Unlock()
 	flw.recordResponse()
+	flw.listedAt = flw.opts.Clock.Now()
+	if flw.heardEra > max(heardEra, next.Era) {
+		return ErrRestored // during the call
+	}
+	restored := flw.everListed && next.isOfOtherEra(flw.next)
 	flw.opts.Log.Info("follow: topic listed", "topic", flw.opts.Name, "era", next.Era, "offset", next.Offset,
-		"records", len(list))
-	flw.next, flw.listed, flw.justListed = next, true, true
+		"records", len(list), "restored", restored)
+	flw.next, flw.listed, flw.everListed, flw.justListed = next, true, true, true
 	flw.scheduleRead(sentAt)
+	if flw.opts.OnEra != nil {
+		flw.opts.OnEra(next.Era, restored)
+	}
 	flw.opts.OnList(list)
 	return nil
 }
--- /dev/null
+++ b/follow/hints.go
@@ -0,0 +1,71 @@
+package follow
+
+import (
+	"context"
+	"time"
+)
+
+// minCatchUpInterval limits the rate of calls to which other processes can lead by CatchUp, and by Retry.
+const minCatchUpInterval = 300 * time.Millisecond
+
+// CatchUp ends a long poll and reads at once, because the store is known to hold a newer record.
+func (flw *Follower) CatchUp() {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	now := flw.opts.Clock.Now()
+	if flw.endLongPoll == nil || now.Sub(flw.behindSince) < minCatchUpInterval {
+		return
+	}
+	flw.behind, flw.behindSince = true, now
+	flw.endLongPoll()
+}
+
+// Retry ends the backoff after a failed call, because the store is known to answer other processes.
+func (flw *Follower) Retry() {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	now := flw.opts.Clock.Now()
+	if flw.endBackoff != nil && now.Sub(flw.retriedAt) >= minCatchUpInterval {
+		flw.retriedAt = now
+		flw.endBackoff()
+	}
+}
+
+// minListInterval is the shortest time from one listing to the next. It bounds the rate of calls if the store, or other
+// processes, keep stating different eras.
+const minListInterval = 300 * time.Millisecond
+
+// Era returns the era of the last listing, 0 if there was none.
+func (flw *Follower) Era() int64 {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	return flw.next.Era
+}
+
+// Restored lists the topic again at once if the given era of the store, which another follower or process has seen, is
+// newer than that of the listing. The position of the listing is of no use then.
+func (flw *Follower) Restored(era int64) {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	flw.hearOfEra(era)
+}
+
+// hearOfEra lists the topic again at once if an era is newer than that of the listing and was not heard of before. The
+// caller holds the lock.
+func (flw *Follower) hearOfEra(era int64) {
+	if era <= flw.heardEra || flw.listed && era <= flw.next.Era {
+		return
+	}
+	flw.heardEra = era
+	if !flw.listed {
+		return // A listing is due anyway.
+	}
+	flw.opts.Log.Info("follow: the store is known to be in another era, listing again", "topic", flw.opts.Name,
+		"era", era, "listed-in-era", flw.next.Era)
+	flw.listed, flw.behind = false, true
+	for _, end := range []context.CancelFunc{flw.endLongPoll, flw.endBackoff, flw.endTurn} {
+		if end != nil {
+			end()
+		}
+	}
+}
--- a/follow/position.go
+++ b/follow/position.go
@@ -6,3 +6,9 @@
 	Era    int64 // 0 if the store does not state one
 	Offset int64
 }
+
+// isOfOtherEra reports whether the position is of another era than an earlier one. A store that does not state its era
+// must have been restored if its topic has become shorter.
+func (pos Position) isOfOtherEra(earlier Position) bool {
+	return pos.Era != earlier.Era || pos.Era == 0 && pos.Offset < earlier.Offset
+}
--- a/front/follow.go
+++ b/front/follow.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
@@ -40,6 +41,7 @@
 			}
 		},
 		OnChange:    frt.applyConfig,
+		OnEra:       func(era int64, _ bool) { frt.storeEra.set(era) },
 		MaxBackoff:  frt.storeBackoff,
 		OnRecovered: func(time.Duration) { frt.tellStoreAnswers() },
 	})
@@ -47,6 +49,7 @@
 		Name: "replicas", Clock: frt.clock, Log: frt.log, Source: frt.store.ReplicaRegistrations(),
 		ReadInterval:    time.Duration(float64(config.FrontDrainTime.Of(frt.startSettings)) / readsPerDrainTime),
 		ResponseTimeout: storeTimeout,
+		OnEra:           func(era int64, _ bool) { frt.storeEra.set(era) },
 		OnList:          frt.replaceRegistrations, OnChange: frt.applyRegistration,
 		Sharing:    frt.registrationSharing(),
 		MaxBackoff: frt.storeBackoff,
@@ -56,6 +59,12 @@
 		},
 	})
 	close(frt.following)
+	frt.group.Go("store era", func(ctx context.Context) error {
+		for frt.storeEra.wait(ctx) {
+			frt.listAgain(frt.storeEra.get())
+		}
+		return nil
+	})
 }
 
 // configPollTimeout returns how long the store may hold back the configuration until it changes. The store answers at
--- a/front/front.go
+++ b/front/front.go
@@ -62,6 +62,7 @@
 	configFollower  *follow.Follower
 	replicaFollower *follow.Follower
 	catchingUp      atomic.Bool // a check is due whether this front has the version of a peer
+	storeEra        storeEra
 	rules           atomic.Pointer[rules.Set]
 	replicasKnown   atomic.Bool // the list of replicas has been read at least once
 	draining        atomic.Bool
@@ -76,7 +77,7 @@
 ) (*Front, error) {
 	frt := &Front{
 		group: grp, clock: clk, log: log, startSettings: set, metrics: mts, started: clk.Now(),
-		following: make(chan struct{}),
+		following: make(chan struct{}), storeEra: newStoreEra(),
 	}
 	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -60,7 +60,8 @@
 		writeNewest(rw, records)
 	case "/v1/log-read":
 		from, _ := strconv.Atoi(req.URL.Query().Get("From"))
-		body := make([]byte, 16)
+		body := make([]byte, 16) // the end of the topic, and the offset of its first record, 0
+		binary.BigEndian.PutUint64(body, uint64(len(records)))
 		for _, rec := range records[min(from, len(records)):] {
 			raw := append([]byte{byte(len(rec[0]))}, rec[0]+rec[1]...)
 			body = append(binary.BigEndian.AppendUint32(body, uint32(len(raw))), raw...)
@@ -118,17 +119,20 @@
 		_, _ = io.WriteString(rw, "answer")
 	}))
 	t.Cleanup(rig.replica.Close)
-	rig.frt, rig.settings = startFront(t, rig.store, "")
+	rig.frt, rig.settings = startFront(t, rig.store, frontTimes)
 	return rig
 }
 
+// frontTimes are the settings of a front's times.
+const frontTimes = "drain-time = 300ms\nconfig-time = 300ms\n"
+
 // startFront starts a front on a store. The lines are added to its settings, which are returned.
 func startFront(t *testing.T, store http.Handler, lines string) (frt *front.Front, settings string) {
 	t.Helper()
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
 	settings = fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = 1s\n"+
-		"[front]\nready = 127.0.0.1:0\nstore = %s\ndrain-time = 300ms\nconfig-time = 300ms\n", host(srv)) + lines
+		"[front]\nready = 127.0.0.1:0\nstore = %s\n", host(srv)) + lines
 	set, err := config.Parse(settings, "front")
 	if err != nil {
 		t.Fatal(err)
--- a/front/peers.go
+++ b/front/peers.go
@@ -33,7 +33,7 @@
 		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddReport,
 		OnAnswers: frt.crashes.AddAnswers, KnownCrashes: frt.crashes.BlockingReports,
 		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer, OnDigest: frt.applyDigest,
-		OnStoreAnswers: frt.retryStore,
+		StoreEra: frt.storeEra.get, OnStoreEra: frt.listAgain, OnStoreAnswers: frt.retryStore,
 	})
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
@@ -71,7 +71,7 @@
 func (frt *Front) registerAddress(ctx context.Context, addr string) {
 	for ctx.Err() == nil {
 		reqCtx, cancel := frt.clock.WithTimeout(ctx, storeTimeout)
-		err := frt.store.RegisterPeer(reqCtx, addr)
+		_, err := frt.store.RegisterPeer(reqCtx, addr)
 		cancel()
 		if err == nil {
 			return
--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -78,7 +78,7 @@
 	rig.putConfig(3, "s")
 	rig.putReplica(false, 1)
 	lnk := &link{store: rig.store}
-	frt, _ := startFront(t, lnk, "")
+	frt, _ := startFront(t, lnk, frontTimes)
 	waitForStatus(t, frt, http.StatusOK)
 	copied := time.Now()
 	rig.putConfig(4, "s")
@@ -93,3 +93,29 @@
 	waitForStatus(t, frt, http.StatusServiceUnavailable)
 	is.New(t).Equal(callFront(t, frt), http.StatusServiceUnavailable)
 }
+
+// TestRestoreDuringALongPoll guards against a configuration that is missed for as long as a long poll goes on that was
+// sent before the store was restored, because its connection shows nothing of the restore.
+func TestRestoreDuringALongPoll(t *testing.T) {
+	rig := newRestoreRig(t)
+	rig.putConfig(3, "s")
+	rig.putReplica(false, 1)
+	polls := &pollKeeper{store: rig.store}
+	frt, _ := startFront(t, polls, "drain-time = 300ms\nconfig-time = 20s\n")
+	waitForStatus(t, frt, http.StatusOK)
+	copied := time.Now()
+	rig.putConfig(5, "other")
+	rig.store.Rewrite(rig.store.Restore(copied))
+	waitForStatus(t, frt, http.StatusServiceUnavailable)
+}
+
+// pollKeeper never answers reads of the operator's records, and passes on all other calls.
+type pollKeeper struct{ store http.Handler }
+
+func (kee *pollKeeper) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/v1/log-read" && req.URL.Query().Get("Topic") == "keyed.op" {
+		<-req.Context().Done()
+		return
+	}
+	kee.store.ServeHTTP(rw, req)
+}
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -10,7 +10,7 @@
 // maxDigestBytes bounds the records of a digest. A larger one is not sent, and the peers read the store themselves.
 const maxDigestBytes = 8 << 10
 
-// storeDigest is a follow.Digest of a topic of the store.
+// storeDigest is a follow.Digest of a topic of the store. Its era is that of the message.
 type storeDigest struct {
 	_       struct{} `cbor:",toarray"`
 	Topic   string
@@ -39,11 +39,21 @@
 	if size > maxDigestBytes {
 		return
 	}
-	exc.sendNear(message{Digest: wire})
+	exc.sendNear(message{Digest: wire, StoreEra: dig.Era})
 }
 
 // SendStoreAnswers tells the near peers that the store answers this process again after an outage.
-func (exc *Exchange) SendStoreAnswers() { exc.sendNear(message{StoreAnswers: true}) }
+func (exc *Exchange) SendStoreAnswers() {
+	exc.sendNear(message{StoreAnswers: true, StoreEra: exc.storeEra()})
+}
+
+// storeEra returns the era in which the store has last answered this process, 0 if it is not known.
+func (exc *Exchange) storeEra() int64 {
+	if exc.opts.StoreEra == nil {
+		return 0
+	}
+	return exc.opts.StoreEra()
+}
 
 // sendNear sends a message to the live near peers.
 func (exc *Exchange) sendNear(msg message) {
@@ -59,9 +69,11 @@
 	exc.send(to, &msg)
 }
 
-// toDigest returns the follow.Digest.
-func (dig *storeDigest) toDigest() follow.Digest {
-	out := follow.Digest{From: dig.From, To: dig.To, Age: time.Duration(dig.AgeMs) * time.Millisecond}
+// toDigest returns the follow.Digest, whose offsets are of the given era of the store.
+func (dig *storeDigest) toDigest(era int64) follow.Digest {
+	out := follow.Digest{
+		Era: era, From: dig.From, To: dig.To, Age: time.Duration(dig.AgeMs) * time.Millisecond,
+	}
 	for _, rec := range dig.Records {
 		val := rec.Value
 		if rec.Removed {
--- a/peers/message.go
+++ b/peers/message.go
@@ -26,6 +26,7 @@
 	StoreAnswers  bool             `cbor:"11,keyasint,omitempty"` // again, after an outage
 	Crashes       []crashReport    `cbor:"12,keyasint,omitempty"`
 	Answers       []answer         `cbor:"13,keyasint,omitempty"` // of calls that had been suspected
+	StoreEra      int64            `cbor:"15,keyasint,omitempty"` // that of the digest, or the last one known
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -55,6 +55,10 @@
 	OnConfigVersion func(version int64)
 	// OnDigest is called with the changes that a peer has read in the store; nil for none.
 	OnDigest func(topic string, dig follow.Digest)
+	// StoreEra returns the era in which the store has last answered this process, 0 if it is not known; nil for none.
+	StoreEra func() int64
+	// OnStoreEra is called with the era of the store that a peer states; nil for none.
+	OnStoreEra func(era int64)
 	// OnStoreAnswers is called when the store answers a peer again after an outage; nil for none.
 	OnStoreAnswers func()
 	// OnCrash is called with a crash that a peer has observed; nil for none.
@@ -250,8 +254,11 @@
 	if exc.opts.OnConfigVersion != nil && msg.ConfigVersion != 0 {
 		exc.opts.OnConfigVersion(msg.ConfigVersion)
 	}
+	if exc.opts.OnStoreEra != nil && msg.StoreEra != 0 {
+		exc.opts.OnStoreEra(msg.StoreEra)
+	}
 	if exc.opts.OnDigest != nil && msg.Digest != nil {
-		exc.opts.OnDigest(msg.Digest.Topic, msg.Digest.toDigest())
+		exc.opts.OnDigest(msg.Digest.Topic, msg.Digest.toDigest(msg.StoreEra))
 	}
 	if exc.opts.OnStoreAnswers != nil && msg.StoreAnswers {
 		exc.opts.OnStoreAnswers()
--- a/peers/send.go
+++ b/peers/send.go
@@ -86,7 +86,7 @@
 
 // greeting returns a message that introduces this process.
 func (exc *Exchange) greeting() message {
-	return message{Name: exc.opts.Name, DataCentre: exc.opts.DataCentre}
+	return message{Name: exc.opts.Name, DataCentre: exc.opts.DataCentre, StoreEra: exc.storeEra()}
 }
 
 // sendTasks sends a message with the given tasks, in as many datagrams as needed.
