Keep replicas that have left out of use after a restore of the store

Callers would have been sent to a replica that had left: after a restore from an older copy the listing holds registrations of replicas that were removed since, and the fleet forgot a replica with its removal, so that its old record looked like a new replica.

An older one, or the same one, does not bring it back; a newer one of the same incarnation does, and keeps a drain.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,9 +23,10 @@
 	byID        map[string]*Replica    // all registered replicas
 	byHash      map[uint32]*Replica    // the same, by the hash of their ID
 	expired     map[string]time.Time   // end of the grace period, by the ID of a replica whose registration is missing
+	gone        goneReplicas           // that have been removed lately
 	pending     pendingTasks           // updates for replicas that are not registered here yet
-	// graceEnd is the end of the grace period after a store outage. A registration that disappears before may merely
-	// have expired during the outage.
+	// graceEnd is the end of the grace period after an outage or a restore of the store. A registration that disappears
+	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
 }
 
@@ -41,7 +42,7 @@
 	return &Fleet{
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
-		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time),
+		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), gone: make(goneReplicas),
 	}
 }
 
@@ -80,15 +81,17 @@
 	return len(flt.byID)
 }
 
-// UpdateRegistration records a registration. One that is older than the known one is ignored, and a replica that has
-// begun to drain keeps draining until its incarnation ends.
+// UpdateRegistration records a registration. One that is older than the known one is ignored, also if the replica has
+// been removed lately, and a replica that has begun to drain keeps draining until its incarnation ends.
 func (flt *Fleet) UpdateRegistration(reg Registration) {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
 	delete(flt.expired, reg.ID)
 	old := flt.byID[reg.ID]
 	if old == nil {
-		flt.add(reg)
+		if flt.gone.admit(&reg) {
+			flt.add(reg)
+		}
 		return
 	}
 	known := old.Registration()
@@ -97,7 +100,7 @@
 	}
 	sameIncarnation := reg.StartedAtMs == known.StartedAtMs
 	if !sameIncarnation || reg.Service != known.Service || reg.Address != known.Address {
-		flt.remove(old, "replaced by a new incarnation")
+		flt.remove(old, "replaced by a new incarnation", true)
 		flt.add(reg)
 		return
 	}
@@ -143,9 +146,11 @@
 	flt.log.V(1).Info("fleet: replica registered", "replica", reg.ID, "service", reg.Service, "address", reg.Address)
 }
 
-// remove removes a replica and reports it to onRemoved. The caller holds the lock.
-func (flt *Fleet) remove(rep *Replica, reason string) {
+// remove removes a replica and reports it to onRemoved. The flag tells whether its registration was removed, rather than
+// missing. The caller holds the lock.
+func (flt *Fleet) remove(rep *Replica, reason string, unregistered bool) {
 	reg := rep.Registration()
+	flt.gone.add(reg, unregistered, flt.clock.Now())
 	rep.set.remove(rep)
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
@@ -166,7 +171,7 @@
 		flt.expired[id] = flt.graceEnd
 		return
 	}
-	flt.remove(rep, "registration removed")
+	flt.remove(rep, "registration removed", true)
 }
 
 // ReplaceRegistrations records the full list of registrations. Replicas that are not on it are unregistered.
@@ -193,7 +198,8 @@
 	return list
 }
 
-// StoreOutageEnded records that a store outage has ended, during which registrations of live replicas may have expired.
+// StoreOutageEnded records that a store outage has ended, during which registrations of live replicas may have expired,
+// or that the store was restored from an older copy, which lacks those written since.
 func (flt *Fleet) StoreOutageEnded() {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -207,13 +213,14 @@
 	defer flt.mu.Unlock()
 	now := flt.clock.Now()
 	flt.pending.removeStale(now)
+	flt.gone.removeStale(now)
 	for id, until := range flt.expired {
 		if now.Before(until) {
 			continue
 		}
 		delete(flt.expired, id)
 		if rep := flt.byID[id]; rep != nil {
-			flt.remove(rep, "registration expired during a store outage and was not renewed")
+			flt.remove(rep, "registration was missing after an outage or a restore of the store and was not renewed", false)
 		}
 	}
 }
--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -119,3 +119,30 @@
 	}
 	kee.store.ServeHTTP(rw, req)
 }
+
+// TestReplicaThatHasLeftStaysOut guards against a replica that had left, or begun to drain, and is in use again because
+// the store was restored from a copy of before.
+func TestReplicaThatHasLeftStaysOut(t *testing.T) {
+	for name, leave := range map[string]func(rig *restoreRig){
+		"removed":  func(rig *restoreRig) { rig.store.RemoveReplica("i-1") },
+		"draining": func(rig *restoreRig) { rig.putReplica(true, 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			iis := is.New(t)
+			rig := newRestoreRig(t)
+			rig.putConfig(3, "s")
+			rig.putReplica(false, 1)
+			frt, _ := startFront(t, rig.store, frontTimes)
+			waitForStatus(t, frt, http.StatusOK)
+			copied := time.Now()
+			leave(rig)
+			waitForStatus(t, frt, http.StatusServiceUnavailable)
+			rig.store.Restore(copied)
+			calls := rig.calls.Load()
+			for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+				iis.Equal(callFront(t, frt), http.StatusServiceUnavailable)
+			}
+			iis.Equal(rig.calls.Load(), calls)
+		})
+	}
+}
