Give replicas time to register again after a restore of the store

Callers would have got 503 for up to a heartbeat: replicas that registered after the copy was made are missing from the listing after a restore, and were dropped at once. The grace period began only with the end of an outage that this front had noticed by a failed call, and a front that was frozen or idle notices none.

Evidence: front.TestReplicasOutliveARestore fails before ("503 != 200").

The grace period begins with the first listing after a restore as well.

--- a/front/follow.go
+++ b/front/follow.go
@@ -49,8 +49,13 @@
 		Name: "replicas", Clock: frt.clock, Log: frt.log, Source: frt.store.ReplicaRegistrations(),
 		ReadInterval:    time.Duration(float64(config.FrontDrainTime.Of(frt.startSettings)) / readsPerDrainTime),
 		ResponseTimeout: storeTimeout,
-		OnEra:           func(era int64, _ bool) { frt.storeEra.set(era) },
-		OnList:          frt.replaceRegistrations, OnChange: frt.applyRegistration,
+		OnEra: func(era int64, restored bool) {
+			frt.storeEra.set(era)
+			if restored {
+				frt.fleet.StoreOutageEnded()
+			}
+		},
+		OnList: frt.replaceRegistrations, OnChange: frt.applyRegistration,
 		Sharing:    frt.registrationSharing(),
 		MaxBackoff: frt.storeBackoff,
 		OnRecovered: func(time.Duration) {
--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -120,6 +120,26 @@
 	kee.store.ServeHTTP(rw, req)
 }
 
+// TestReplicasOutliveARestore guards against replicas that are dropped although they are alive, because the store was
+// restored from a copy of before their registration, at a moment at which no call to it failed.
+func TestReplicasOutliveARestore(t *testing.T) {
+	iis := is.New(t)
+	rig := newRestoreRig(t)
+	rig.putConfig(3, "s")
+	copied := time.Now()
+	rig.putReplica(false, 1)
+	frt, _ := startFront(t, rig.store, frontTimes)
+	waitForStatus(t, frt, http.StatusOK)
+	lost := rig.store.Restore(copied)
+	for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		iis.Equal(callFront(t, frt), http.StatusOK)
+	}
+	rig.store.Rewrite(lost) // The replica writes again at its next heartbeat.
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		iis.Equal(callFront(t, frt), http.StatusOK)
+	}
+}
+
 // TestReplicaThatHasLeftStaysOut guards against a replica that had left, or begun to drain, and is in use again because
 // the store was restored from a copy of before.
 func TestReplicaThatHasLeftStaysOut(t *testing.T) {
