Register a front's peer address again after a restore of the store

A front that starts after a restore could not find the others: each writes its address for the exchange once, at its start, and a restore from a copy of before loses it. The later front would then neither get their load nor their digests until each of them had listed the addresses again, up to a minute later.

Evidence: front.TestPeerAddressIsRegisteredAgain runs into its time limit on the code before ("the address is not registered").

The store's answer tells in which era it has accepted an address. When the era has risen above that, the front writes it again, spread over a second and more with the number of fronts, and lists the others after that, as at its start.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -146,8 +146,8 @@
 	flt.log.V(1).Info("fleet: replica registered", "replica", reg.ID, "service", reg.Service, "address", reg.Address)
 }
 
-// remove removes a replica and reports it to onRemoved. The flag tells whether its registration was removed, rather than
-// missing. The caller holds the lock.
+// remove removes a replica and reports it to onRemoved. The flag tells whether its registration was removed, rather
+// than missing. The caller holds the lock.
 func (flt *Fleet) remove(rep *Replica, reason string, unregistered bool) {
 	reg := rep.Registration()
 	flt.gone.add(reg, unregistered, flt.clock.Now())
@@ -220,7 +220,7 @@
 		}
 		delete(flt.expired, id)
 		if rep := flt.byID[id]; rep != nil {
-			flt.remove(rep, "registration was missing after an outage or a restore of the store and was not renewed", false)
+			flt.remove(rep, "registration missing after an outage or a restore, and not renewed", false)
 		}
 	}
 }
--- a/front/era.go
+++ b/front/era.go
@@ -2,39 +2,54 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 )
 
 // storeEra is the newest era of the store in which it has answered this front. It is safe for concurrent use.
 type storeEra struct {
-	era    atomic.Int64  // 0 if the store does not state one
-	raised chan struct{} // holds a value when the era has risen since the last wait
+	mu       sync.Mutex
+	era      int64           // 0 if the store does not state one
+	watchers []chan struct{} // each holds a value when the era has risen since its last read
 }
 
-func newStoreEra() storeEra { return storeEra{raised: make(chan struct{}, 1)} }
-
-func (ser *storeEra) get() int64 { return ser.era.Load() }
+func (ser *storeEra) get() int64 {
+	ser.mu.Lock()
+	defer ser.mu.Unlock()
+	return ser.era
+}
 
 // set records an era that the store has stated.
 func (ser *storeEra) set(era int64) {
-	for known := ser.era.Load(); era > known; known = ser.era.Load() {
-		if ser.era.CompareAndSwap(known, era) {
-			select {
-			case ser.raised <- struct{}{}:
-			default: // A change that nobody has seen yet is signalled already.
-			}
-			return
+	ser.mu.Lock()
+	defer ser.mu.Unlock()
+	if era <= ser.era {
+		return
+	}
+	ser.era = era
+	for _, wat := range ser.watchers {
+		select {
+		case wat <- struct{}{}:
+		default: // A rise that the watcher has not seen yet is signalled already.
 		}
 	}
 }
 
-// wait returns true when the era has risen, or false when ctx ends.
-func (ser *storeEra) wait(ctx context.Context) bool {
-	select {
-	case <-ser.raised:
-		return true
-	case <-ctx.Done():
-		return false
+// watch calls fn with the era each time that it has risen, until ctx ends.
+func (ser *storeEra) watch(ctx context.Context, fn func(era int64)) {
+	raised := make(chan struct{}, 1)
+	ser.mu.Lock()
+	ser.watchers = append(ser.watchers, raised)
+	if ser.era > 0 {
+		raised <- struct{}{}
+	}
+	ser.mu.Unlock()
+	for {
+		select {
+		case <-raised:
+			fn(ser.get())
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/front/follow.go
+++ b/front/follow.go
@@ -65,9 +65,7 @@
 	})
 	close(frt.following)
 	frt.group.Go("store era", func(ctx context.Context) error {
-		for frt.storeEra.wait(ctx) {
-			frt.listAgain(frt.storeEra.get())
-		}
+		frt.storeEra.watch(ctx, frt.listAgain)
 		return nil
 	})
 }
--- a/front/front.go
+++ b/front/front.go
@@ -77,7 +77,7 @@
 ) (*Front, error) {
 	frt := &Front{
 		group: grp, clock: clk, log: log, startSettings: set, metrics: mts, started: clk.Now(),
-		following: make(chan struct{}), storeEra: newStoreEra(),
+		following: make(chan struct{}),
 	}
 	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
--- a/front/peers.go
+++ b/front/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/cause"
@@ -19,6 +20,9 @@
 	// of a peer when it receives a datagram from it.
 	peerListInterval      = time.Minute
 	registerRetryInterval = time.Second
+	// Bounds of the time over which the fronts spread their registrations after a restore of the store.
+	minRegisterSpread      = time.Second
+	registerSpreadPerFront = 20 * time.Millisecond
 )
 
 // startPeers starts the exchange of load with other fronts, whose addresses are in the store. It does nothing if no
@@ -40,25 +44,36 @@
 	}
 	frt.peers = exc
 	frt.group.Go("register", func(ctx context.Context) error {
-		frt.registerAddress(ctx, addr)
+		registered := frt.registerAddress(ctx, addr)
 		// The peers are listed after the registration: of two fronts that start at the same time, the one that
 		// registers last then finds the other.
-		frt.followPeers()
+		flw := frt.followPeers()
+		frt.storeEra.watch(ctx, func(era int64) {
+			if era <= registered {
+				return
+			}
+			spread := max(minRegisterSpread, time.Duration(frt.peers.LiveProcesses())*registerSpreadPerFront)
+			_ = frt.clock.Sleep(ctx, time.Duration(rand.Int63n(int64(spread)))) // Registering ends with ctx.
+			registered = frt.registerAddress(ctx, addr)
+			frt.log.Info("front: peer address registered again after a restore of the store", "era", registered)
+			flw.Restored(era)
+		})
 		return nil
 	})
 	return nil
 }
 
 // followPeers adds the peers whose addresses are in the store, now and as they register.
-func (frt *Front) followPeers() {
+func (frt *Front) followPeers() *follow.Follower {
 	addPeer := func(rec follow.Record) {
 		if rec.Value != nil {
 			frt.peers.AddPeer(rec.Key)
 		}
 	}
-	follow.Start(frt.group, follow.Options{
+	return follow.Start(frt.group, follow.Options{
 		Name: "peers", Clock: frt.clock, Log: frt.log, Source: frt.store.PeerAddresses(),
 		ReadInterval: peerListInterval, ResponseTimeout: storeTimeout, OnChange: addPeer,
+		OnEra: func(era int64, _ bool) { frt.storeEra.set(era) },
 		OnList: func(list []follow.Record) {
 			for _, rec := range list {
 				addPeer(rec)
@@ -67,18 +82,20 @@
 	})
 }
 
-// registerAddress writes this front's peer address into the store. It retries until the store accepts it or ctx ends.
-func (frt *Front) registerAddress(ctx context.Context, addr string) {
+// registerAddress writes this front's peer address into the store, and returns the era in which the store has accepted
+// it. It retries until then or until ctx ends.
+func (frt *Front) registerAddress(ctx context.Context, addr string) (era int64) {
 	for ctx.Err() == nil {
 		reqCtx, cancel := frt.clock.WithTimeout(ctx, storeTimeout)
-		_, err := frt.store.RegisterPeer(reqCtx, addr)
+		era, err := frt.store.RegisterPeer(reqCtx, addr)
 		cancel()
 		if err == nil {
-			return
+			return era
 		}
 		frt.log.Info("front: cannot register the peer address, trying again", "error", err.Error())
 		_ = frt.clock.Sleep(ctx, registerRetryInterval) // The loop checks whether ctx has ended.
 	}
+	return 0
 }
 
 // sendTaskChange sends the peers a change of a task of this front.
--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -1,9 +1,12 @@
 package front_test
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,11 +64,17 @@
 
 // waitForStatus waits until calls through the front get a status, and fails the test after a few seconds.
 func waitForStatus(t *testing.T, frt *front.Front, status int) {
+	t.Helper()
+	waitFor(t, fmt.Sprint("calls do not get ", status), func() bool { return callFront(t, frt) == status })
+}
+
+// waitFor waits until fn returns true, and fails the test with the given text after a few seconds.
+func waitFor(t *testing.T, text string, fn func() bool) {
 	t.Helper()
 	const limit = 5 * time.Second
-	for start := time.Now(); callFront(t, frt) != status; time.Sleep(5 * time.Millisecond) {
+	for start := time.Now(); !fn(); time.Sleep(5 * time.Millisecond) {
 		if time.Since(start) > limit {
-			t.Fatalf("calls do not get %d", status)
+			t.Fatal(text)
 		}
 	}
 }
@@ -166,3 +175,42 @@
 		})
 	}
 }
+
+// freeAddress returns a UDP address that is not in use.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	con, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	return con.LocalAddr().String()
+}
+
+// TestPeerAddressIsRegisteredAgain guards against a front that later fronts cannot find, because its only registration
+// was written after the copy from which the store was restored.
+func TestPeerAddressIsRegisteredAgain(t *testing.T) {
+	rig := newRestoreRig(t)
+	copied := time.Now()
+	addr := freeAddress(t)
+	_, _ = startFront(t, rig.store, frontTimes+"peers = "+addr+"\n")
+	for range 3 { // restores in a row
+		waitFor(t, "the address is not registered", func() bool { return slices.Contains(rig.store.PeerAddresses(), addr) })
+		rig.store.Restore(copied)
+	}
+	waitFor(t, "the address is not registered", func() bool { return slices.Contains(rig.store.PeerAddresses(), addr) })
+}
+
+// TestRegistrationIsNotRepeated guards against fronts that write to the store again and again although it has their
+// registrations.
+func TestRegistrationIsNotRepeated(t *testing.T) {
+	iis := is.New(t)
+	rig := newRestoreRig(t)
+	addr := freeAddress(t)
+	_, _ = startFront(t, rig.store, frontTimes+"peers = "+addr+"\n")
+	waitFor(t, "the address is not registered", func() bool { return len(rig.store.PeerAddresses()) == 1 })
+	rig.store.Restore(time.Now())
+	waitFor(t, "the address is not registered", func() bool { return len(rig.store.PeerAddresses()) == 2 })
+	time.Sleep(2 * time.Second)
+	iis.Equal(rig.store.PeerAddresses(), []string{addr, addr})
+}
