Let an announced version end the backoff after a failed call

A front that has just failed to reach the store dropped what its peers told of a newer configuration, and waited for its backoff, up to 3.2 s with many fronts.

CatchUp ends a backoff as it ends a long poll, with the same limit of one in 300 ms.

--- a/follow/hints.go
+++ b/follow/hints.go
@@ -8,16 +8,20 @@
 // minCatchUpInterval limits the rate of calls to which other processes can lead by CatchUp, and by Retry.
 const minCatchUpInterval = 300 * time.Millisecond
 
-// CatchUp ends a long poll and reads at once, because the store is known to hold a newer record.
+// CatchUp ends a long poll, or a backoff, and reads at once, because the store is known to hold a newer record.
 func (flw *Follower) CatchUp() {
 	flw.mu.Lock()
 	defer flw.mu.Unlock()
 	now := flw.opts.Clock.Now()
-	if flw.endLongPoll == nil || now.Sub(flw.behindSince) < minCatchUpInterval {
-		return
+	switch {
+	case now.Sub(flw.behindSince) < minCatchUpInterval:
+	case flw.endLongPoll != nil:
+		flw.behind, flw.behindSince = true, now
+		flw.endLongPoll()
+	case flw.endBackoff != nil:
+		flw.behindSince = now
+		flw.endBackoff()
 	}
-	flw.behind, flw.behindSince = true, now
-	flw.endLongPoll()
 }
 
 // Retry ends the backoff after a failed call, because the store is known to answer other processes.
--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -194,11 +194,12 @@
 	copied := time.Now()
 	addr := freeAddress(t)
 	_, _ = startFront(t, rig.store, frontTimes+"peers = "+addr+"\n")
+	isRegistered := func() bool { return slices.Contains(rig.store.PeerAddresses(), addr) }
+	waitFor(t, "the address is not registered", isRegistered)
 	for range 3 { // restores in a row
-		waitFor(t, "the address is not registered", func() bool { return slices.Contains(rig.store.PeerAddresses(), addr) })
 		rig.store.Restore(copied)
+		waitFor(t, "the address is not registered", isRegistered)
 	}
-	waitFor(t, "the address is not registered", func() bool { return slices.Contains(rig.store.PeerAddresses(), addr) })
 }
 
 // TestRegistrationIsNotRepeated guards against fronts that write to the store again and again although it has their
