Get a newer configuration from a peer if the store does not give it

Cause: fronts told one another only the number of the version in force. What led to another read of the store was of no use when the store refused the front, or did not hold that version any more.

Evidence: front.TestConfigurationComesFromPeers and TestFrontStartedAfterARestoreLearnsTheVersionInForce fail before ("calls do not get 503").

A front that lacks a peer's version after its own long poll and one more read, each an eighth of a second with the default times, asks a live peer for the record. The record is decoded as one of the store and applied only if its version is the stated one and higher than the active one. The source is logged.

--- a/front/follow.go
+++ b/front/follow.go
@@ -8,16 +8,12 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/platform"
-	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
 const (
 	// readsPerDrainTime is the number of reads of the replicas within the drain time, after which a draining replica
 	// must get no more calls. With this value one read may fail.
 	readsPerDrainTime = 2.2
-	// catchUpShare is the divisor of the configuration time that gives the time within which a long poll is expected to
-	// return a version that a peer has.
-	catchUpShare = 16
 	// Bounds of the longest backoff after a failed call to the store.
 	minStoreBackoff = 400 * time.Millisecond
 	maxStoreBackoff = 1600 * time.Millisecond
@@ -37,10 +33,10 @@
 		ResponseTimeout: storeTimeout,
 		OnList: func(list []follow.Record) {
 			for _, rec := range list {
-				frt.applyConfig(rec)
+				frt.applyOperatorRecord(rec)
 			}
 		},
-		OnChange:    frt.applyConfig,
+		OnChange:    frt.applyOperatorRecord,
 		OnEra:       func(era int64, _ bool) { frt.storeEra.set(era) },
 		MaxBackoff:  frt.storeBackoff,
 		OnRecovered: func(time.Duration) { frt.tellStoreAnswers() },
@@ -137,55 +133,6 @@
 	}
 }
 
-// configVersion returns the version of the active configuration, 0 for none.
-func (frt *Front) configVersion() int64 {
-	if set := frt.rules.Load(); set != nil {
-		return set.Version()
-	}
-	return 0
-}
-
-// catchUpWithPeer reads the configuration if a peer has a newer version and this front's own long poll does not return
-// it soon, as it does unless its connection is dead.
-func (frt *Front) catchUpWithPeer(version int64) {
-	select {
-	case <-frt.following:
-	default:
-		return // The front has just started, and is going to list the topic itself.
-	}
-	if version <= frt.configVersion() || frt.catchingUp.Swap(true) {
-		return
-	}
-	delay := config.FrontConfigTime.Of(frt.startSettings) / catchUpShare
-	frt.clock.After(delay, func() {
-		frt.catchingUp.Store(false)
-		if active := frt.configVersion(); version > active {
-			frt.log.Info("front: a peer has a newer configuration, reading the store", "active", active,
-				"version", version)
-			frt.configFollower.CatchUp()
-		}
-	})
-}
-
-// applyConfig makes a configuration the active one if its version is higher than that of the active one.
-func (frt *Front) applyConfig(rec follow.Record) {
-	if !platform.IsConfig(rec.Key) || rec.Value == nil {
-		return
-	}
-	spc, err := platform.ReadConfig(rec.Value)
-	if err != nil {
-		frt.log.Error(err, "front: cannot decode the configuration, ignoring it")
-		return
-	}
-	old := frt.rules.Load()
-	if old != nil && old.Version() >= spc.Version {
-		return
-	}
-	frt.rules.Store(rules.New(spc))
-	frt.log.Info("front: configuration in force", "version", spc.Version, "routes", len(spc.Routes),
-		"services", len(spc.Services), "accounts", len(spc.Accounts))
-}
-
 // applyRegistration records the registration of a replica, or its removal.
 func (frt *Front) applyRegistration(rec follow.Record) {
 	if rec.Value == nil {
--- a/front/front.go
+++ b/front/front.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,7 +65,9 @@
 	catchingUp      atomic.Bool // a check is due whether this front has the version of a peer
 	storeEra        storeEra
 	rules           atomic.Pointer[rules.Set]
-	replicasKnown   atomic.Bool // the list of replicas has been read at least once
+	configMu        sync.Mutex   // held while the rules are replaced
+	configRecord    configRecord // of the rules; guarded by configMu
+	replicasKnown   atomic.Bool  // the list of replicas has been read at least once
 	draining        atomic.Bool
 	started         time.Time
 	clientServer    *clientServer
--- /dev/null
+++ b/front/peer_config_test.go
@@ -0,0 +1,52 @@
+package front_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestConfigurationComesFromPeers guards against a front that goes on with withdrawn routes and keys for as long as the
+// store refuses it, although other fronts have the newer configuration.
+func TestConfigurationComesFromPeers(t *testing.T) {
+	iis := is.New(t)
+	rig := newRestoreRig(t)
+	rig.putConfig(3, "s")
+	rig.putReplica(false, 1)
+	lnk := &link{store: rig.store}
+	one, _ := startFront(t, lnk, frontTimes+"peers = "+freeAddress(t)+"\n")
+	two, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+	waitForStatus(t, one, http.StatusOK)
+	waitForStatus(t, two, http.StatusOK)
+	waitFor(t, "the fronts are not registered", func() bool { return len(rig.store.PeerAddresses()) == 2 })
+	time.Sleep(300 * time.Millisecond) // until they know one another
+	lnk.isCut.Store(true)
+	time.Sleep(time.Second) // until the long poll of the first front has ended
+	rig.putConfig(5, "other")
+	waitForStatus(t, two, http.StatusServiceUnavailable)
+	waitForStatus(t, one, http.StatusServiceUnavailable)
+	rig.putConfig(4, "s") // The version in force counts.
+	lnk.isCut.Store(false)
+	time.Sleep(time.Second)
+	iis.Equal(callFront(t, one), http.StatusServiceUnavailable)
+}
+
+// TestFrontStartedAfterARestoreLearnsTheVersionInForce guards against a front that starts before the operator has
+// written the newest configuration again, and brings withdrawn keys and old routes back into use.
+func TestFrontStartedAfterARestoreLearnsTheVersionInForce(t *testing.T) {
+	rig := newRestoreRig(t)
+	rig.putConfig(3, "s")
+	rig.putReplica(false, 1)
+	one, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+	waitForStatus(t, one, http.StatusOK)
+	waitFor(t, "the front is not registered", func() bool { return len(rig.store.PeerAddresses()) == 1 })
+	copied := time.Now()
+	rig.putConfig(5, "other")
+	waitForStatus(t, one, http.StatusServiceUnavailable)
+	rig.store.Restore(copied)
+	two, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+	waitForStatus(t, two, http.StatusOK)                 // as the store says
+	waitForStatus(t, two, http.StatusServiceUnavailable) // as its peer knows
+}
--- a/front/peers.go
+++ b/front/peers.go
@@ -36,7 +36,8 @@
 		Name: config.ProcessName.Of(frt.startSettings), DataCentre: config.ProcessDataCentre.Of(frt.startSettings),
 		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddReport,
 		OnAnswers: frt.crashes.AddAnswers, KnownCrashes: frt.crashes.BlockingReports,
-		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer, OnDigest: frt.applyDigest,
+		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer,
+		ConfigRecord: frt.activeConfigRecord, OnConfigRecord: frt.applyPeerConfig, OnDigest: frt.applyDigest,
 		StoreEra: frt.storeEra.get, OnStoreEra: frt.listAgain, OnStoreAnswers: frt.retryStore,
 	})
 	if err != nil {
--- a/peers/message.go
+++ b/peers/message.go
@@ -27,6 +27,8 @@
 	Crashes       []crashReport    `cbor:"12,keyasint,omitempty"`
 	Answers       []answer         `cbor:"13,keyasint,omitempty"` // of calls that had been suspected
 	StoreEra      int64            `cbor:"15,keyasint,omitempty"` // that of the digest, or the last one known
+	ConfigRequest *configRequest   `cbor:"16,keyasint,omitempty"`
+	ConfigPart    *configPart      `cbor:"17,keyasint,omitempty"`
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -53,6 +53,11 @@
 	ConfigVersion func() int64
 	// OnConfigVersion is called with the version that is active at a peer; nil for none.
 	OnConfigVersion func(version int64)
+	// ConfigRecord returns the active configuration as it was in the store, for peers that cannot read it there, and
+	// its version, 0 if there is none; nil if it is not to be sent.
+	ConfigRecord func() (version int64, record []byte)
+	// OnConfigRecord is called with a configuration after RequestConfig.
+	OnConfigRecord func(version int64, record []byte)
 	// OnDigest is called with the changes that a peer has read in the store; nil for none.
 	OnDigest func(topic string, dig follow.Digest)
 	// StoreEra returns the era in which the store has last answered this process, 0 if it is not known; nil for none.
@@ -80,6 +85,7 @@
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
 	crashes        []unsentCrash
+	transfer       *configTransfer     // that this process has requested; nil for none
 	cellSizes      map[string]cellSize // by data centre
 	flushScheduled bool                // sendChanges is going to run
 
@@ -94,6 +100,8 @@
 	runID         uint32    // of the current run of the process
 	lastReceived  time.Time // when a datagram last came; zero before the first one and after a timeout
 	inactiveSince time.Time // when it was added or timed out
+	configVersion int64     // that is active there, as last received
+	configSentAt  time.Time // when this process last sent it the configuration
 }
 
 // Start opens the socket and runs the exchange in grp. It returns a trace.ConnectionProblem error if the socket cannot
@@ -167,48 +175,6 @@
 	return per
 }
 
-// LiveProcesses returns the number of processes that have not timed out, including this one. Those of other cells are
-// counted by the processes there.
-func (exc *Exchange) LiveProcesses() int {
-	exc.mu.Lock()
-	defer exc.mu.Unlock()
-	now := exc.opts.Clock.Now()
-	live := make(map[string]int) // by data centre
-	for _, per := range exc.peers {
-		if exc.isLive(per) {
-			live[per.dataCentre]++
-		}
-	}
-	for dataCentre, size := range exc.cellSizes {
-		if now.Sub(size.receivedAt) < peerTimeout {
-			live[dataCentre] = max(live[dataCentre], size.live)
-		}
-	}
-	num := 1
-	for _, count := range live {
-		num += count
-	}
-	return num
-}
-
-// LiveNear returns the number of live processes that place calls on the same replicas first as this one, including it.
-func (exc *Exchange) LiveNear() int {
-	exc.mu.Lock()
-	defer exc.mu.Unlock()
-	num := 1
-	for _, per := range exc.peers {
-		if exc.isLive(per) && exc.isNear(per) {
-			num++
-		}
-	}
-	return num
-}
-
-// isLive reports whether a datagram of the peer came within the timeout.
-func (exc *Exchange) isLive(per *peer) bool {
-	return !per.lastReceived.IsZero() && exc.opts.Clock.Since(per.lastReceived) < peerTimeout
-}
-
 // receiveMessages reads and handles datagrams until ctx ends.
 func (exc *Exchange) receiveMessages(ctx context.Context) {
 	buf := make([]byte, maxDatagramBytes)
@@ -241,6 +207,9 @@
 	if msg.Name != "" {
 		per.name, per.dataCentre = msg.Name, msg.DataCentre
 	}
+	if msg.ConfigVersion != 0 {
+		per.configVersion = msg.ConfigVersion
+	}
 	dataCentre, isNear := per.dataCentre, exc.isNear(per)
 	exc.mu.Unlock()
 	if isNew {
@@ -251,9 +220,7 @@
 		exc.sendAllTasks(addr, dataCentre)
 		exc.sendKnownCrashes(addr)
 	}
-	if exc.opts.OnConfigVersion != nil && msg.ConfigVersion != 0 {
-		exc.opts.OnConfigVersion(msg.ConfigVersion)
-	}
+	exc.handleConfig(addr, msg)
 	if exc.opts.OnStoreEra != nil && msg.StoreEra != 0 {
 		exc.opts.OnStoreEra(msg.StoreEra)
 	}
@@ -274,26 +241,3 @@
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
 	exc.applyCrashes(msg)
 }
-
-// expirePeers drops the tasks of peers that have timed out, and removes peers that have been inactive for long.
-func (exc *Exchange) expirePeers() {
-	now := exc.opts.Clock.Now()
-	var timedOut []string
-	exc.mu.Lock()
-	for addr, per := range exc.peers {
-		if !per.lastReceived.IsZero() && now.Sub(per.lastReceived) > peerTimeout {
-			timedOut = append(timedOut, addr)
-			if exc.isNear(per) { // The others send little.
-				exc.opts.Log.Info("peers: peer timed out", "peer", per.name, "address", addr)
-			}
-			per.lastReceived, per.inactiveSince = time.Time{}, now
-		}
-		if per.lastReceived.IsZero() && now.Sub(per.inactiveSince) > removePeerAfter {
-			delete(exc.peers, addr)
-		}
-	}
-	exc.mu.Unlock()
-	for _, addr := range timedOut {
-		exc.opts.Fleet.RemovePeer(addr)
-	}
-}
