Restore the store from older copies in the soak

Neither the tests nor the soak had a store that goes back. The stand-in of the store keeps what the operator and the replicas have written, and writes again what a restore has lost; what fronts have written stays lost. The soak restores it among the other faults, from a copy of up to six seconds before and beside paused, killed and cut off fronts, and in a phase of its own, in which nothing else disturbs the fronts: from a copy of before a new configuration, a replica that began to drain and one that was removed. New invariant: a replica that has left gets no calls. The checks of a drain, and of the time and the order of configurations, hold over the restore of that phase without a change.

--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -96,7 +96,8 @@
 	lnk.isCut.Store(true)
 	time.Sleep(400 * time.Millisecond) // until its long poll has ended
 	rig.putConfig(6, "other")          // which has no replica
-	rig.store.Rewrite(rig.store.Restore(copied))
+	rig.store.Restore(copied)
+	rig.store.Rewrite()
 	rig.store.PutNote("written after the restore") // The topic ends at offset 3 again.
 	lnk.isCut.Store(false)
 	waitForStatus(t, frt, http.StatusServiceUnavailable)
@@ -114,7 +115,8 @@
 	waitForStatus(t, frt, http.StatusOK)
 	copied := time.Now()
 	rig.putConfig(5, "other")
-	rig.store.Rewrite(rig.store.Restore(copied))
+	rig.store.Restore(copied)
+	rig.store.Rewrite()
 	waitForStatus(t, frt, http.StatusServiceUnavailable)
 }
 
@@ -139,11 +141,11 @@
 	rig.putReplica(false, 1)
 	frt, _ := startFront(t, rig.store, frontTimes)
 	waitForStatus(t, frt, http.StatusOK)
-	lost := rig.store.Restore(copied)
+	rig.store.Restore(copied)
 	for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		iis.Equal(callFront(t, frt), http.StatusOK)
 	}
-	rig.store.Rewrite(lost) // The replica writes again at its next heartbeat.
+	rig.store.Rewrite() // The replica writes again at its next heartbeat.
 	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		iis.Equal(callFront(t, frt), http.StatusOK)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -16,6 +16,7 @@
 	invariantRequest     = "replicas receive the requests of clients unchanged"
 	invariantResponse    = "a client gets the complete response to its own call"
 	invariantDrain       = "a draining replica gets no new calls"
+	invariantRemoved     = "a replica that has left gets no calls"
 	invariantConfigDelay = "a new configuration is active in time"
 	invariantConfigOrder = "a front never returns to an older configuration"
 	invariantCancel      = "replicas stop working on a call when its client disconnects"
@@ -57,6 +58,7 @@
 	calls         []call
 	lastArrivals  map[string]time.Time // last call at each replica, also if rejected; by replica ID
 	drainingSince map[string]time.Time // when the replica was registered as draining, by replica ID
+	removedSince  map[string]time.Time // when the registration was removed, by ID of a replica that did not drain
 	publishTimes  []time.Time          // of each configuration version, the first at index 0
 	faults        []interval
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
@@ -68,7 +70,8 @@
 	return &checker{
 		runs: make(map[string][]plsim.Run), runEnds: make(map[string]time.Time),
 		lastArrivals: make(map[string]time.Time), drainingSince: make(map[string]time.Time),
-		crashes: make(map[string][]time.Time), checkCounts: make(map[string]int),
+		removedSince: make(map[string]time.Time),
+		crashes:      make(map[string][]time.Time), checkCounts: make(map[string]int),
 	}
 }
 
@@ -135,11 +138,17 @@
 	}
 	chk.verifyConfigOrder()
 	chk.verifyCrashes()
-	for replica, since := range chk.drainingSince {
+	chk.verifyLeaving(invariantDrain, chk.drainingSince)
+	chk.verifyLeaving(invariantRemoved, chk.removedSince)
+}
+
+// verifyLeaving checks that replicas got no calls later than the drain time after they began to leave.
+func (chk *checker) verifyLeaving(invariant string, leavingSince map[string]time.Time) {
+	for replica, since := range leavingSince {
 		last := chk.lastArrivals[replica]
 		limit := since.Add(drainTime + slack)
 		if chk.faultFree(since.Add(-time.Second), limit) {
-			chk.recordCheck(invariantDrain, last.Before(limit), "%s got a call %v after it began to drain",
+			chk.recordCheck(invariant, last.Before(limit), "%s got a call %v after it began to leave",
 				replica, last.Sub(since))
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -52,6 +52,10 @@
 			chk.drainingSince["i"] = at(0)
 			chk.observer().OnArrival("i", at(drainTime+time.Second))
 		},
+		invariantRemoved: func(chk *checker) {
+			chk.removedSince["i"] = at(0)
+			chk.observer().OnArrival("i", at(drainTime+time.Second))
+		},
 		invariantConfigDelay: func(chk *checker) {
 			chk.publishTimes = []time.Time{at(0), at(time.Second)}
 			chk.recordCall(movedCall(9, "s1"))
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -72,7 +72,7 @@
 func (sok *Soak) injectFault(remaining time.Duration) {
 	frt := sok.fronts[sok.rnd.IntN(len(sok.fronts))]
 	dur := min(time.Duration(200+sok.rnd.IntN(2000))*time.Millisecond, max(remaining, 0))
-	switch sok.rnd.IntN(13) {
+	switch sok.rnd.IntN(14) {
 	case 0, 1:
 		sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[sok.rnd.IntN(2)]
 		go sok.restart(frt, sig)
@@ -99,6 +99,8 @@
 		sok.drainReplica()
 	case 11, 12:
 		sok.disturbReplica(dur)
+	case 13:
+		sok.restoreStore(dur)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,6 +100,7 @@
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
 		sok.runPlannedPhase()
+		sok.runRestorePhase()
 		sok.runFaultPhase()
 	}
 	stopClients()
@@ -238,8 +239,8 @@
 		sok.opts.Seed, len(chk.calls), len(chk.faults), len(chk.publishTimes), sok.opts.Dir)
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
-		invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop, invariantRecovery,
-		invariantCrashes, invariantNoExit,
+		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
+		invariantRecovery, invariantCrashes, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
