Pause between listings whose pages are of two eras

A store that is restored again and again, or two stores behind one address, would have been listed without pause: only listings that succeeded counted for the shortest time between two.

Evidence: follow.TestListingsThatFailAreLimited fails before.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -217,13 +217,15 @@
 	heardEra := flw.heardEra
 	flw.mu.Unlock()
 	list, next, err := flw.opts.Source.List(callCtx)
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	if err == nil || errors.Is(err, ErrRestored) {
+		flw.listedAt = flw.opts.Clock.Now()
+	}
 	if err != nil {
 		return err
 	}
-	flw.mu.Lock()
-	defer flw.mu.Unlock()
 	flw.recordResponse()
-	flw.listedAt = flw.opts.Clock.Now()
 	if flw.heardEra > max(heardEra, next.Era) {
 		return ErrRestored // during the call
 	}
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -21,8 +21,8 @@
 	era   int64
 	end   int64
 	lists int
-	// onList, if not nil, is called at the end of each listing.
-	onList func()
+	// onList, if not nil, is called at the end of each listing, which returns its error.
+	onList func() error
 }
 
 func (src *erasSource) set(era, end int64) {
@@ -52,7 +52,7 @@
 			src.mu.Unlock()
 			pos := src.position()
 			if onList != nil {
-				onList()
+				return nil, pos, onList()
 			}
 			return nil, pos, nil
 		},
@@ -177,11 +177,12 @@
 	src := &erasSource{era: 1, end: 10}
 	flw, seen := startEras(t, src, time.Hour, 0)
 	src.mu.Lock()
-	src.onList = func() {
+	src.onList = func() error {
 		if src.listCount() == 2 { // after its answer of era 2 was fixed
 			src.set(3, 10)
 			flw.Restored(3)
 		}
+		return nil
 	}
 	src.mu.Unlock()
 	src.set(2, 10)
@@ -204,3 +205,16 @@
 	}
 	iis.True(src.listCount() < 12) // one in 300 ms, and a few
 }
+
+// TestListingsThatFailAreLimited guards against calls without pause if the pages of each listing are of two eras.
+func TestListingsThatFailAreLimited(t *testing.T) {
+	iis := is.New(t)
+	src := &erasSource{era: 1, end: 10}
+	flw, _ := startEras(t, src, time.Hour, 0)
+	src.mu.Lock()
+	src.onList = func() error { return follow.ErrRestored }
+	src.mu.Unlock()
+	flw.Restored(2)
+	time.Sleep(2 * time.Second)
+	iis.True(src.listCount() < 12) // one in 300 ms, and a few
+}
