Request the configuration from registered peers only

A front asks only peers whose address it has from the store, with a number of 64 bits in the request. So that fronts that started before the others know them from there as well, a datagram of a peer that is not known from the store leads to a read of the addresses within a second, and not within a minute.

Evidence: peers.TestConfigurationComesFromRegisteredPeersOnly fails without the condition. New: follow.TestReadIsBroughtForward.

--- a/follow/hints.go
+++ b/follow/hints.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// ReadWithin brings the next read forward, so that it begins no later than the given time from now.
+func (flw *Follower) ReadWithin(delay time.Duration) {
+	flw.mu.Lock()
+	defer flw.mu.Unlock()
+	at := flw.opts.Clock.Now().Add(delay)
+	if !flw.readAt.After(at) {
+		return
+	}
+	flw.readAt = at
+	if flw.endTurn != nil {
+		flw.endTurn()
+	}
+}
+
 // minListInterval is the shortest time from one listing to the next. It bounds the rate of calls if the store, or other
 // processes, keep stating different eras.
 const minListInterval = 300 * time.Millisecond
--- a/follow/hints_test.go
+++ b/follow/hints_test.go
@@ -38,3 +38,15 @@
 	iis.Equal(<-seen, "new")
 	iis.True(time.Since(began) < time.Second)
 }
+
+// TestReadIsBroughtForward guards against changes that are read as late as the read interval says, although there is a
+// reason to expect them.
+func TestReadIsBroughtForward(t *testing.T) {
+	iis := is.New(t)
+	src := &erasSource{era: 1, end: 10}
+	flw, seen := startEras(t, src, 0, time.Hour)
+	src.set(1, 11)
+	flw.ReadWithin(50 * time.Millisecond)
+	flw.ReadWithin(time.Minute) // later than what is due
+	iis.Equal(<-seen, "1/10")
+}
--- a/front/front.go
+++ b/front/front.go
@@ -62,6 +62,7 @@
 	following       chan struct{}   // closed when the followers have been set
 	configFollower  *follow.Follower
 	replicaFollower *follow.Follower
+	peerFollower    atomic.Pointer[follow.Follower]
 	catchingUp      atomic.Bool // a check is due whether this front has the version of a peer
 	storeEra        storeEra
 	rules           atomic.Pointer[rules.Set]
--- a/front/peer_config_test.go
+++ b/front/peer_config_test.go
@@ -21,7 +21,7 @@
 	waitForStatus(t, one, http.StatusOK)
 	waitForStatus(t, two, http.StatusOK)
 	waitFor(t, "the fronts are not registered", func() bool { return len(rig.store.PeerAddresses()) == 2 })
-	time.Sleep(300 * time.Millisecond) // until they know one another
+	time.Sleep(1500 * time.Millisecond) // until they know one another from the store
 	lnk.isCut.Store(true)
 	time.Sleep(time.Second) // until the long poll of the first front has ended
 	rig.putConfig(5, "other")
--- a/front/peers.go
+++ b/front/peers.go
@@ -17,8 +17,9 @@
 	// minBudgetSharers is the number of fronts assumed to share the retry budget while fewer are known.
 	minBudgetSharers = 4
 	// peerListInterval is the time between two reads of the peers' addresses. It may be long, since a front also learns
-	// of a peer when it receives a datagram from it.
+	// of a peer when it receives a datagram from it, and reads the address then.
 	peerListInterval      = time.Minute
+	newPeerListDelay      = time.Second // so that fronts that start together lead to one read
 	registerRetryInterval = time.Second
 	// Bounds of the time over which the fronts spread their registrations after a restore of the store.
 	minRegisterSpread      = time.Second
@@ -37,7 +38,8 @@
 		Address: addr, Clock: frt.clock, Log: frt.log, Fleet: frt.fleet, OnCrash: frt.crashes.AddReport,
 		OnAnswers: frt.crashes.AddAnswers, KnownCrashes: frt.crashes.BlockingReports,
 		ConfigVersion: frt.configVersion, OnConfigVersion: frt.catchUpWithPeer,
-		ConfigRecord: frt.activeConfigRecord, OnConfigRecord: frt.applyPeerConfig, OnDigest: frt.applyDigest,
+		ConfigRecord: frt.activeConfigRecord, OnConfigRecord: frt.applyPeerConfig,
+		OnUnregistered: frt.listPeersSoon, OnDigest: frt.applyDigest,
 		StoreEra: frt.storeEra.get, OnStoreEra: frt.listAgain, OnStoreAnswers: frt.retryStore,
 	})
 	if err != nil {
@@ -49,6 +51,7 @@
 		// The peers are listed after the registration: of two fronts that start at the same time, the one that
 		// registers last then finds the other.
 		flw := frt.followPeers()
+		frt.peerFollower.Store(flw)
 		frt.storeEra.watch(ctx, func(era int64) {
 			if era <= registered {
 				return
@@ -83,6 +86,13 @@
 	})
 }
 
+// listPeersSoon reads the addresses of the peers soon, because a datagram came from one that is not known from there.
+func (frt *Front) listPeersSoon() {
+	if flw := frt.peerFollower.Load(); flw != nil {
+		flw.ReadWithin(newPeerListDelay)
+	}
+}
+
 // registerAddress writes this front's peer address into the store, and returns the era in which the store has accepted
 // it. It retries until then or until ctx ends.
 func (frt *Front) registerAddress(ctx context.Context, addr string) (era int64) {
--- a/peers/config.go
+++ b/peers/config.go
@@ -5,7 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
-	"math/rand"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -28,14 +28,14 @@
 // configRequest asks a peer for its active configuration.
 type configRequest struct {
 	_     struct{} `cbor:",toarray"`
-	Nonce uint32   // repeated in the parts, so that only the peer that was asked can send them
+	Nonce uint64   // repeated in the parts, so that only the peer that was asked can send them
 	Above int64    // version that the sender has; only a newer one is sent
 }
 
 // configPart is a part of the compressed record of a configuration.
 type configPart struct {
 	_       struct{} `cbor:",toarray"`
-	Nonce   uint32   // of the request
+	Nonce   uint64   // of the request
 	Version int64
 	Index   int
 	Count   int // of all parts
@@ -55,13 +55,14 @@
 	}
 }
 
-// RequestConfig asks a live peer that has a newer configuration than the given version to send it. The transfer fails
-// if a datagram is lost; the caller then asks again.
+// RequestConfig asks a live peer that has a newer configuration than the given version to send it. Only peers that were
+// added by their address are asked, since anybody can send a datagram. The transfer fails if a datagram is lost; the
+// caller then asks again.
 func (exc *Exchange) RequestConfig(above int64) {
 	exc.mu.Lock()
 	var newer []*net.UDPAddr
 	for _, per := range exc.peers {
-		if exc.isLive(per) && per.configVersion > above {
+		if per.registered && exc.isLive(per) && per.configVersion > above {
 			newer = append(newer, per.addr)
 		}
 	}
@@ -69,8 +70,8 @@
 		exc.mu.Unlock()
 		return
 	}
-	addr := newer[rand.Intn(len(newer))]
-	req := &configRequest{Nonce: rand.Uint32(), Above: above}
+	addr := newer[rand.IntN(len(newer))]
+	req := &configRequest{Nonce: rand.Uint64(), Above: above}
 	exc.transfer = &configTransfer{peer: addr.String(), nonce: req.Nonce, startedAt: exc.opts.Clock.Now()}
 	exc.mu.Unlock()
 	exc.opts.Log.Info("peers: requesting the configuration", "peer", addr.String(), "above", above)
@@ -138,7 +139,7 @@
 // configTransfer is a configuration that a peer sends.
 type configTransfer struct {
 	peer      string // address
-	nonce     uint32
+	nonce     uint64
 	startedAt time.Time
 	version   int64
 	parts     [][]byte // nil before the first part has come; a part that is missing is nil
--- a/peers/config_test.go
+++ b/peers/config_test.go
@@ -106,3 +106,16 @@
 	_, ok := two.waitForConfig(5, time.Second)
 	is.New(t).True(!ok)
 }
+
+// TestConfigurationComesFromRegisteredPeersOnly guards against a process that takes a configuration from anybody who
+// sends it a datagram with a high version.
+func TestConfigurationComesFromRegisteredPeersOnly(t *testing.T) {
+	iis := is.New(t)
+	addr := freeAddress(t)
+	two := startWithConfig(t, addr, 5, nil)
+	one := startWithConfig(t, freeAddress(t), 7, []byte(`{"Version":7}`))
+	one.exc.AddPeer(addr) // The other process has heard of this one, but it was not told its address.
+	_, ok := two.waitForConfig(5, time.Second)
+	iis.True(!ok)
+	iis.Equal(two.exc.LiveProcesses(), 2)
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -53,6 +53,8 @@
 	ConfigVersion func() int64
 	// OnConfigVersion is called with the version that is active at a peer; nil for none.
 	OnConfigVersion func(version int64)
+	// OnUnregistered is called when a datagram comes from a new peer that was not added by its address; nil for none.
+	OnUnregistered func()
 	// ConfigRecord returns the active configuration as it was in the store, for peers that cannot read it there, and
 	// its version, 0 if there is none; nil if it is not to be sent.
 	ConfigRecord func() (version int64, record []byte)
@@ -100,6 +102,7 @@
 	runID         uint32    // of the current run of the process
 	lastReceived  time.Time // when a datagram last came; zero before the first one and after a timeout
 	inactiveSince time.Time // when it was added or timed out
+	registered    bool      // it was added by its address, and not because a datagram came from there
 	configVersion int64     // that is active there, as last received
 	configSentAt  time.Time // when this process last sent it the configuration
 }
@@ -153,7 +156,7 @@
 		return
 	}
 	exc.mu.Lock()
-	exc.getOrAddPeer(addr)
+	exc.getOrAddPeer(addr).registered = true
 	exc.mu.Unlock()
 	// The peer answers with its own tasks.
 	exc.sendAllTasks(addr, "")
@@ -196,6 +199,16 @@
 	}
 }
 
+// greetNew sends what this process knows to a peer that is new or was restarted.
+func (exc *Exchange) greetNew(addr *net.UDPAddr, dataCentre string, registered bool) {
+	exc.opts.Fleet.RemovePeer(addr.String())
+	exc.sendAllTasks(addr, dataCentre)
+	exc.sendKnownCrashes(addr)
+	if !registered && exc.opts.OnUnregistered != nil {
+		exc.opts.OnUnregistered()
+	}
+}
+
 // handleMessage records the tasks and crashes that a peer has sent. A new peer, or one that was restarted, gets all
 // tasks of this process at once.
 func (exc *Exchange) handleMessage(addr *net.UDPAddr, msg *message) {
@@ -210,15 +223,13 @@
 	if msg.ConfigVersion != 0 {
 		per.configVersion = msg.ConfigVersion
 	}
-	dataCentre, isNear := per.dataCentre, exc.isNear(per)
+	dataCentre, isNear, registered := per.dataCentre, exc.isNear(per), per.registered
 	exc.mu.Unlock()
 	if isNew {
 		if isNear {
 			exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
 		}
-		exc.opts.Fleet.RemovePeer(addr.String())
-		exc.sendAllTasks(addr, dataCentre)
-		exc.sendKnownCrashes(addr)
+		exc.greetNew(addr, dataCentre, registered)
 	}
 	exc.handleConfig(addr, msg)
 	if exc.opts.OnStoreEra != nil && msg.StoreEra != 0 {
