--- a/front/follow.go
+++ b/front/follow.go
@@ -1,22 +1,19 @@
 package front
 
 import (
+	"context"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/platform"
-	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
 const (
 	// readsPerDrainTime is the number of reads of the replicas within the drain time, after which a draining replica
 	// must get no more calls. With this value one read may fail.
 	readsPerDrainTime = 2.2
-	// catchUpShare is the divisor of the configuration time that gives the time within which a long poll is expected to
-	// return a version that a peer has.
-	catchUpShare = 16
 	// Bounds of the longest backoff after a failed call to the store.
 	minStoreBackoff = 400 * time.Millisecond
 	maxStoreBackoff = 1600 * time.Millisecond
@@ -36,10 +33,11 @@
 		ResponseTimeout: storeTimeout,
 		OnList: func(list []follow.Record) {
 			for _, rec := range list {
-				frt.applyConfig(rec)
+				frt.applyOperatorRecord(rec)
 			}
 		},
-		OnChange:    frt.applyConfig,
+		OnChange:    frt.applyOperatorRecord,
+		OnEra:       func(era int64, _ bool) { frt.storeEra.set(era) },
 		MaxBackoff:  frt.storeBackoff,
 		OnRecovered: func(time.Duration) { frt.tellStoreAnswers() },
 	})
@@ -47,7 +45,13 @@
 		Name: "replicas", Clock: frt.clock, Log: frt.log, Source: frt.store.ReplicaRegistrations(),
 		ReadInterval:    time.Duration(float64(config.FrontDrainTime.Of(frt.startSettings)) / readsPerDrainTime),
 		ResponseTimeout: storeTimeout,
-		OnList:          frt.replaceRegistrations, OnChange: frt.applyRegistration,
+		OnEra: func(era int64, restored bool) {
+			frt.storeEra.set(era)
+			if restored {
+				frt.fleet.StoreOutageEnded()
+			}
+		},
+		OnList: frt.replaceRegistrations, OnChange: frt.applyRegistration,
 		Sharing:    frt.registrationSharing(),
 		MaxBackoff: frt.storeBackoff,
 		OnRecovered: func(time.Duration) {
@@ -56,6 +60,10 @@
 		},
 	})
 	close(frt.following)
+	frt.group.Go("store era", func(ctx context.Context) error {
+		frt.storeEra.watch(ctx, frt.listAgain)
+		return nil
+	})
 }
 
 // configPollTimeout returns how long the store may hold back the configuration until it changes. The store answers at
@@ -125,53 +133,6 @@
 	}
 }
 
-// configVersion returns the version of the active configuration, 0 for none.
-func (frt *Front) configVersion() int64 {
-	if set := frt.rules.Load(); set != nil {
-		return set.Version()
-	}
-	return 0
-}
-
-// catchUpWithPeer reads the configuration if a peer has a newer version and this front's own long poll does not return
-// it soon, as it does unless its connection is dead.
-func (frt *Front) catchUpWithPeer(version int64) {
-	select {
-	case <-frt.following:
-	default:
-		return // The front has just started, and is going to list the topic itself.
-	}
-	if version <= frt.configVersion() || frt.catchingUp.Swap(true) {
-		return
-	}
-	delay := config.FrontConfigTime.Of(frt.startSettings) / catchUpShare
-	frt.clock.After(delay, func() {
-		frt.catchingUp.Store(false)
-		if version > frt.configVersion() {
-			frt.configFollower.CatchUp()
-		}
-	})
-}
-
-// applyConfig makes a configuration the active one if its version is higher than that of the active one.
-func (frt *Front) applyConfig(rec follow.Record) {
-	if !platform.IsConfig(rec.Key) || rec.Value == nil {
-		return
-	}
-	spc, err := platform.ReadConfig(rec.Value)
-	if err != nil {
-		frt.log.Error(err, "front: cannot decode the configuration, ignoring it")
-		return
-	}
-	old := frt.rules.Load()
-	if old != nil && old.Version() >= spc.Version {
-		return
-	}
-	frt.rules.Store(rules.New(spc))
-	frt.log.Info("front: configuration in force", "version", spc.Version, "routes", len(spc.Routes),
-		"services", len(spc.Services), "accounts", len(spc.Accounts))
-}
-
 // applyRegistration records the registration of a replica, or its removal.
 func (frt *Front) applyRegistration(rec follow.Record) {
 	if rec.Value == nil {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -53,8 +53,19 @@
 	ConfigVersion func() int64
 	// OnConfigVersion is called with the version that is active at a peer; nil for none.
 	OnConfigVersion func(version int64)
+	// OnUnregistered is called when a datagram comes from a new peer that was not added by its address; nil for none.
+	OnUnregistered func()
+	// ConfigRecord returns the active configuration as it was in the store, for peers that cannot read it there, and
+	// its version, 0 if there is none; nil if it is not to be sent.
+	ConfigRecord func() (version int64, record []byte)
+	// OnConfigRecord is called with a configuration after RequestConfig.
+	OnConfigRecord func(version int64, record []byte)
 	// OnDigest is called with the changes that a peer has read in the store; nil for none.
 	OnDigest func(topic string, dig follow.Digest)
+	// StoreEra returns the era in which the store has last answered this process, 0 if it is not known; nil for none.
+	StoreEra func() int64
+	// OnStoreEra is called with the era of the store that a peer states; nil for none.
+	OnStoreEra func(era int64)
 	// OnStoreAnswers is called when the store answers a peer again after an outage; nil for none.
 	OnStoreAnswers func()
 	// OnCrash is called with a crash that a peer has observed; nil for none.
@@ -76,6 +87,7 @@
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
 	crashes        []unsentCrash
+	transfer       *configTransfer     // that this process has requested; nil for none
 	cellSizes      map[string]cellSize // by data centre
 	flushScheduled bool                // sendChanges is going to run
 
@@ -90,6 +102,9 @@
 	runID         uint32    // of the current run of the process
 	lastReceived  time.Time // when a datagram last came; zero before the first one and after a timeout
 	inactiveSince time.Time // when it was added or timed out
+	registered    bool      // it was added by its address, and not because a datagram came from there
+	configVersion int64     // that is active there, as last received
+	configSentAt  time.Time // when this process last sent it the configuration
 }
 
 // Start opens the socket and runs the exchange in grp. It returns a trace.ConnectionProblem error if the socket cannot
@@ -141,7 +156,7 @@
 		return
 	}
 	exc.mu.Lock()
-	exc.getOrAddPeer(addr)
+	exc.getOrAddPeer(addr).registered = true
 	exc.mu.Unlock()
 	// The peer answers with its own tasks.
 	exc.sendAllTasks(addr, "")
@@ -163,48 +178,6 @@
 	return per
 }
 
-// LiveProcesses returns the number of processes that have not timed out, including this one. Those of other cells are
-// counted by the processes there.
-func (exc *Exchange) LiveProcesses() int {
-	exc.mu.Lock()
-	defer exc.mu.Unlock()
-	now := exc.opts.Clock.Now()
-	live := make(map[string]int) // by data centre
-	for _, per := range exc.peers {
-		if exc.isLive(per) {
-			live[per.dataCentre]++
-		}
-	}
-	for dataCentre, size := range exc.cellSizes {
-		if now.Sub(size.receivedAt) < peerTimeout {
-			live[dataCentre] = max(live[dataCentre], size.live)
-		}
-	}
-	num := 1
-	for _, count := range live {
-		num += count
-	}
-	return num
-}
-
-// LiveNear returns the number of live processes that place calls on the same replicas first as this one, including it.
-func (exc *Exchange) LiveNear() int {
-	exc.mu.Lock()
-	defer exc.mu.Unlock()
-	num := 1
-	for _, per := range exc.peers {
-		if exc.isLive(per) && exc.isNear(per) {
-			num++
-		}
-	}
-	return num
-}
-
-// isLive reports whether a datagram of the peer came within the timeout.
-func (exc *Exchange) isLive(per *peer) bool {
-	return !per.lastReceived.IsZero() && exc.opts.Clock.Since(per.lastReceived) < peerTimeout
-}
-
 // receiveMessages reads and handles datagrams until ctx ends.
 func (exc *Exchange) receiveMessages(ctx context.Context) {
 	buf := make([]byte, maxDatagramBytes)
@@ -226,6 +199,16 @@
 	}
 }
 
+// greetNew sends what this process knows to a peer that is new or was restarted.
+func (exc *Exchange) greetNew(addr *net.UDPAddr, dataCentre string, registered bool) {
+	exc.opts.Fleet.RemovePeer(addr.String())
+	exc.sendAllTasks(addr, dataCentre)
+	exc.sendKnownCrashes(addr)
+	if !registered && exc.opts.OnUnregistered != nil {
+		exc.opts.OnUnregistered()
+	}
+}
+
 // handleMessage records the tasks and crashes that a peer has sent. A new peer, or one that was restarted, gets all
 // tasks of this process at once.
 func (exc *Exchange) handleMessage(addr *net.UDPAddr, msg *message) {
@@ -237,21 +220,23 @@
 	if msg.Name != "" {
 		per.name, per.dataCentre = msg.Name, msg.DataCentre
 	}
-	dataCentre, isNear := per.dataCentre, exc.isNear(per)
+	if msg.ConfigVersion != 0 {
+		per.configVersion = msg.ConfigVersion
+	}
+	dataCentre, isNear, registered := per.dataCentre, exc.isNear(per), per.registered
 	exc.mu.Unlock()
 	if isNew {
 		if isNear {
 			exc.opts.Log.Info("peers: heard of a peer", "peer", msg.Name, "address", addr.String())
 		}
-		exc.opts.Fleet.RemovePeer(addr.String())
-		exc.sendAllTasks(addr, dataCentre)
-		exc.sendKnownCrashes(addr)
+		exc.greetNew(addr, dataCentre, registered)
 	}
-	if exc.opts.OnConfigVersion != nil && msg.ConfigVersion != 0 {
-		exc.opts.OnConfigVersion(msg.ConfigVersion)
+	exc.handleConfig(addr, msg)
+	if exc.opts.OnStoreEra != nil && msg.StoreEra != 0 {
+		exc.opts.OnStoreEra(msg.StoreEra)
 	}
 	if exc.opts.OnDigest != nil && msg.Digest != nil {
-		exc.opts.OnDigest(msg.Digest.Topic, msg.Digest.toDigest())
+		exc.opts.OnDigest(msg.Digest.Topic, msg.Digest.toDigest(msg.StoreEra))
 	}
 	if exc.opts.OnStoreAnswers != nil && msg.StoreAnswers {
 		exc.opts.OnStoreAnswers()
@@ -267,26 +252,3 @@
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
 	exc.applyCrashes(msg)
 }
-
-// expirePeers drops the tasks of peers that have timed out, and removes peers that have been inactive for long.
-func (exc *Exchange) expirePeers() {
-	now := exc.opts.Clock.Now()
-	var timedOut []string
-	exc.mu.Lock()
-	for addr, per := range exc.peers {
-		if !per.lastReceived.IsZero() && now.Sub(per.lastReceived) > peerTimeout {
-			timedOut = append(timedOut, addr)
-			if exc.isNear(per) { // The others send little.
-				exc.opts.Log.Info("peers: peer timed out", "peer", per.name, "address", addr)
-			}
-			per.lastReceived, per.inactiveSince = time.Time{}, now
-		}
-		if per.lastReceived.IsZero() && now.Sub(per.inactiveSince) > removePeerAfter {
-			delete(exc.peers, addr)
-		}
-	}
-	exc.mu.Unlock()
-	for _, addr := range timedOut {
-		exc.opts.Fleet.RemovePeer(addr)
-	}
-}
