Detect a crash under a cancelled request alone

A request that was suspected after the crash of one engine is stopped on the others. If it crashed such an engine just then, and nothing else ran there, no broken connection was left to show the crash: the agent asked the engine in vain to cancel the request, the engine came back, and the request could cost another.

A cancel that cannot be sent now starts a probe. As the engine may also have given up the request on the cancel, only a refused connection counts as a crash then. Requests of a crash are removed from the running ones after the crash is recorded, not before. The probe has a file of its own.

--- a/agent/crash.go
+++ b/agent/crash.go
@@ -8,7 +8,6 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -21,15 +20,8 @@
 // ReasonEngineCrashed means that the engine crashed while the request ran on it.
 const ReasonEngineCrashed = "engine-crashed"
 
-const (
-	// probeTimeout is the time after which a broken connection without a response from the engine is not attributed to
-	// a crash. A crashing process may accept connections for a moment without responding.
-	probeTimeout  = 3 * time.Second
-	probeInterval = 20 * time.Millisecond
-	// unlistedGrace is the time for which a cancelled attempt counts as running after the engine has stopped listing
-	// it.
-	unlistedGrace = time.Second
-)
+// unlistedGrace is the time for which a cancelled attempt counts as running after the engine has stopped listing it.
+const unlistedGrace = time.Second
 
 // errTruncated is the error of a stream that the engine closed in an orderly way before its last event. It is not a
 // sign of a crash, which breaks the connection.
@@ -45,14 +37,6 @@
 	stop        context.CancelCauseFunc // ends the attempt
 }
 
-// crashProbe checks whether the engine has crashed after a connection broke. If it has, the requests that are left in
-// attempts at the end of the probe are suspected.
-type crashProbe struct {
-	attempts map[string]*runningAttempt // running at the start of the probe and not completed since
-	done     chan struct{}
-	crashed  bool // valid once done is closed
-}
-
 // crashHandler detects crashes of the engine, reports the requests that ran on it, and runs suspected requests one at a
 // time.
 type crashHandler struct {
@@ -69,6 +53,8 @@
 	running   map[string]*runningAttempt
 	probe     *crashProbe                // in progress, or nil
 	lastCrash map[string]*runningAttempt // suspected by the last probe that found a crash
+	newest    string                     // ID of the newest known crash
+	newestAt  time.Time                  // when the newest known crash was received
 	// engineDown is set while the engine has refused connections and not responded since. Attempts that fail meanwhile
 	// have not run.
 	engineDown bool
@@ -112,6 +98,7 @@
 	defer crs.mu.Unlock()
 	if completed || crs.engineDown {
 		delete(crs.running, id)
+		signal(crs.agent.reportNow)
 	} else if att := crs.running[id]; att != nil {
 		att.ended = true
 	}
@@ -128,6 +115,7 @@
 		defer crs.mu.Unlock()
 		if att := crs.running[id]; att != nil && att.ended {
 			delete(crs.running, id)
+			signal(crs.agent.reportNow)
 		}
 	})
 }
@@ -161,97 +149,9 @@
 	return errors.As(err, &opr) && opr.Op == "dial"
 }
 
-// crashed reports whether the connection of an attempt broke because the engine crashed. It starts a probe unless one
-// is in progress, and waits for its end.
-func (crs *crashHandler) crashed(ctx context.Context, id string) bool {
-	crs.mu.Lock()
-	if crs.lastCrash[id] != nil {
-		crs.mu.Unlock()
-		return true
-	}
-	if crs.engineDown || crs.running[id] == nil {
-		crs.mu.Unlock()
-		return false
-	}
-	prb := crs.probe
-	if prb == nil {
-		prb = &crashProbe{attempts: make(map[string]*runningAttempt, len(crs.running)), done: make(chan struct{})}
-		for key, att := range crs.running {
-			prb.attempts[key] = att
-		}
-		crs.probe = prb
-		go crs.runProbe(prb) //nolint:gosec // The probe serves all attempts and outlives the one that started it.
-	}
-	crs.mu.Unlock()
-	select {
-	case <-prb.done:
-	case <-ctx.Done():
-		return false
-	}
-	if prb.attempts[id] == nil { // The attempt started after the probe did.
-		return crs.crashed(ctx, id)
-	}
-	return prb.crashed
-}
-
-// runProbe asks the engine for its active requests. The engine has crashed if it refuses the connection, or if it
-// responds and lists none of the probe's attempts. No response at all is the sign of a broken network or a paused
-// engine instead.
-func (crs *crashHandler) runProbe(prb *crashProbe) {
-	defer close(prb.done)
-	ctx, cancel := crs.agent.clock.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		list, err := crs.agent.engine.ActiveRequests(ctx)
-		switch {
-		case err == nil:
-			crs.concludeProbe(prb, crs.noneListed(prb, list), false)
-			return
-		case errors.Is(err, syscall.ECONNREFUSED):
-			crs.concludeProbe(prb, true, true)
-			return
-		}
-		_ = crs.agent.clock.Sleep(ctx, probeInterval)
-	}
-	crs.concludeProbe(prb, false, false)
-}
-
-// noneListed reports whether the engine's list has none of the probe's attempts.
-func (crs *crashHandler) noneListed(prb *crashProbe, list []string) bool {
-	crs.mu.Lock()
-	defer crs.mu.Unlock()
-	return !slices.ContainsFunc(list, func(id string) bool { return prb.attempts[id] != nil })
-}
-
-// concludeProbe ends a probe. Attempts lost in a planned stop or while the upstream is drained are no sign of a crash.
-func (crs *crashHandler) concludeProbe(prb *crashProbe, lost, down bool) {
-	agt := crs.agent
-	planned := agt.stopping() || agt.config.drained() ||
-		agt.config.store.StopPlanned(agt.local.Name, agt.clock.Now())
-	crs.mu.Lock()
-	crs.probe = nil
-	crs.engineDown = down
-	prb.crashed = lost && !planned
-	if !prb.crashed {
-		crs.mu.Unlock()
-		return
-	}
-	crs.lastCrash = prb.attempts
-	var suspected []*runningAttempt
-	for id, att := range prb.attempts {
-		suspected = append(suspected, att)
-		delete(crs.running, id)
-	}
-	crs.mu.Unlock()
-	if down {
-		agt.markEngineDown()
-	}
-	crs.publishCrash(suspected)
-}
-
-// publishCrash reports to the entries which requests ran at the crash. The one started last comes first, since a
-// request that crashes engines mostly does so soon after its start.
-func (crs *crashHandler) publishCrash(suspected []*runningAttempt) {
+// recordCrash records which requests ran at the crash, and reports whether any has a fingerprint. The one started last
+// comes first, since a request that crashes engines mostly does so soon after its start.
+func (crs *crashHandler) recordCrash(suspected []*runningAttempt) bool {
 	slices.SortFunc(suspected, func(one, two *runningAttempt) int { return cmp.Compare(two.order, one.order) })
 	agt := crs.agent
 	rec := proto.Crash{
@@ -266,10 +166,10 @@
 	agt.metrics.CountEvent("engine-crashed")
 	agt.log.Info("agent: engine crashed", "crash", rec.ID, "running", len(suspected), "fingerprints", len(rec.Running))
 	if len(rec.Running) == 0 {
-		return
+		return false
 	}
 	crs.suspects.AddCrash(rec, 0)
-	agt.broadcastReport() // Before the results of the crashed attempts, which are sent through the same queue.
+	return true
 }
 
 // markEngineDown marks an engine that refuses connections as unhealthy, without waiting for failed polls.
--- a/agent/health.go
+++ b/agent/health.go
@@ -181,6 +181,7 @@
 	defer cancel()
 	active, err := agt.engine.ActiveRequests(lim)
 	if err != nil {
+		agt.crashes.probeCancelled(ids)
 		return 0
 	}
 	listed := make(map[string]bool, len(active))
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -36,6 +36,7 @@
 	agent            *Agent
 	agentSettings    string
 	breakConnections func() // closes all connections to the engine, which continues
+	stopListening    func() // makes the engine refuse new connections
 }
 
 func fastModel() simeng.Model {
@@ -60,6 +61,7 @@
 	return &rig{
 		tb: tb, engine: eng, url: srv.URL, agentSettings: agentSettings,
 		breakConnections: srv.CloseClientConnections,
+		stopListening:    func() { _ = srv.Listener.Close() },
 	}
 }
 
