Send a suspect again only after the other agents have settled its crash

Agents now report the crashes that they know and the suspects that their engine runs, may still run, or may have crashed under. An entry sends a suspect only once all other connected agents for the model know its crash and hold no copy, for at most 5 s. From then on agents refuse copies that are not marked as suspected: their entry does not know the crash. The pause before a retry is back at 50 ms.

The new test lets the second engine that crashes accept connections for another second.

Two existing tests of the agent sent suspects without the mark that entries give them. They now set it; what they check is unchanged. The stand-in engine host of the entry's tests has a file of its own.

--- a/agent/crash_test.go
+++ b/agent/crash_test.go
@@ -119,10 +119,11 @@
 	rig := newSlowRig(t)
 	rig.agent.config.suspects.AddCrash(newCrash("1", 7, 8, 9), 0)
 	cancel := make(chan struct{})
-	wait := startRequests(rig, request{fpr: 7, cancel: cancel}, request{fpr: 70}) // The other one is not suspected.
+	// The other one is not suspected.
+	wait := startRequests(rig, request{fpr: 7, cancel: cancel, suspected: true}, request{fpr: 70})
 	con := rig.dial()
 	defer con.Close()
-	res, err := send(con, request{prompt: 1, output: 1, remaining: hangTimeout, fpr: 8})
+	res, err := send(con, request{prompt: 1, output: 1, remaining: hangTimeout, fpr: 8, suspected: true})
 	is.NoErr(err)
 	is.Equal(res.Outcome, proto.OutcomeNotRun)
 	is.Equal(res.Reason, ReasonSuspectWaits)
@@ -132,7 +133,7 @@
 
 	waiting := make(chan proto.Result, 1)
 	go func() {
-		res, _ := send(con, request{prompt: 1, output: 1, remaining: hangTimeout, fpr: 8})
+		res, _ := send(con, request{prompt: 1, output: 1, remaining: hangTimeout, fpr: 8, suspected: true})
 		waiting <- res
 	}()
 	rig.eventually("the suspect waits", func() bool {
@@ -157,7 +158,7 @@
 	wait := startRequests(rig, request{fpr: 7})
 	suspects.AddCrash(newCrash("1", 7, 8), 0)
 	is.Equal(wait(), []string{ReasonSuspectWaits})
-	wait = startRequests(rig, request{fpr: 7})
+	wait = startRequests(rig, request{fpr: 7, suspected: true})
 	suspects.AddCrash(newCrash("2", 7), 0)
 	is.Equal(wait(), []string{ReasonBlocked})
 	con := rig.dial()
@@ -208,3 +209,43 @@
 	slt.release(two)
 	is.True(granted(slt.acquire(9)))
 }
+
+// Guards against two copies of a suspect on two engines at once: the entry that sends an unmarked one does not know the
+// crash, and so has not chosen the agent that all others choose.
+func TestSuspectIsRefusedUntilItsEntryKnowsTheCrash(t *testing.T) {
+	is := is.New(t)
+	rig := newSlowRig(t)
+	rig.agent.config.suspects.AddCrash(newCrash("1", 7), 0)
+	con := rig.dial()
+	defer con.Close()
+	res, err := send(con, request{prompt: 1, output: 1, remaining: hangTimeout, fpr: 7})
+	is.NoErr(err)
+	is.Equal(res, (&crashRefusal{ReasonSuspectWaits}).result())
+	res, err = send(con, request{prompt: 1, output: 1, remaining: hangTimeout, fpr: 7, suspected: true})
+	is.NoErr(err)
+	is.Equal(res.Outcome, proto.OutcomeDone)
+}
+
+// Guards against a report that shows a crash as known while a copy of its request may still crash this engine, and
+// against one that shows neither the copy nor the crash that it caused.
+func TestReportShowsHeldSuspects(t *testing.T) {
+	is := is.New(t)
+	rig := newSlowRig(t)
+	agt := rig.agent
+	agt.crashes.unlistedGrace = hangTimeout
+	cancel := make(chan struct{})
+	wait := startRequests(rig, request{fpr: 7, cancel: cancel}, request{fpr: 8})
+	is.Equal(agt.report().KnownCrashes, nil)
+	close(cancel) // The engine may still run it.
+	agt.config.suspects.AddCrash(newCrash("1", 7), 0)
+	rep := agt.report()
+	is.Equal(rep.KnownCrashes, []string{"1"})
+	is.Equal(rep.HeldSuspects, []proto.Fingerprint{7})
+	rig.engine.Crash()
+	wait()
+	rep = agt.report()
+	is.Equal(rep.HeldSuspects, nil)
+	is.Equal(len(rep.KnownCrashes), 2)
+	is.Equal(rep.KnownCrashes[0], "1")
+	is.Equal(rig.status(7), crash.StatusBlocked)
+}
--- a/agent/report.go
+++ b/agent/report.go
@@ -23,6 +23,10 @@
 
 // report returns the agent's current load and state.
 func (agt *Agent) report() proto.Report {
+	// In this order, so that a crash is not known here before its held requests show, and each held request shows until
+	// the crash that it caused is among the crashes of fillReport.
+	known := agt.crashes.knownCrashes()
+	held := agt.crashes.heldSuspects()
 	usg := agt.ledger.Usage()
 	stt := agt.queue.State()
 	agt.mu.Lock()
@@ -44,6 +48,8 @@
 		LongPrefill:       stt.LongPrefill,
 		ShortLimit:        agt.shortLimit,
 		OutputTime:        agt.model.DecodeTime(1),
+		KnownCrashes:      known,
+		HeldSuspects:      held,
 	}
 	return agt.config.fillReport(rep)
 }
@@ -53,17 +59,21 @@
 	queueing    bool // requests wait in the queue
 	draining    bool
 	healthy     bool
-	longPrefill bool // the prefill of long prompts is not finished
+	longPrefill bool   // the prefill of long prompts is not finished
+	held        int    // suspects that the engine runs or may still run
+	crash       string // newest known
 }
 
 func urgentStateOf(rep proto.Report) urgentState {
 	return urgentState{
 		queueing: rep.Queued > 0, draining: rep.Draining, healthy: rep.Healthy, longPrefill: rep.LongPrefill > 0,
+		held: len(rep.HeldSuspects), crash: newest(rep.KnownCrashes),
 	}
 }
 
 // reportLoop sends a report between heartbeats whenever the urgent state changes: requests start or stop queueing, the
-// agent drains, its health changes, or it starts or ends its last long prompt.
+// agent drains, its health changes, it starts or ends its last long prompt, or its known crashes or held suspects
+// change.
 func (agt *Agent) reportLoop(ctx context.Context) error {
 	var sent urgentState
 	for {
--- a/agent/suspect.go
+++ b/agent/suspect.go
@@ -42,10 +42,10 @@
 // run. The result isolated tells that the request holds the suspect slot.
 func (crs *crashHandler) admit(ctx context.Context, msg proto.Open) (isolated bool, release func(), ref *crashRefusal) {
 	status, sus := crs.status(msg.Fingerprint)
-	switch {
-	case status == crash.StatusBlocked:
-		return false, nil, &crashRefusal{ReasonBlocked}
-	case status != crash.StatusSuspected && (!crs.enabled || !msg.Suspected):
+	if ref := refusalOnArrival(status, msg.Suspected); ref != nil {
+		return false, nil, ref
+	}
+	if status != crash.StatusSuspected && (!crs.enabled || !msg.Suspected) {
 		return false, func() {}, nil
 	}
 	lim, cancel := crs.agent.clock.WithTimeout(ctx, maxSuspectWait)
@@ -73,6 +73,19 @@
 	}
 }
 
+// refusalOnArrival returns why a request with the given status does not even wait, or nil. An entry that sends a
+// suspect unmarked does not know the crash yet, and a copy of the request may run at the agent that all others choose.
+func refusalOnArrival(status crash.Status, marked bool) *crashRefusal {
+	switch {
+	case status == crash.StatusBlocked:
+		return &crashRefusal{ReasonBlocked}
+	case status == crash.StatusSuspected && !marked:
+		return &crashRefusal{ReasonSuspectWaits}
+	default:
+		return nil
+	}
+}
+
 // status returns the status of a request in crash attribution: StatusFree for every request if attribution is disabled.
 func (crs *crashHandler) status(fpr proto.Fingerprint) (crash.Status, crash.Suspicion) {
 	if !crs.enabled {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,7 +19,7 @@
 	if run.tooLongRefusal != nil {
 		return ent.attemptSplit(ctx, run, *run.tooLongRefusal), ""
 	}
-	plc := ent.pickAgent(run, tried)
+	plc := ent.pickSettled(ctx, run, tried)
 	if plc == nil {
 		none := proto.Result{Outcome: proto.OutcomeNotRun, Reason: ReasonNoUpstream, Detail: "no upstream is available"}
 		return none, ""
--- a/entry/attribution.go
+++ b/entry/attribution.go
@@ -31,10 +31,9 @@
 	// takes about 3 s. With no engine left, the budget then ends the call earlier than its time limit would.
 	maxExemptRefusals = 8
 	// minCrashPause is the shortest pause before a retry outside the budget. It doubles with each attempt, up to
-	// maxCrashPause. During the pause, the entry can learn that another copy of the request has crashed an engine
-	// elsewhere. On machines whose CPU load is twice the number of processors, such a crash is detected after 120 ms
-	// and received by all processes 70 ms later; a retry after 50 ms could crash a third engine.
-	minCrashPause = 300 * time.Millisecond
+	// maxCrashPause. Whether another copy of the request has crashed an engine elsewhere does not depend on it: see
+	// pickSettled.
+	minCrashPause = 50 * time.Millisecond
 	maxCrashPause = 500 * time.Millisecond
 	// positionDelay is added for each request that started later on the crashed engine, up to maxCrashPause. The
 	// requests started last are the likeliest causes of the crash, and the first to get the agents' slots for suspects.
--- a/entry/attribution_test.go
+++ b/entry/attribution_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -26,9 +25,6 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-// engineRestartTime is far shorter than the restart of a real engine, so that engines are back within a test.
-const engineRestartTime = 300 * time.Millisecond
-
 const crashingBody = `{"model":"m","prompt":"crashing-prompt","max_tokens":4}`
 
 // crashFleet is a fleet of engines that the request crashingBody crashes. Each engine has an agent, and all entries are
@@ -40,6 +36,8 @@
 	crashes    atomic.Int64 // number of crashes of all engines
 	log        *httptest.Server
 	onFinished func(dur time.Duration) // if set, called with the duration of each other stream that has finished
+	// lingering, if set, returns the time for which an engine that crashes as the given one still accepts connections.
+	lingering func(crash int64) time.Duration
 }
 
 func newCrashFleet(tb testing.TB, engines, entries int, withLog bool, settings string) *crashFleet {
@@ -79,8 +77,13 @@
 	}
 	eng.CrashOn("crashing-prompt", func() {
 		if !hst.down.Swap(true) { // An engine that is down already cannot crash again.
-			flt.crashes.Add(1)
-			go hst.restart(tb)
+			num := flt.crashes.Add(1)
+			go func() {
+				if flt.lingering != nil {
+					time.Sleep(flt.lingering(num))
+				}
+				hst.restart(tb)
+			}()
 		}
 	})
 	hst.listen(tb)
@@ -94,56 +97,6 @@
 	return must[*agent.Agent](tb)(agent.New(grp, set, sec, timer.New(), logr.Discard())).Address()
 }
 
-// engineHost serves an engine at a fixed address, on which nothing listens while the engine restarts after a crash. The
-// address is in the loopback range and random, so that no other process takes its port meanwhile.
-type engineHost struct {
-	addr    string
-	handler http.Handler
-	down    atomic.Bool
-
-	mu      sync.Mutex
-	srv     *http.Server
-	stopped bool
-}
-
-func (hst *engineHost) listen(tb testing.TB) {
-	hst.mu.Lock()
-	defer hst.mu.Unlock()
-	if hst.stopped {
-		return
-	}
-	lis := must[net.Listener](tb)(net.Listen("tcp", hst.addr))
-	hst.addr = lis.Addr().String()
-	srv := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		if hst.down.Load() {
-			panic(http.ErrAbortHandler)
-		}
-		hst.handler.ServeHTTP(rw, req)
-	})}
-	hst.srv = srv
-	go func() { _ = srv.Serve(lis) }()
-}
-
-func (hst *engineHost) close() {
-	hst.mu.Lock()
-	defer hst.mu.Unlock()
-	_ = hst.srv.Close()
-}
-
-func (hst *engineHost) restart(tb testing.TB) {
-	hst.close()
-	time.Sleep(engineRestartTime)
-	hst.down.Store(false)
-	hst.listen(tb)
-}
-
-func (hst *engineHost) stop() {
-	hst.mu.Lock()
-	hst.stopped = true
-	hst.mu.Unlock()
-	hst.close()
-}
-
 // resend sends the crashing request through an entry until it is blocked, at most 20 times. It returns how often it was
 // sent.
 func (flt *crashFleet) resend(tb testing.TB, base string) int {
@@ -246,6 +199,28 @@
 	resendEverywhere(t, false, true, 2)
 }
 
+// Guards against a third lost engine because the crash that one copy of a request caused takes long to detect: the
+// engine of the second copy still accepts connections for a while after its crash.
+func TestCopiesAtOnceCostTwoEnginesWithSlowDetection(t *testing.T) {
+	for range 3 { // The copies may share an engine, and the second crash then comes from the retry.
+		is := is.New(t)
+		flt := newCrashFleet(t, 5, 2, true, "")
+		flt.lingering = func(crash int64) time.Duration {
+			if crash == 2 {
+				return time.Second
+			}
+			return 0
+		}
+		var resends sync.WaitGroup
+		for _, base := range flt.bases {
+			resends.Go(func() { flt.resend(t, base) })
+		}
+		resends.Wait()
+		is.Equal(flt.crashes.Load(), int64(2))
+		flt.awaitBlocked(t)
+	}
+}
+
 // resendEverywhere keeps sending a request that crashes engines through all entries, beside other streams. The entries
 // send it at the same time if atOnce is set. It checks that at least 2 and at most maxLost engines crash.
 func resendEverywhere(t *testing.T, withLog, atOnce bool, maxLost int64) {
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -25,6 +25,7 @@
 		ent.broadcastCrashes()
 	}
 	ent.attach(con) // The first report may arrive before Dial has returned in stayConnected.
+	ent.recordAck(con, rep)
 	ent.limits.ApplyReport(rep.EntryCount, rep.Demands)
 	ent.table.Report(con.Peer(), rep)
 	ent.recordVersion(con.Peer().Name, rep)
@@ -53,6 +54,7 @@
 		return
 	}
 	ent.conns[con.Peer().Name] = con
+	ent.acks.remove(con.Peer().Name)
 	ent.table.Connect(con.Peer())
 }
 
@@ -63,6 +65,7 @@
 	if ent.conns[con.Peer().Name] == con {
 		delete(ent.conns, con.Peer().Name)
 		delete(ent.versions, con.Peer().Name)
+		ent.acks.remove(con.Peer().Name)
 		ent.table.Disconnect(con.Peer())
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,7 @@
 	members atomic.Pointer[member.Connector] // nil without a VM list
 
 	copies copyTracker
+	acks   *crashAcks
 
 	mu       sync.Mutex
 	conns    map[string]*link.Conn // by the agent's name
@@ -61,7 +62,7 @@
 	grp *group.Group, set *config.Settings, sec *config.Secrets, clk *timer.Service, log logr.Logger,
 ) (*Entry, error) {
 	ent := &Entry{
-		clock: clk, log: log, metrics: metric.New(),
+		clock: clk, log: log, metrics: metric.New(), acks: newCrashAcks(),
 		conns: make(map[string]*link.Conn), versions: make(map[string]string),
 	}
 	ent.slots = config.OnceSlots.Of(set)
--- a/proto/messages.go
+++ b/proto/messages.go
@@ -161,6 +161,8 @@
 	ShortWait         time.Duration `cbor:"11,keyasint,omitempty"` // predicted queueing time of a short request
 	Crashes           []Crash       `cbor:"12,keyasint,omitempty"` // crashes that are not in the log yet
 	Version           string        `cbor:"13,keyasint,omitempty"` // model version that the upstream has loaded
+	KnownCrashes      []string      `cbor:"14,keyasint,omitempty"` // IDs of the crashes received lately, newest last
+	HeldSuspects      []Fingerprint `cbor:"15,keyasint,omitempty"` // suspects that the upstream runs or may still run
 	LongPrefill       time.Duration `cbor:"20,keyasint,omitempty"` // part of QueuedPrefill for prompts over ShortLimit
 	ShortLimit        int           `cbor:"21,keyasint,omitempty"` // longest prompt that counts as short, in tokens
 	Demands           []EntryDemand `cbor:"22,keyasint,omitempty"` // of connected entries with any demand
--- a/state/suspect.go
+++ b/state/suspect.go
@@ -142,6 +142,15 @@
 	return sus.store.machine.attribution.Status(fpr, now)
 }
 
+// Crashes returns the IDs of the newest crashes that are known, at most limit, oldest first.
+func (sus *Suspects) Crashes(limit int) []string {
+	sus.mu.Lock()
+	defer sus.mu.Unlock()
+	sus.prunePending()
+	list := sus.currentAttribution().Crashes
+	return slices.Clone(list[max(0, len(list)-limit):])
+}
+
 // Attribution returns a copy of the crash attribution.
 func (sus *Suspects) Attribution() crash.Attribution {
 	sus.mu.Lock()
