--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -229,7 +229,6 @@
 		rly.run.callerErr = err
 		return fmt.Errorf("entry: relay body: %w", err)
 	}
-	rly.run.sentBytes += len(part)
 	return nil
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -119,7 +119,6 @@
 	rep        edge.Reply
 	events     eventSplitter
 	headSent   bool
-	sentBytes  int   // body bytes delivered to the caller
 	callerErr  error // failed write to the caller's connection
 	mayHaveRun bool  // an attempt may have run, at least in part
 
--- a/member/connector.go
+++ b/member/connector.go
@@ -48,11 +48,10 @@
 	grp       *group.Group
 	dialSlots chan struct{}
 
-	mu           sync.Mutex
-	assignment   *Assignment
-	sessions     map[string]*session     // by the agent's name
-	listReceived bool                    // the list has been received at least once
-	retired      map[*link.Conn]struct{} // open until their streams have ended, without new calls
+	mu         sync.Mutex
+	assignment *Assignment
+	sessions   map[string]*session     // by the agent's name
+	retired    map[*link.Conn]struct{} // open until their streams have ended, without new calls
 }
 
 // session maintains the connection to one agent at one address. It redials until it is retired.
@@ -74,13 +73,6 @@
 	return cnr
 }
 
-// ListReceived tells whether the list has been received at least once.
-func (cnr *Connector) ListReceived() bool {
-	cnr.mu.Lock()
-	defer cnr.mu.Unlock()
-	return cnr.listReceived
-}
-
 // Agents returns all live agents of the list, whichever entry they are assigned to.
 func (cnr *Connector) Agents() []vmlist.VM {
 	cnr.mu.Lock()
@@ -139,7 +131,6 @@
 			cnr.assignment.Apply(vm)
 		}
 	}
-	cnr.listReceived = true
 	cnr.reconcile(cnr.assignment.Assigned())
 	return true
 }
