Do not log the own drain of an entry as that of another one

Agents report the state of all connected entries back to each of them, so a draining entry logged "another entry drains" about itself.

--- a/entry/config.go
+++ b/entry/config.go
@@ -119,9 +119,15 @@
 // applyReport records the configuration versions and the draining entries in an agent's report.
 func (cfg *configuration) applyReport(con *link.Conn, rep proto.Report) {
 	cfg.exchange.RecordVersion(statePeer(con), rep.StateVersion)
-	for _, ent := range rep.Entries {
+	cfg.recordEntries(rep.Entries)
+}
+
+// recordEntries records the versions of the entries that are connected to an agent, this one among them, and logs when
+// another one starts to drain.
+func (cfg *configuration) recordEntries(list []proto.PeerVersion) {
+	for _, ent := range list {
 		cfg.exchange.RecordRelayedVersion(ent.Name, proto.RoleEntry, ent.Version)
-		if cfg.exchange.SetDraining(ent.Name, ent.Draining) && ent.Draining {
+		if cfg.exchange.SetDraining(ent.Name, ent.Draining) && ent.Draining && ent.Name != cfg.name {
 			cfg.log.Info("entry: another entry drains", "entry", ent.Name)
 		}
 	}
