--- a/cmd/tarragonwheel/operate.go
+++ b/cmd/tarragonwheel/operate.go
@@ -148,12 +148,18 @@
 	return intent.ParsePlan(raw)
 }
 
-func (cmd *confirmCommand) run(ctx context.Context, std streams) error {
-	pla, err := readPlan(cmd.Plan)
+// openPlan reads a saved plan and returns it with the client of the entry.
+func (opr operatorFlags) openPlan(file string) (intent.Plan, *admin.Client, error) {
+	pla, err := readPlan(file)
 	if err != nil {
-		return err
+		return pla, nil, err
 	}
-	cli, err := cmd.client()
+	cli, err := opr.client()
+	return pla, cli, err
+}
+
+func (cmd *confirmCommand) run(ctx context.Context, std streams) error {
+	pla, cli, err := cmd.openPlan(cmd.Plan)
 	if err != nil {
 		return err
 	}
@@ -169,11 +175,7 @@
 }
 
 func (cmd *outcomeCommand) run(ctx context.Context, std streams) error {
-	pla, err := readPlan(cmd.Plan)
-	if err != nil {
-		return err
-	}
-	cli, err := cmd.client()
+	pla, cli, err := cmd.openPlan(cmd.Plan)
 	if err != nil {
 		return err
 	}
