--- a/once/recorder_test.go
+++ b/once/recorder_test.go
@@ -106,9 +106,7 @@
 	until(t, func() bool { return ben.log.Appends() >= 1 })
 	ben.log.SetDelay(0)
 	is.Equal(svc.runs.Load(), int32(0))
-	until(t, func() bool {
-		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
-	})
+	ben.untilDone(t, rec, svc)
 	is.Equal(svc.runs.Load(), int32(1))
 }
 
@@ -168,9 +166,7 @@
 	is.Equal(res.Reason, once.ReasonLogUnavailable)
 	is.True(res.RetryAfter > 0)
 	ben.log.SetDown(false)
-	until(t, func() bool {
-		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
-	})
+	ben.untilDone(t, rec, svc)
 	is.Equal(svc.runs.Load(), int32(1))
 }
 
@@ -208,9 +204,7 @@
 			return ben.cli.Read(ctx, stream, from, limit, min(wait, 10*time.Millisecond))
 		}
 	})
-	until(t, func() bool {
-		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
-	})
+	ben.untilDone(t, rec, svc)
 	empty.Store(true)
 	until(t, func() bool {
 		key := time.Now().String()
--- a/once/rig_test.go
+++ b/once/rig_test.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonwheel/tarragonwheel/logsvc"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/once"
+	"github.com/tarragonwheel/tarragonwheel/proto"
 	"github.com/tarragonwheel/tarragonwheel/simlog"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
@@ -59,6 +60,14 @@
 	return rec, grp
 }
 
+// untilDone repeats the call with key "k" and body "b" until it is done.
+func (ben *bench) untilDone(t testing.TB, rec *once.Recorder, svc *service) {
+	t.Helper()
+	until(t, func() bool {
+		return rec.Do(context.Background(), ben.request("k", "b"), svc.run).Outcome == proto.OutcomeDone
+	})
+}
+
 func until(t testing.TB, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); !cond(); time.Sleep(time.Millisecond) {
