--- a/report/report_test.go
+++ b/report/report_test.go
@@ -21,7 +21,8 @@
 	at := time.Date(2031, 5, 6, 0, 0, 0, 0, time.UTC).Add(time.Duration(millis) * time.Millisecond)
 	return fmt.Sprintf("time=%s level=INFO msg=\"relay: call ended\" process=f1 call=c status=%d reason=%s took=500ms "+
 		"attempts=%d events=3 prompt-tokens=1500 first-event=80ms longest-gap=0s replica=%s cell=\"\" position=0 "+
-		"parts=1 predicted-first-event=70ms decode-streams=0 prefill-backlog=0s failure-rate=0 short-replicas=0 summary-age=%s",
+		"parts=1 predicted-first-event=70ms decode-streams=0 prefill-backlog=0s failure-rate=0 short-replicas=0 "+
+		"summary-age=%s",
 		at.Format(time.RFC3339Nano), status, reason, attempts, replica, summaryAge)
 }
 
