--- a/agent/once_failover_test.go
+++ b/agent/once_failover_test.go
@@ -45,8 +45,7 @@
 	one.stop()
 	is.True((<-first).outcome != proto.OutcomeDone)
 	rig.sendUntil(t, two, "k", proto.OutcomeDone)
-	byKey, _ := rig.svc.Counts()
-	is.Equal(byKey["k"], 1)
+	is.Equal(rig.executions("k"), 1)
 }
 
 // Guards against a second execution after an agent was lost while the service ran its call.
@@ -58,14 +57,13 @@
 	rig.sendUntil(t, two, "ready", proto.OutcomeDone)
 	rig.svc.Inject(simsvc.FaultHang)
 	go rig.send(one.conn(), "k", "k", sendTimeout)
-	eventually(t, "execution", func() bool { byKey, _ := rig.svc.Counts(); return byKey["k"] == 1 })
+	eventually(t, "execution", func() bool { return rig.executions("k") == 1 })
 	one.stop()
 	is.Equal(rig.send(two.conn(), "k", "k", sendTimeout).reason, once.ReasonNoEndRecorded)
 	one.start() // A new incarnation must not run the call either.
 	out := rig.sendUntil(t, one, "k", proto.OutcomeUnknown)
 	is.Equal(out.reason, once.ReasonNoEndRecorded)
-	byKey, _ := rig.svc.Counts()
-	is.Equal(byKey["k"], 1)
+	is.Equal(rig.executions("k"), 1)
 }
 
 // Guards against a retry that runs again, or does not get the recorded answer, after the agent was lost when the end of
@@ -81,8 +79,7 @@
 	is.Equal(again.body, first.body)
 	is.Equal(again.status, first.status)
 	is.Equal(rig.send(two.conn(), "k", "other", sendTimeout).reason, once.ReasonKeyReused)
-	byKey, _ := rig.svc.Counts()
-	is.Equal(byKey["k"], 1)
+	is.Equal(rig.executions("k"), 1)
 }
 
 // Guards against an answer that is lost with the entry if the entry is lost while the service runs the call.
@@ -100,6 +97,5 @@
 	again := rig.send(other, "k", "k", sendTimeout)
 	is.Equal(again.outcome, proto.OutcomeDone)
 	is.Equal(rig.sendUntil(t, two, "k", proto.OutcomeDone).body, again.body)
-	byKey, _ := rig.svc.Counts()
-	is.Equal(byKey["k"], 1)
+	is.Equal(rig.executions("k"), 1)
 }
--- a/agent/once_rig_test.go
+++ b/agent/once_rig_test.go
@@ -142,6 +142,12 @@
 	status  int
 }
 
+// executions returns how often the service has run the call with the given key.
+func (rig *rig) executions(key string) int {
+	byKey, _ := rig.svc.Counts()
+	return byKey[key]
+}
+
 // send sends a call as an entry does. A lost connection leaves the outcome unknown.
 func (rig *rig) send(con *link.Conn, key, body string, remaining time.Duration) sendResult {
 	out := sendResult{id: fmt.Sprint(rig.sends.Add(1)), outcome: proto.OutcomeUnknown, reason: "agent-lost"}
--- a/agent/plain_test.go
+++ b/agent/plain_test.go
@@ -71,6 +71,5 @@
 	nod.stop() // Nothing reaches the log after this.
 	two := rig.startNode("two")
 	is.Equal(rig.send(two.conn(), "k", "k", sendTimeout).outcome, proto.OutcomeDone)
-	byKey, _ := rig.svc.Counts()
-	is.Equal(byKey["k"], 1)
+	is.Equal(rig.executions("k"), 1)
 }
