Keep a silent run until the stream of a standby attempt has begun

What callers saw: a run of a sound but silent replica was given up for a secured retry, which the other replica then refused or failed. With the retry budget used up the call ended without an answer, or with 502.

Cause: the retry was certain to be sent, but not to succeed, and the run was gone by then.

Change: the other attempt is begun beside the silent run, on a new connection, and replaces it once its stream has begun. The one that is not needed is cancelled at once: the standby attempt if the run goes on, both if the client leaves. The check of a secured retry and its own state in the call are gone.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,9 +1,9 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -23,7 +23,7 @@
 	notSent    bool   // no replica received any of the call
 	reason     string // one of the reason constants
 	err        error
-	next       *place.Placement // secured for another attempt before this one was given up; nil for none
+	next       *attempt // a standby attempt that goes on; nil for none
 }
 
 // errorText returns the text of the error, or an empty string.
@@ -34,104 +34,125 @@
 	return out.err.Error()
 }
 
-// sendAttempt sends the call once, to the replicas of a placement, and forwards the response. It reserves KV memory at
-// helper replicas first and releases it at the end.
+// sendAttempt sends the call once, to the replicas of a placement, and forwards the response.
 func (hdl *callHandler) sendAttempt(plc *place.Placement) outcome {
-	hdl.attempts++
-	tasks := hdl.startTasks(plc)
-	defer tasks.end()
-	mem, err := hdl.opts.Reserver.reserve(hdl.ctx, plc)
-	if err != nil {
-		return outcome{notSent: true, reason: reasonNoMemory, err: err}
-	}
-	defer mem.release(hdl.ctx)
-	now := hdl.opts.Clock.Now()
-	ctx, cancel := hdl.opts.Clock.WithTimeout(hdl.ctx, hdl.deadline.Sub(now))
-	defer cancel()
-	rep := plc.Primary.Replica
-	needsNewConn := !hdl.rte.Retryable() || hdl.possibleRuns > 0 // Another retry may be denied.
-	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, needsNewConn)
-	if err != nil {
-		if ctx.Err() == nil {
-			rep.RecordUnreachable()
-		}
-		return outcome{notSent: true, reason: reasonUnreachable, err: err}
+	att := hdl.newAttempt(plc)
+	defer att.end()
+	if out := att.open(); out != nil {
+		return *out
 	}
-	stop := context.AfterFunc(ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
-	defer stop()
-	att := &attempt{hdl: hdl, con: con, placement: plc, tasks: tasks, ctx: ctx}
-	defer mem.watchUse(
-		ctx, hdl.opts.ReservationUseTimeout, att.firstEventReceived.Load, att.abortUnusedReservation,
-	).Stop()
-	defer att.queryLatencyIfOverdue().Stop()
 	att.stall = att.watchStall()
-	out := att.roundTrip(&call.Attempt{
-		Replica: plc.Primary.ID, Account: hdl.account, TimeLeft: hdl.deadline.Sub(hdl.opts.Clock.Now()),
-		Helpers:     mem.helpers,
-		Priority:    enginePriority(hdl.rte.LatencyTarget),
-		LastEventID: hdl.lastEventID, HasLastEventID: hdl.hasLastEventID,
-	})
-	att.stall.stop()
-	if out.reason == reasonStalled {
-		out.next = att.stall.next
-	}
-	if out.mayHaveRun {
-		hdl.possibleRuns++
-	}
-	if !att.connReleased {
-		_ = con.Close() // It may still carry bytes of this call.
-	}
-	att.recordReplicaHealth(&out)
-	return out
+	return att.finish(att.roundTrip())
 }
 
-// attemptTasks are the tasks of an attempt: the call at the primary replica, then the prompt parts at helper replicas.
-type attemptTasks []*fleet.LocalTask
-
-// startTasks registers the tasks of an attempt, so that they count as load of their replicas.
-func (hdl *callHandler) startTasks(plc *place.Placement) attemptTasks {
-	tsk := hdl.newTask(plc)
-	tasks := attemptTasks{plc.Primary.Replica.StartTask(tsk, hdl.opts.OnTaskChange)}
-	for _, hlp := range plc.Helpers {
-		part := fleet.Task{
-			IsPart: true, SplitPrompt: true, KVTokens: hlp.ReserveTokens, PrefillTime: plc.PrefillTime,
-			DueAt: tsk.DueAt, ExpectedAt: tsk.ExpectedAt, TargetMissed: tsk.TargetMissed,
-			Value: tsk.Value * place.PartValueShare,
-		}
-		tasks = append(tasks, hlp.View.Replica.StartTask(part, hdl.opts.OnTaskChange))
-	}
-	return tasks
+// resumeWith goes on with a standby attempt, whose stream has begun.
+func (hdl *callHandler) resumeWith(att *attempt) outcome {
+	defer att.end()
+	hdl.placement, hdl.placedAt = *att.placement, att.placedAt
+	att.stall = att.watchStall()
+	return att.finish(att.forwardStream())
 }
 
-// markDecoding records that prefill is over: the call is decoding, and the tasks of the prompt parts have ended.
-func (tks attemptTasks) markDecoding() {
-	tks[0].MarkDecoding()
-	for _, tsk := range tks[1:] {
-		tsk.End()
-	}
+// finish ends the watch of the attempt and settles its outcome.
+func (att *attempt) finish(out outcome) outcome {
+	out.next = att.stall.stop(out.final || out.reason == reasonClientLeft)
+	att.settle(&out)
+	return out
 }
 
-// end ends all tasks.
-func (tks attemptTasks) end() {
-	for _, tsk := range tks {
-		tsk.End()
+// settle records the outcome of the attempt.
+func (att *attempt) settle(out *outcome) {
+	if out.mayHaveRun {
+		att.hdl.possibleRuns++
+	}
+	if att.con != nil && !att.connReleased {
+		_ = att.con.Close() // It may still carry bytes of this call.
+	}
+	if att.con != nil {
+		att.recordReplicaHealth(out)
 	}
 }
 
 // attempt is one request and its response on a connection to a replica.
 type attempt struct {
 	hdl                *callHandler
-	con                *pool.Conn
+	con                *pool.Conn // nil before it is open
 	placement          *place.Placement
-	tasks              attemptTasks
+	placedAt           time.Time // when the attempt was begun
 	ctx                context.Context
-	connReleased       bool        // the connection was returned to the pool
-	replyReceived      bool        // the head of a response to the call has been read
-	answered           bool        // a whole response or the first event of a stream has been read
-	firstEventReceived atomic.Bool // of a stream
-	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
-	stall              *stallWatch
-	reservationUnused  atomic.Bool // the attempt was ended because its reserved KV memory was not used
+	cancel             context.CancelFunc
+	task               fleet.Task
+	tasks              attemptTasks
+	needsNewConn       bool
+	message            call.Attempt
+	buffers            *callBuffers // for bodies and events
+	cleanup            []func()     // to be called at the end, the last one first
+	reply              call.Reply
+	response           *http.Response
+	events             *eventReader // of the response, if it is a stream
+	connReleased       bool         // the connection was returned to the pool
+	replyReceived      bool         // the head of a response to the call has been read
+	answered           bool         // a whole response or the first event of a stream has been read
+	firstEventReceived atomic.Bool  // of a stream
+	lastEventAt        time.Time    // when the latest event was sent to the client; zero before the first
+	stall              *stallWatch  // nil for a standby attempt
+	reservationUnused  atomic.Bool  // the attempt was ended because its reserved KV memory was not used
+}
+
+// newAttempt returns the next attempt at the call.
+func (hdl *callHandler) newAttempt(plc *place.Placement) *attempt {
+	hdl.attempts++
+	hdl.triedReplicas = append(hdl.triedReplicas, plc.Primary.ID)
+	now := hdl.opts.Clock.Now()
+	ctx, cancel := hdl.opts.Clock.WithTimeout(hdl.ctx, hdl.deadline.Sub(now))
+	return &attempt{
+		hdl: hdl, placement: plc, placedAt: now, ctx: ctx, cancel: cancel, cleanup: []func(){cancel},
+		task: hdl.newTask(plc), buffers: &hdl.buffers,
+		needsNewConn: !hdl.rte.Retryable() || hdl.possibleRuns > 0, // Another retry may be denied.
+		message: call.Attempt{
+			Replica: plc.Primary.ID, Account: hdl.account, Priority: enginePriority(hdl.rte.LatencyTarget),
+			LastEventID: hdl.lastEventID, HasLastEventID: hdl.hasLastEventID,
+		},
+	}
+}
+
+// open reserves KV memory at helper replicas and connects to the primary one. It returns the outcome of the attempt if
+// that fails, and nil otherwise.
+func (att *attempt) open() *outcome {
+	hdl, plc := att.hdl, att.placement
+	att.tasks = hdl.startTasks(plc, att.task)
+	att.onEnd(att.tasks.end)
+	mem, err := hdl.opts.Reserver.reserve(hdl.ctx, plc)
+	if err != nil {
+		return &outcome{notSent: true, reason: reasonNoMemory, err: err}
+	}
+	att.onEnd(func() { mem.release(hdl.ctx) })
+	att.message.Helpers = mem.helpers
+	con, err := hdl.opts.Pool.Get(att.ctx, plc.Primary.ID, plc.Primary.Address, att.needsNewConn)
+	if err != nil {
+		if att.ctx.Err() == nil {
+			plc.Primary.Replica.RecordUnreachable()
+		}
+		return &outcome{notSent: true, reason: reasonUnreachable, err: err}
+	}
+	att.con = con
+	stop := context.AfterFunc(att.ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
+	att.onEnd(func() { stop() })
+	watch := mem.watchUse(
+		att.ctx, hdl.opts.ReservationUseTimeout, att.firstEventReceived.Load, att.abortUnusedReservation)
+	att.onEnd(watch.Stop)
+	att.onEnd(att.queryLatencyIfOverdue().Stop)
+	return nil
+}
+
+// onEnd registers a function to be called at the end of the attempt.
+func (att *attempt) onEnd(fn func()) { att.cleanup = append(att.cleanup, fn) }
+
+// end releases what the attempt holds.
+func (att *attempt) end() {
+	for idx := len(att.cleanup) - 1; idx >= 0; idx-- {
+		att.cleanup[idx]()
+	}
 }
 
 // abortUnusedReservation ends the attempt because its reserved KV memory is not used, so that other calls can have it.
@@ -143,26 +164,38 @@
 }
 
 // roundTrip sends the call on the connection and forwards the response.
-func (att *attempt) roundTrip(msg *call.Attempt) outcome {
+func (att *attempt) roundTrip() outcome {
+	if out := att.exchange(); out != nil {
+		return *out
+	}
+	if att.events != nil {
+		return att.forwardStream()
+	}
+	return att.forwardReply()
+}
+
+// exchange sends the call on the connection and reads the head of the response. It returns the outcome of the attempt
+// if that fails, and nil otherwise.
+func (att *attempt) exchange() *outcome {
 	hdl := att.hdl
-	if err := att.con.WriteRequest(hdl.opts.Codec.WriteCall(hdl.cal, msg)); err != nil {
-		return outcome{mayHaveRun: true, reason: reasonSendFailed, err: err}
+	att.message.TimeLeft = hdl.deadline.Sub(hdl.opts.Clock.Now())
+	if err := att.con.WriteRequest(hdl.opts.Codec.WriteCall(hdl.cal, &att.message)); err != nil {
+		return &outcome{mayHaveRun: true, reason: reasonSendFailed, err: err}
 	}
-	var rep call.Reply
 	belongsToCall := func(res *http.Response) bool {
-		rep = hdl.opts.Codec.ReadReply(res)
-		return hdl.cal.ID == "" || rep.CallID == hdl.cal.ID || (rep.CallID == "" && rep.NotExecuted)
+		att.reply = hdl.opts.Codec.ReadReply(res)
+		return hdl.cal.ID == "" || att.reply.CallID == hdl.cal.ID || (att.reply.CallID == "" && att.reply.NotExecuted)
 	}
 	//nolint:bodyclose // The whole connection is closed or returned to the pool.
 	res, err := att.con.ReadResponse(hdl.cal.Method, belongsToCall)
 	if err != nil {
-		return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
+		return &outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 	}
-	att.replyReceived = true
-	if isStream(res) && rep.Status == http.StatusOK {
-		return att.forwardStream(res, rep)
+	att.replyReceived, att.response = true, res
+	if isStream(res) && att.reply.Status == http.StatusOK {
+		att.events = &eventReader{reader: bufio.NewReader(res.Body), buffers: att.buffers}
 	}
-	return att.forwardReply(res, rep)
+	return nil
 }
 
 // isStream tells whether a response is a stream of server-sent events.
@@ -179,12 +212,12 @@
 		return reasonTimeLimit
 	case att.reservationUnused.Load():
 		return reasonReservationUnused
-	case att.stall.isStalled():
+	case att.stall != nil && att.stall.isStalled():
 		return reasonStalled
 	case errors.Is(err, pool.ErrTooLong), errors.Is(err, errTooLarge), errors.Is(err, errEventTooLong):
 		att.hdl.opts.Metrics.CountEvent("response-too-long")
 		att.hdl.opts.Log.Info("relay: response is too long, closing the connection", "call", att.hdl.cal.ID,
-			"replica", att.placement.Primary.ID, "bytes-held", att.hdl.buffers.held, "error", err.Error())
+			"replica", att.placement.Primary.ID, "bytes-held", att.buffers.held, "error", err.Error())
 		return reasonReplicaFailed
 	case errors.Is(err, errBuffersFull):
 		return reasonBuffersFull
@@ -194,64 +227,6 @@
 	return reasonStreamBroken
 }
 
-// forwardReply forwards a response that is not a stream, once it has been read to its end.
-func (att *attempt) forwardReply(res *http.Response, rep call.Reply) outcome {
-	body, err := att.hdl.buffers.readAll(res.Body, maxReplyBytes)
-	switch {
-	case rep.NotExecuted:
-		att.releaseConn(res, err)
-		return outcome{reason: reasonNotRun}
-	case err != nil:
-		return outcome{
-			mayHaveRun: true, reason: att.failureReason(err), err: fmt.Errorf("relay: read response: %w", err),
-		}
-	}
-	att.releaseConn(res, nil)
-	att.recordAnswer()
-	if defect := att.replyDefect(rep); defect != "" {
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
-	}
-	rpl := &fullReply{reply: rep, body: body}
-	hdl := att.hdl
-	if hdl.headSent { // Part of a stream has been sent, so another response cannot follow.
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: fmt.Errorf("relay: status %d", rep.Status)}
-	}
-	if rep.Status >= http.StatusInternalServerError && hdl.rte.Retryable() {
-		hdl.fallback = rpl
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: fmt.Errorf("relay: status %d", rep.Status)}
-	}
-	hdl.sendReply(rpl)
-	return outcome{final: true, status: rep.Status, mayHaveRun: true, reason: reasonDone}
-}
-
-// replyDefect returns why a response must not be forwarded, or an empty string if it may be.
-func (att *attempt) replyDefect(rep call.Reply) string {
-	switch {
-	case rep.Status < http.StatusMultipleChoices && !rep.Signed:
-		return "relay: success response without a replica signature"
-	case rep.Encoded:
-		return "relay: response body has a content encoding"
-	case impliesNotRun(rep.Status):
-		// The replica does not state that it did not run the call, so clients must not conclude that from the status.
-		return fmt.Sprintf("relay: status %d without a statement that the call did not run", rep.Status)
-	}
-	return ""
-}
-
-// impliesNotRun tells whether clients conclude from a status that the call did not run and is safe to send again.
-func impliesNotRun(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
-		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
-}
-
-// releaseConn returns the connection to the pool unless reading the response failed with err.
-func (att *attempt) releaseConn(res *http.Response, err error) {
-	if err == nil {
-		att.con.Release(res)
-		att.connReleased = true
-	}
-}
-
 // recordReplicaHealth updates the failure rate of the primary replica with the outcome, and records a crash if there
 // was one.
 func (att *attempt) recordReplicaHealth(out *outcome) {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -29,14 +29,13 @@
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	attempts       int
-	possibleRuns   int              // attempts that may have run
-	triedReplicas  []string         // IDs of the replicas of all attempts
-	secured        *place.Placement // of the next attempt, if it was secured before the latest one was given up
-	fallback       *fullReply       // a replica's complete error response, sent if no retry succeeds
-	headSent       bool             // status and headers of the response have been sent
-	eventsSent     int              // events sent to the client
-	lastEventID    int64            // ID of the last event that the client has
-	hasLastEventID bool             // lastEventID is set
+	possibleRuns   int        // attempts that may have run
+	triedReplicas  []string   // IDs of the replicas of all attempts
+	fallback       *fullReply // a replica's complete error response, sent if no retry succeeds
+	headSent       bool       // status and headers of the response have been sent
+	eventsSent     int        // events sent to the client
+	lastEventID    int64      // ID of the last event that the client has
+	hasLastEventID bool       // lastEventID is set
 
 	lastEventAt time.Time
 	firstEvent  time.Duration // time from the arrival of the call to its first event
@@ -101,11 +100,7 @@
 		hdl.sendError(http.StatusUnauthorized, reasonUnknownKey, 0)
 		return false
 	}
-	service := rte.PickService(hdl.cal.ID)
-	if service != hdl.service {
-		hdl.secured = nil // It is of the old service.
-	}
-	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, service
+	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, rte.PickService(hdl.cal.ID)
 	limit := hdl.cal.TimeLeft
 	if limit <= 0 {
 		limit = defaultTimeLimit
@@ -190,7 +185,7 @@
 		if !hdl.headSent && !hdl.applyRules() {
 			return
 		}
-		plc, reason := hdl.nextPlacement()
+		plc, reason := hdl.choosePlacement()
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
 		}
@@ -205,11 +200,8 @@
 			return
 		}
 		hdl.placement, hdl.placedAt = plc, hdl.opts.Clock.Now()
-		hdl.triedReplicas = append(hdl.triedReplicas, plc.Primary.ID)
 		hdl.logPlacement(&plc)
-		out := hdl.sendAttempt(&plc)
-		hdl.opts.Log.V(1).Info("relay: attempt ended", "call", hdl.cal.ID, "replica", plc.Primary.ID,
-			"outcome", out.reason, "error", out.errorText())
+		out := hdl.runAttempts(&plc)
 		switch {
 		case out.reason == reasonClientLeft:
 			hdl.abort(reasonClientLeft)
@@ -222,7 +214,6 @@
 			hdl.failCall(out.reason)
 			return
 		}
-		hdl.secured = out.next
 		hdl.opts.Metrics.CountRetry(out.reason)
 	}
 }
--- /dev/null
+++ b/relay/reply.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/tarragonwheel/tarragonwheel/call"
+)
+
+// forwardReply forwards a response that is not a stream, once it has been read to its end.
+func (att *attempt) forwardReply() outcome {
+	res, rep := att.response, att.reply
+	body, err := att.buffers.readAll(res.Body, maxReplyBytes)
+	switch {
+	case rep.NotExecuted:
+		att.releaseConn(res, err)
+		return outcome{reason: reasonNotRun}
+	case err != nil:
+		return outcome{
+			mayHaveRun: true, reason: att.failureReason(err), err: fmt.Errorf("relay: read response: %w", err),
+		}
+	}
+	att.releaseConn(res, nil)
+	att.recordAnswer()
+	if defect := att.replyDefect(rep); defect != "" {
+		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
+	}
+	rpl := &fullReply{reply: rep, body: body}
+	hdl := att.hdl
+	if hdl.headSent { // Part of a stream has been sent, so another response cannot follow.
+		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: fmt.Errorf("relay: status %d", rep.Status)}
+	}
+	if rep.Status >= http.StatusInternalServerError && hdl.rte.Retryable() {
+		hdl.fallback = rpl
+		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: fmt.Errorf("relay: status %d", rep.Status)}
+	}
+	hdl.sendReply(rpl)
+	return outcome{final: true, status: rep.Status, mayHaveRun: true, reason: reasonDone}
+}
+
+// replyDefect returns why a response must not be forwarded, or an empty string if it may be.
+func (att *attempt) replyDefect(rep call.Reply) string {
+	switch {
+	case rep.Status < http.StatusMultipleChoices && !rep.Signed:
+		return "relay: success response without a replica signature"
+	case rep.Encoded:
+		return "relay: response body has a content encoding"
+	case impliesNotRun(rep.Status):
+		// The replica does not state that it did not run the call, so clients must not conclude that from the status.
+		return fmt.Sprintf("relay: status %d without a statement that the call did not run", rep.Status)
+	}
+	return ""
+}
+
+// impliesNotRun tells whether clients conclude from a status that the call did not run and is safe to send again.
+func impliesNotRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+// releaseConn returns the connection to the pool unless reading the response failed with err.
+func (att *attempt) releaseConn(res *http.Response, err error) {
+	if err == nil {
+		att.con.Release(res)
+		att.connReleased = true
+	}
+}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -18,9 +18,6 @@
 // denyRetry returns why the call must not be sent again after an attempt with the given outcome, as one of the denied
 // constants, or an empty string if it may be. It then has taken the retry from the budget.
 func (hdl *callHandler) denyRetry(out outcome) string {
-	if out.next != nil {
-		return "" // The retry was secured before the attempt was ended.
-	}
 	denied := hdl.denyAttempt(out.mayHaveRun, hdl.possibleRuns)
 	if denied != "" || out.notSent { // One that no replica received takes nothing from the retry budget.
 		return denied
@@ -54,10 +51,9 @@
 	return ""
 }
 
-// secureRetry makes certain that another attempt may follow before the one with the given placement is given up. It
-// returns the placement of the other attempt, for which it has taken the retry from the budget, or nil if none may
-// follow.
-func (hdl *callHandler) secureRetry(current *place.Placement) *place.Placement {
+// placeStandby chooses the placement of a standby attempt to the one with the given placement, and takes the retry from
+// the budget. It returns nil if none may be begun. The attempt in progress counts as one that has run.
+func (hdl *callHandler) placeStandby(current *place.Placement) *place.Placement {
 	denied := hdl.denyAttempt(true, hdl.possibleRuns+1)
 	if denied == "" && hdl.eventsSent == 0 && !hdl.isPermitted(hdl.opts.Rules()) {
 		denied = deniedNewRules
@@ -93,15 +89,6 @@
 	return ok
 }
 
-// nextPlacement returns the placement that was secured for the next attempt, or chooses one.
-func (hdl *callHandler) nextPlacement() (place.Placement, string) {
-	if plc := hdl.secured; plc != nil {
-		hdl.secured = nil
-		return *plc, ""
-	}
-	return hdl.choosePlacement()
-}
-
 // logDeniedRetry logs that no further attempt follows after one with the given outcome.
 func (hdl *callHandler) logDeniedRetry(out outcome, denied string) {
 	hdl.opts.Metrics.CountEvent("retry-denied-" + denied)
@@ -109,3 +96,20 @@
 		"outcome", out.reason, "denied", denied, "attempts", hdl.attempts, "events", hdl.eventsSent,
 		"error", out.errorText())
 }
+
+// runAttempts sends the call to the replicas of a placement, and goes on with standby attempts that replace it.
+func (hdl *callHandler) runAttempts(plc *place.Placement) outcome {
+	out := hdl.sendAttempt(plc)
+	hdl.logAttemptEnd(&out)
+	for out.next != nil {
+		hdl.opts.Metrics.CountRetry(out.reason)
+		out = hdl.resumeWith(out.next)
+		hdl.logAttemptEnd(&out)
+	}
+	return out
+}
+
+func (hdl *callHandler) logAttemptEnd(out *outcome) {
+	hdl.opts.Log.V(1).Info("relay: attempt ended", "call", hdl.cal.ID, "replica", hdl.placement.Primary.ID,
+		"outcome", out.reason, "error", out.errorText())
+}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -52,7 +51,7 @@
 func share(dur time.Duration, part float64) time.Duration { return time.Duration(part * float64(dur)) }
 
 // stallWatch watches a stream whose replica sends no events, though perhaps single bytes or comments. A sound replica
-// may be silent for a while and go on, so its run is given up only once another attempt is certain to follow.
+// may be silent for a while and go on, so its run is given up only once the stream of a standby attempt has begun.
 type stallWatch struct {
 	att         *attempt
 	times       stallTimes
@@ -64,7 +63,9 @@
 	examined    bool // since the latest event
 	stopped     bool
 	stalled     bool
-	next        *place.Placement // of the attempt for which the run was given up; nil if no other may follow
+	standby     *attempt // that is being prepared; nil for none
+	standbyDone chan struct{}
+	next        *attempt // a standby attempt whose stream has begun, for which the run was given up
 }
 
 // watchStall starts to watch the attempt if it is a stream.
@@ -92,6 +93,9 @@
 		hdl.opts.Log.Info("relay: stream goes on after a silence", "call", hdl.cal.ID,
 			"replica", wtc.att.placement.Primary.ID, "silent", hdl.opts.Clock.Since(wtc.silentSince))
 	}
+	if wtc.standby != nil {
+		wtc.standby.cancel()
+	}
 	wtc.sending, wtc.examined = true, false
 }
 
@@ -104,16 +108,6 @@
 	wtc.silentSince = wtc.dueBy
 }
 
-// stop ends the watch.
-func (wtc *stallWatch) stop() {
-	wtc.mu.Lock()
-	defer wtc.mu.Unlock()
-	wtc.stopped = true
-	if wtc.timer != nil {
-		wtc.timer.Stop()
-	}
-}
-
 // isStalled reports whether the watch has ended the attempt.
 func (wtc *stallWatch) isStalled() bool {
 	wtc.mu.Lock()
@@ -167,16 +161,19 @@
 	case state == runDelayed:
 		wtc.dueBy = wtc.att.hdl.opts.Clock.Now()
 		wtc.schedule(wtc.times.examine)
-	case state == runLost, silent >= wtc.times.abandon:
+	case silent >= wtc.times.abandon:
+		if wtc.standby != nil {
+			wtc.standby.cancel()
+		}
+		wtc.endAttempt()
+	case state == runLost:
 		wtc.endAttempt()
 	case silent < wtc.times.giveUp:
 		wtc.schedule(wtc.times.giveUp - silent)
+	case wtc.standby != nil:
+		wtc.schedule(wtc.times.recheck)
 	default:
-		if wtc.next = wtc.att.hdl.secureRetry(wtc.att.placement); wtc.next == nil {
-			wtc.schedule(wtc.times.recheck)
-			return
-		}
-		wtc.endAttempt()
+		wtc.startStandby()
 	}
 }
 
@@ -186,6 +183,6 @@
 	hdl := wtc.att.hdl
 	hdl.opts.Metrics.CountEvent("stream-given-up")
 	hdl.opts.Log.Info("relay: stream given up", "call", hdl.cal.ID, "replica", wtc.att.placement.Primary.ID,
-		"silent", hdl.opts.Clock.Since(wtc.silentSince), "retry-secured", wtc.next != nil)
+		"silent", hdl.opts.Clock.Since(wtc.silentSince), "resumed", wtc.next != nil)
 	_ = wtc.att.con.Close() // Cancels the call at the replica and ends reads.
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,7 +32,9 @@
 	reader  *bufio.Reader
 	buf     []byte
 	buffers *callBuffers
-	taken   int // of the memory, in bytes
+	taken   int  // of the memory, in bytes
+	isAhead bool // the event in peeked has been read and is the next one
+	peeked  event
 }
 
 var errEventTooLong = errors.New("relay: stream event is too long")
@@ -40,6 +42,10 @@
 // next returns the next complete event. It returns io.EOF at the end of the stream, and io.ErrUnexpectedEOF if the
 // stream ends within an event. The event is valid until the next call.
 func (evr *eventReader) next() (event, error) {
+	if evr.isAhead {
+		evr.isAhead = false
+		return evr.peeked, nil
+	}
 	evr.buf = evr.buf[:0]
 	evt := event{}
 	for {
@@ -68,6 +74,18 @@
 	}
 }
 
+// peek reads the next event, which the following call of next returns too.
+func (evr *eventReader) peek() error {
+	evt, err := evr.next()
+	if err == nil {
+		evr.peeked, evr.isAhead = evt, true
+	}
+	return err
+}
+
+// isDrained tells whether no more bytes have been received.
+func (evr *eventReader) isDrained() bool { return evr.reader.Buffered() == 0 }
+
 // grow takes the memory that the event needs to grow by the given number of bytes. It returns errEventTooLong if the
 // event becomes too long, and errBuffersFull if there is no memory.
 func (evr *eventReader) grow(num int) error {
@@ -87,27 +105,23 @@
 
 // forwardStream forwards events as they arrive. If the stream breaks, a retry at another replica can resume it after
 // the last event that was sent to the client.
-func (att *attempt) forwardStream(res *http.Response, rep call.Reply) outcome {
-	if defect := att.replyDefect(rep); defect != "" {
+func (att *attempt) forwardStream() outcome {
+	if defect := att.replyDefect(att.reply); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
-	evr := &eventReader{reader: bufio.NewReader(res.Body), buffers: &att.hdl.buffers}
 	for {
-		evt, err := evr.next()
+		evt, err := att.events.next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return att.finishStream(res, rep)
+			return att.finishStream(att.response, att.reply)
 		}
 		if err != nil {
 			err = fmt.Errorf("relay: read stream: %w", err)
 			return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 		}
 		att.stall.recordEvent()
-		if !att.firstEventReceived.Swap(true) {
-			att.tasks.markDecoding()
-			att.recordAnswer()
-		}
+		att.recordFirstEvent()
 		if !att.hdl.clientHas(evt) {
-			if err := att.sendEvent(rep, evt, evr.reader.Buffered() == 0); err != nil {
+			if err := att.sendEvent(att.reply, evt, att.events.isDrained()); err != nil {
 				return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
 			}
 		}
@@ -115,6 +129,14 @@
 	}
 }
 
+// recordFirstEvent records that the stream has begun, once.
+func (att *attempt) recordFirstEvent() {
+	if !att.firstEventReceived.Swap(true) {
+		att.tasks.markDecoding()
+		att.recordAnswer()
+	}
+}
+
 // clientHas tells whether an earlier attempt has sent the event to the client.
 func (hdl *callHandler) clientHas(evt event) bool {
 	return evt.hasID && hdl.hasLastEventID && evt.id <= hdl.lastEventID
