Forward an event when a part of the next one has been received

What callers saw: an event was late by the pause before the next one if a part of that had come with it. If the replica then stopped, the client had one event less, and its idle time had begun earlier.

Cause: an event was flushed to the client only if no more bytes had been received, to send several events at once.

Found by TestBothRunsEndWithTheirClient, whose replica sends comments after its events.

Change: an event is held back only if another complete one has been received.

--- a/relay/standby_test.go
+++ b/relay/standby_test.go
@@ -1,8 +1,11 @@
 package relay_test
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,6 +78,27 @@
 	}
 }
 
+// TestBothRunsEndWithTheirClient guards against replicas that work on for a client that has left while a standby
+// attempt was being prepared.
+func TestBothRunsEndWithTheirClient(t *testing.T) {
+	iis := is.New(t)
+	rig, running := newStandbyRig(t, time.Minute, silence)
+	ctx, cancel := context.WithTimeout(t.Context(), idleTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, rig.url+"/stream/x", strings.NewReader("asked"))
+	iis.NoErr(err)
+	req.Header.Set("Api-Key", "k")
+	res, err := http.DefaultClient.Do(req)
+	iis.NoErr(err)
+	defer func() { _ = res.Body.Close() }()
+	for running.Load() < 2 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.ReadAll(res.Body)
+	iis.True(err != nil)
+	waitForNone(t, running)
+}
+
 // TestGivenUpRunEndsAtOnce guards against a replica that works on after another one has gone on with its stream.
 func TestGivenUpRunEndsAtOnce(t *testing.T) {
 	iis := is.New(t)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -83,8 +83,11 @@
 	return err
 }
 
-// isDrained tells whether no more bytes have been received.
-func (evr *eventReader) isDrained() bool { return evr.reader.Buffered() == 0 }
+// holdsEvent tells whether another complete event has been received.
+func (evr *eventReader) holdsEvent() bool {
+	buf, _ := evr.reader.Peek(evr.reader.Buffered()) // What is buffered can be read without an error.
+	return bytes.Contains(buf, []byte("\n\n")) || bytes.Contains(buf, []byte("\n\r\n"))
+}
 
 // grow takes the memory that the event needs to grow by the given number of bytes. It returns errEventTooLong if the
 // event becomes too long, and errBuffersFull if there is no memory.
@@ -121,7 +124,7 @@
 		att.stall.recordEvent()
 		att.recordFirstEvent()
 		if !att.hdl.clientHas(evt) {
-			if err := att.sendEvent(att.reply, evt, att.events.isDrained()); err != nil {
+			if err := att.sendEvent(att.reply, evt, !att.events.holdsEvent()); err != nil {
 				return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
 			}
 		}
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -1,12 +1,15 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -83,3 +86,34 @@
 	iis.Equal(status, 200)
 	iis.Equal(body, events(1, 4))
 }
+
+// TestEventIsNotHeldBackByAPartOfTheNext guards against an event that reaches the client only with the next one,
+// because a part of that has been received already.
+func TestEventIsNotHeldBackByAPartOfTheNext(t *testing.T) {
+	iis := is.New(t)
+	release := make(chan struct{})
+	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool {
+		first, rest := events(1, 2)[:len(events(1, 1))+4], events(1, 2)[len(events(1, 1))+4:]
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", signedHeaders(req), len(first), first)
+		<-release
+		_, err := fmt.Fprintf(con, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+		return err == nil
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, rig.url+"/stream/x", nil)
+	iis.NoErr(err)
+	req.Header.Set("Api-Key", "k")
+	res, err := http.DefaultClient.Do(req)
+	iis.NoErr(err)
+	defer func() { _ = res.Body.Close() }()
+	got := make([]byte, len(events(1, 1)))
+	_, err = io.ReadFull(res.Body, got)
+	iis.NoErr(err)
+	iis.Equal(string(got), events(1, 1))
+	close(release)
+	rest, err := io.ReadAll(res.Body)
+	iis.NoErr(err)
+	iis.Equal(string(got)+string(rest), events(1, 2))
+}
