--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -218,3 +218,25 @@
 	time.Sleep(2 * time.Second)
 	iis.True(src.listCount() < 12) // one in 300 ms, and a few
 }
+
+// TestLateAnswerOfAnEarlierEraIsNotUsed guards against records and a position of before a restore that arrive after
+// another follower or process has stated the new era.
+func TestLateAnswerOfAnEarlierEraIsNotUsed(t *testing.T) {
+	iis := is.New(t)
+	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
+	seen := make(chan string, 100)
+	grp := group.New(context.Background(), "test")
+	t.Cleanup(func() { _ = grp.Stop() })
+	flw := follow.Start(grp, follow.Options{
+		Name: "test", Clock: timer.New(), Log: logr.Discard(), Source: src.source(), ResponseTimeout: time.Minute,
+		OnList:   func([]follow.Record) { seen <- "listing" },
+		OnChange: func(rec follow.Record) { seen <- rec.Key },
+	})
+	iis.Equal(<-seen, "listing")
+	time.Sleep(20 * time.Millisecond) // until the first read is under way
+	flw.Restored(1)
+	src.reads <- records(12, "late") // of era 0
+	iis.Equal(<-seen, "listing")
+	src.reads <- records(21, "next")
+	iis.Equal(<-seen, "next")
+}
