--- a/follow/hints.go
+++ b/follow/hints.go
@@ -53,13 +53,6 @@
 // processes, keep stating different eras.
 const minListInterval = 300 * time.Millisecond
 
-// Era returns the era of the last listing, 0 if there was none.
-func (flw *Follower) Era() int64 {
-	flw.mu.Lock()
-	defer flw.mu.Unlock()
-	return flw.next.Era
-}
-
 // Restored lists the topic again at once if the given era of the store, which another follower or process has seen, is
 // newer than that of the listing. The position of the listing is of no use then.
 func (flw *Follower) Restored(era int64) {
