--- a/front/front_test.go
+++ b/front/front_test.go
@@ -91,7 +91,8 @@
 }
 
 func registration(service, addr, state string, sequence int) string {
-	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"z","Slots":4,"State":%q,"Sequence":%d,"born":1}`,
+	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"z","Version":"v1","Slots":4,"State":%q,"ColdLeftMs":0,
+	 "Sequence":%d,"born":1}`,
 		service, addr, state, sequence)
 }
 
