Let a replica's own records outlast one with odd numbers

A record under the ID of a live replica with a huge sequence number or start made all that the replica itself wrote count as older: its address stayed that of the odd record, and it got calls after it had said that it drains.

Records that count as older replace the known one when they have kept coming for 3 s with rising sequence numbers while the known one was not renewed; what is delivered late comes at once or beside records of the live incarnation. That the replica drains counts at once, as an incarnation never stops to drain.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	byHash      map[uint32]*Replica    // the same, by the hash of their ID
 	expired     map[string]time.Time   // end of the grace period, by the ID of a replica whose registration is missing
 	pending     pendingTasks           // updates for replicas that are not registered here yet
+	rivals      map[string]rival       // by the ID of a replica
 	// graceEnd is the end of the grace period after a store outage. A registration that disappears before may merely
 	// have expired during the outage.
 	graceEnd time.Time
@@ -41,7 +42,7 @@
 	return &Fleet{
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
-		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time),
+		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), rivals: make(map[string]rival),
 	}
 }
 
@@ -80,8 +81,9 @@
 	return len(flt.byID)
 }
 
-// UpdateRegistration records a registration. One that is older than the known one is ignored, and a replica that has
-// begun to drain keeps draining until its incarnation ends.
+// UpdateRegistration records a registration. One that is older than the known one is ignored, unless such ones keep
+// coming, but for the news that the replica drains. A replica that has begun to drain keeps draining until its
+// incarnation ends.
 func (flt *Fleet) UpdateRegistration(reg Registration) {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -92,10 +94,16 @@
 		return
 	}
 	known := old.Registration()
-	if !reg.Newer(&known) {
+	sameIncarnation := reg.StartedAtMs == known.StartedAtMs
+	if !reg.Newer(&known) && !flt.recordRival(&reg) {
+		if sameIncarnation && reg.Draining && !known.Draining {
+			known.Draining = true
+			flt.log.Info("fleet: replica drains", "replica", reg.ID, "sequence", reg.Sequence)
+			old.setRegistration(known)
+		}
 		return
 	}
-	sameIncarnation := reg.StartedAtMs == known.StartedAtMs
+	delete(flt.rivals, reg.ID)
 	if !sameIncarnation || reg.Service != known.Service || reg.Address != known.Address {
 		flt.remove(old, "replaced by a new incarnation")
 		flt.add(reg)
@@ -149,6 +157,7 @@
 	rep.set.remove(rep)
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
+	delete(flt.rivals, reg.ID)
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onRemoved(reg.ID)
 }
