Keep a live replica whose record was overwritten

Where the replicas are listed again, because unread records were trimmed, and another writer had left an odd record under the ID of a live replica, the replica was dropped with its connections until it wrote its next record. Read as a change, the same record left the replica alone.

A replica whose record in a list cannot be read now has the time to write the next one that it has after an outage of the store, and is removed after that. A removal counts at once, as before.

TestOverwrittenRecordIsNoRemoval: the function had no parameter for such records before; with them left off the list, as they were, both replicas are gone at once.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,7 +30,8 @@
 	graceEnd time.Time
 }
 
-// reregisterGrace is the time after a store outage in which replicas whose registration expired may register again.
+// reregisterGrace is the time in which replicas may register again whose registration expired during a store outage, or
+// was overwritten.
 const reregisterGrace = 1800 * time.Millisecond
 
 // New returns an empty Fleet. The function onRemoved is called with the ID of each replica that is removed; it may be
@@ -178,9 +179,15 @@
 	flt.remove(rep, "registration removed")
 }
 
-// ReplaceRegistrations records the full list of registrations. Replicas that are not on it are unregistered.
-func (flt *Fleet) ReplaceRegistrations(list []Registration) {
-	listed := make(map[string]bool, len(list))
+// ReplaceRegistrations records the full list of registrations. Replicas that are not on it are unregistered. Replicas
+// did not write the records of the IDs in unreadable. If there is a replica with such an ID, its own record has been
+// overwritten, so it gets the time to write the next one.
+func (flt *Fleet) ReplaceRegistrations(list []Registration, unreadable []string) {
+	listed := make(map[string]bool, len(list)+len(unreadable))
+	for _, id := range unreadable {
+		listed[id] = true
+		flt.expectRegistration(id)
+	}
 	for _, reg := range list {
 		listed[reg.ID] = true
 		flt.UpdateRegistration(reg)
@@ -192,6 +199,15 @@
 	}
 }
 
+// expectRegistration removes a replica after the grace period unless it registers again.
+func (flt *Fleet) expectRegistration(id string) {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	if flt.byID[id] != nil && flt.expired[id].IsZero() {
+		flt.expired[id] = flt.clock.Now().Add(reregisterGrace)
+	}
+}
+
 func (flt *Fleet) ids() []string {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -209,8 +225,8 @@
 	flt.graceEnd = flt.clock.Now().Add(reregisterGrace)
 }
 
-// RemoveExpired removes the replicas whose registration expired during a store outage and was not renewed within the
-// grace period. It also removes stale updates for replicas that are not registered.
+// RemoveExpired removes the replicas whose registration was missing and was not renewed within the grace period. It
+// also removes stale updates for replicas that are not registered.
 func (flt *Fleet) RemoveExpired() {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -222,7 +238,7 @@
 		}
 		delete(flt.expired, id)
 		if rep := flt.byID[id]; rep != nil {
-			flt.remove(rep, "registration expired during a store outage and was not renewed")
+			flt.remove(rep, "registration was missing and was not renewed")
 		}
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -77,7 +77,7 @@
 	flt.UpdateRegistration(registration("i-1", 1, 1))
 	flt.UpdateRegistration(registration("i-2", 1, 1))
 	flt.StoreOutageEnded()
-	flt.ReplaceRegistrations(nil)
+	flt.ReplaceRegistrations(nil, nil)
 	iis.Equal(usableReplicas(flt), 2)
 	man.Advance(time.Second)
 	flt.UpdateRegistration(registration("i-1", 1, 2))
@@ -96,7 +96,7 @@
 	flt, _, _ := newFleet()
 	flt.UpdateRegistration(registration("i-1", 1, 1))
 	flt.UpdateRegistration(registration("i-2", 1, 1))
-	flt.ReplaceRegistrations([]fleet.Registration{registration("i-2", 1, 2)})
+	flt.ReplaceRegistrations([]fleet.Registration{registration("i-2", 1, 2)}, nil)
 	iis.Equal(usableReplicas(flt), 1)
 }
 
@@ -205,3 +205,22 @@
 	iis.Equal(latencyRatio(), 1.0) // It may have recovered.
 	iis.True(rep.ShouldQueryLatency())
 }
+
+// TestOverwrittenRecordIsNoRemoval guards against a live replica that gets no calls because a list of the registrations
+// holds the record of another writer in the place of its own, and against one that has gone and keeps getting them.
+func TestOverwrittenRecordIsNoRemoval(t *testing.T) {
+	iis := is.New(t)
+	flt, man, _ := newFleet()
+	flt.UpdateRegistration(registration("i-1", 1, 1))
+	flt.UpdateRegistration(registration("i-2", 1, 1))
+	flt.ReplaceRegistrations(nil, []string{"i-1", "i-2", "i-3"})
+	iis.Equal(usableReplicas(flt), 2)
+	man.Advance(time.Second)
+	flt.UpdateRegistration(registration("i-1", 1, 2))
+	man.Advance(time.Second)
+	flt.RemoveExpired()
+	iis.Equal(usableReplicas(flt), 1) // i-2 did not write again.
+	flt.ReplaceRegistrations(nil, []string{"i-1"})
+	flt.Unregister("i-1")
+	iis.Equal(usableReplicas(flt), 0)
+}
--- a/front/follow.go
+++ b/front/follow.go
@@ -189,15 +189,17 @@
 // replaceRegistrations records the full list of registrations. Replicas that are not on it have been removed.
 func (frt *Front) replaceRegistrations(list []follow.Record) {
 	regs := make([]fleet.Registration, 0, len(list))
+	var unreadable []string
 	for _, rec := range list {
 		reg, err := platform.ReadReplica(rec.Key, rec.Value)
 		if err != nil {
 			frt.log.Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+			unreadable = append(unreadable, rec.Key)
 			continue
 		}
 		regs = append(regs, reg)
 	}
-	frt.fleet.ReplaceRegistrations(regs)
+	frt.fleet.ReplaceRegistrations(regs, unreadable)
 	frt.replicasKnown.Store(true)
-	frt.log.Info("front: replicas listed", "replicas", len(regs))
+	frt.log.Info("front: replicas listed", "replicas", len(regs), "odd", len(unreadable))
 }
