Log an odd record of the store once and in short

A record that cannot be used was not logged at all when it was read as a change, or in full length: the text quoted a number of any length. The configuration's was logged each time it was written.

--- a/front/follow.go
+++ b/front/follow.go
@@ -160,7 +160,7 @@
 	}
 	spc, err := platform.ReadConfig(rec.Value)
 	if err != nil {
-		frt.log.Error(err, "front: cannot decode the configuration, ignoring it")
+		frt.odd.report("configuration", rec.Key, err)
 		return
 	}
 	old := frt.rules.Load()
@@ -180,7 +180,7 @@
 	}
 	reg, err := platform.ReadReplica(rec.Key, rec.Value)
 	if err != nil {
-		frt.log.V(1).Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+		frt.odd.report("replicas", rec.Key, err) // What the replica itself wrote before holds.
 		return
 	}
 	frt.fleet.UpdateRegistration(reg)
@@ -193,7 +193,7 @@
 	for _, rec := range list {
 		reg, err := platform.ReadReplica(rec.Key, rec.Value)
 		if err != nil {
-			frt.log.Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+			frt.odd.report("replicas", rec.Key, err)
 			unreadable = append(unreadable, rec.Key)
 			continue
 		}
--- a/front/front.go
+++ b/front/front.go
@@ -49,6 +49,7 @@
 	group           *group.Group
 	clock           *timer.Service
 	log             logr.Logger
+	odd             *oddRecords
 	startSettings   *config.Settings                // from the start of the process
 	settings        atomic.Pointer[config.Settings] // reloaded from the file
 	metrics         *metric.Set
@@ -76,7 +77,7 @@
 ) (*Front, error) {
 	frt := &Front{
 		group: grp, clock: clk, log: log, startSettings: set, metrics: mts, started: clk.Now(),
-		following: make(chan struct{}),
+		following: make(chan struct{}), odd: &oddRecords{clock: clk, log: log},
 	}
 	frt.settings.Store(set)
 	frt.pool = pool.New(clk)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -111,6 +111,12 @@
 
 // newRigWithStore starts a front on a store that may hold records already.
 func newRigWithStore(t *testing.T, store *fakeStore) *rig {
+	t.Helper()
+	return newRigWithLog(t, store, logr.Discard())
+}
+
+// newRigWithLog starts a front on a store that writes to the given log.
+func newRigWithLog(t *testing.T, store *fakeStore, log logr.Logger) *rig {
 	t.Helper()
 	rig := &rig{store: store}
 	rig.replica = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
@@ -130,7 +136,7 @@
 	}
 	grp := group.New(context.Background(), "front")
 	t.Cleanup(func() { _ = grp.Stop() })
-	rig.frt, err = front.New(grp, set, timer.New(), logr.Discard(), metric.New())
+	rig.frt, err = front.New(grp, set, timer.New(), log, metric.New())
 	if err != nil {
 		t.Fatal(err)
 	}
