Do not take a stray refusal for the answer to a call

A replica that wrote an earlier refusal once more on a kept connection was believed if the refusal bore no call ID, or if the same call was back on that connection after that refusal: the call was sent to a second replica while the first one ran it, or its client was told that it had not run. Only calls that may run twice use kept connections, so none that may run once was concerned.

A refusal without the ID of a call that has one now counts only on a connection that carried no call before; elsewhere it is skipped like the answer to another call. Calls without an ID, and calls that return to a replica, take a new connection.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,7 @@
 	ctx, cancel := hdl.opts.Clock.WithTimeout(hdl.ctx, hdl.deadline.Sub(now))
 	defer cancel()
 	rep := plc.Primary.Replica
-	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, !hdl.rte.Retryable())
+	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, hdl.needsNewConn(plc.Primary.ID))
 	if err != nil {
 		if ctx.Err() == nil {
 			rep.RecordUnreachable()
@@ -78,6 +79,13 @@
 	return out
 }
 
+// needsNewConn tells whether the call needs a new connection to a replica. On a used one it could not tell a late
+// answer to an earlier call from its own if it has no ID or was at that replica before. A call that is not idempotent
+// could not be sent again if the replica closed the used one.
+func (hdl *callHandler) needsNewConn(replica string) bool {
+	return !hdl.rte.Retryable() || hdl.cal.ID == "" || slices.Contains(hdl.failedReplicas, replica)
+}
+
 // attemptTasks are the tasks of an attempt: the call at the primary replica, then the prompt parts at helper replicas.
 type attemptTasks []*fleet.LocalTask
 
@@ -144,7 +152,9 @@
 	var rep call.Reply
 	belongsToCall := func(res *http.Response) bool {
 		rep = hdl.opts.Codec.ReadReply(res)
-		return hdl.cal.ID == "" || rep.CallID == hdl.cal.ID || (rep.CallID == "" && rep.NotExecuted)
+		// Some replicas may refuse a call without its ID. On a used connection such a refusal may be an earlier one.
+		return hdl.cal.ID == "" || rep.CallID == hdl.cal.ID ||
+			(rep.CallID == "" && rep.NotExecuted && !att.con.Reused())
 	}
 	//nolint:bodyclose // The whole connection is closed or returned to the pool.
 	res, err := att.con.ReadResponse(hdl.cal.Method, belongsToCall)
