Read long lines of an event as one line

A line of an event that did not fit into the reader's buffer of 4 KB was read in parts, and its last part was taken for a line of its own. If that part was only the line break, the event seemed to end there: when the stream broke just then, the client had an event without its end and the next replica's first one behind it. A part that began with 'id:' gave the event a wrong ID, from which it was resumed.

Lines are now looked at as a whole.

TestLongLineIsOneLine failed before: the first event ended within its data.

--- a/relay/event_test.go
+++ b/relay/event_test.go
@@ -5,9 +5,33 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
+
+	"github.com/matryer/is"
 )
 
+// TestLongLineIsOneLine guards against a line longer than the reader's buffer whose rest is taken for a line of its
+// own: for the empty line after an event, so that a break there leaves the client with a part of one, or for its ID.
+func TestLongLineIsOneLine(t *testing.T) {
+	for size := range 64 {
+		iis := is.New(t)
+		text := "id: 7\ndata: " + strings.Repeat("x", size) + "id: 9\ndata: " + strings.Repeat("x", size) + "\n\n"
+		evr := &eventReader{
+			reader:  bufio.NewReaderSize(strings.NewReader(text+text), 16),
+			buffers: &callBuffers{buffers: newBuffers(0)},
+		}
+		for range 2 {
+			evt, err := evr.next()
+			iis.NoErr(err)
+			iis.Equal(string(evt.raw), text)
+			iis.Equal(evt.id, int64(7))
+		}
+		_, err := evr.next()
+		iis.True(errors.Is(err, io.EOF))
+	}
+}
+
 // FuzzEvents checks that the events read from a stream are exactly the bytes of its complete events, and that a stream
 // that ends within an event is not taken for a complete one.
 func FuzzEvents(f *testing.F) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -42,12 +42,13 @@
 func (evr *eventReader) next() (event, error) {
 	evr.buf = evr.buf[:0]
 	evt := event{}
+	lineStart := 0
 	for {
-		line, err := evr.reader.ReadSlice('\n')
-		if err := evr.grow(len(line)); err != nil {
+		part, err := evr.reader.ReadSlice('\n')
+		if err := evr.grow(len(part)); err != nil {
 			return event{}, err
 		}
-		evr.buf = append(evr.buf, line...)
+		evr.buf = append(evr.buf, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -56,7 +57,8 @@
 		case err != nil:
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(evr.buf[lineStart:], "\r\n")
+		lineStart = len(evr.buf)
 		if len(text) == 0 {
 			evt.raw = evr.buf
 			return evt, nil
