Do not take comments for events of a stream

A replica that sent whole comments, each with the empty line of an event behind it, or nothing but empty lines, kept a stream without events from being found stalled: clients waited until their deadline. The comments also counted as the first event and as pauses in the latency of the replica.

Comments are forwarded as before and count as nothing else.

--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -198,6 +198,12 @@
 
 // send sends a call to a path and returns the status, the body and the error of reading the body.
 func (rig *rig) send(t *testing.T, path string) (status int, body string, err error) {
+	t.Helper()
+	return rig.sendWith(t, path, "X-None", "")
+}
+
+// sendWith is send with one more header.
+func (rig *rig) sendWith(t *testing.T, path, header, value string) (status int, body string, err error) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+path, strings.NewReader("asked"))
 	if err != nil {
@@ -206,6 +212,7 @@
 	req.Header.Set("Tarragonwheel-Request-Id", "c1")
 	req.Header.Set("Tarragonwheel-Request-Deadline-Ms", "5000")
 	req.Header.Set("Api-Key", "k")
+	req.Header.Set(header, value)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,14 +41,21 @@
 
 // pausedStream returns a handler that sends events 1 and 2, then comments for the given time, then events 3 to 5. If
 // the caller resumes after event 2, it sends events 3 to 5 at once.
-func pausedStream(pause time.Duration) handler {
+func pausedStream(pause time.Duration) handler { return pausedStreamWith(":\n", pause) }
+
+// pausedStreamWith is pausedStream with another text than comments.
+func pausedStreamWith(text string, pause time.Duration) handler {
+	filler := ""
+	for _, char := range text {
+		filler += fmt.Sprintf("1\r\n%c\r\n", char)
+	}
 	return func(con net.Conn, req request) bool {
 		if req.Header.Get("Last-Event-Id") != "" {
 			return stream(con, req, 3, 5, true)
 		}
 		_ = stream(con, req, 1, 2, false)
 		for until := time.Now().Add(pause); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
-			if _, err := io.WriteString(con, "1\r\n:\r\n1\r\n\n\r\n"); err != nil {
+			if _, err := io.WriteString(con, filler); err != nil {
 				return false
 			}
 		}
@@ -75,6 +83,23 @@
 	iis.Equal(one.calls.Load()+two.calls.Load(), int64(2))
 }
 
+// TestStreamOfCommentsIsStalled guards against a stream that never ends because its replica sends whole comments, each
+// with an empty line behind it as if it were an event, or nothing but empty lines.
+func TestStreamOfCommentsIsStalled(t *testing.T) {
+	for _, text := range []string{": alive\n\n", "\n"} {
+		iis := is.New(t)
+		hdl := pausedStreamWith(text, time.Minute)
+		one, two := newReplica(t, hdl), newReplica(t, hdl)
+		rig := newStreamRig(t, true, relay.Report{LatencyRatio: 1, Running: 2}, nil, one, two)
+		began := time.Now()
+		_, body, err := rig.send(t, "/stream/x")
+		iis.NoErr(err)
+		iis.True(strings.HasSuffix(body, events(3, 5)))
+		iis.True(time.Since(began) < 10*idleTimeout)
+		iis.Equal(one.calls.Load()+two.calls.Load(), int64(2))
+	}
+}
+
 // withoutComments removes the empty comments of pausedStream from a stream.
 func withoutComments(body string) string {
 	const comment = ":\n"
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,6 +25,8 @@
 	raw   []byte // as received, with the empty line at its end
 	id    int64
 	hasID bool
+	// isComment is set if all lines are comments, so that the event says nothing.
+	isComment bool
 }
 
 // eventReader splits a stream into events. It never returns an incomplete event.
@@ -41,7 +43,7 @@
 // stream ends within an event. The event is valid until the next call.
 func (evr *eventReader) next() (event, error) {
 	evr.buf = evr.buf[:0]
-	evt := event{}
+	evt := event{isComment: true}
 	lineStart := 0
 	for {
 		part, err := evr.reader.ReadSlice('\n')
@@ -63,6 +65,7 @@
 			evt.raw = evr.buf
 			return evt, nil
 		}
+		evt.isComment = evt.isComment && text[0] == ':'
 		if val, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			num, err := strconv.ParseInt(string(bytes.TrimSpace(val)), 10, 64)
 			evt.id, evt.hasID = num, err == nil
@@ -103,10 +106,8 @@
 			err = fmt.Errorf("relay: read stream: %w", err)
 			return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 		}
-		att.stall.recordEvent()
-		if !att.firstEventReceived.Swap(true) {
-			att.tasks.markDecoding()
-			att.recordAnswer()
+		if !evt.isComment {
+			att.recordProgress()
 		}
 		if evt.hasID && att.hdl.hasLastEventID && evt.id <= att.hdl.lastEventID {
 			continue // The client already has it.
@@ -117,6 +118,15 @@
 	}
 }
 
+// recordProgress records that the replica has sent an event.
+func (att *attempt) recordProgress() {
+	att.stall.recordEvent()
+	if !att.firstEventReceived.Swap(true) {
+		att.tasks.markDecoding()
+		att.recordAnswer()
+	}
+}
+
 // sendEvent sends one event to the client.
 func (att *attempt) sendEvent(rep call.Reply, evt event, flush bool) error {
 	hdl := att.hdl
@@ -128,8 +138,10 @@
 	if _, err := hdl.rw.Write(evt.raw); err != nil {
 		return fmt.Errorf("relay: send event: %w", err)
 	}
-	att.observePause()
-	hdl.recordEvent(evt, att.tasks)
+	if !evt.isComment {
+		att.observePause()
+		hdl.recordEvent(evt, att.tasks)
+	}
 	if !flush {
 		return nil
 	}
