Use only addresses of single hosts as peers

A record among the peers' addresses that was none made a front send its load to port 0, to itself, to a group of hosts or to a name, which it looked up first while it held the follower's lock. Each datagram from another port made its sender a peer for five minutes, without a limit, and was answered with all tasks.

Such a record is now refused and logged once, like other odd records, and there are at most 4,096 peers.

AddPeer returns an error now, which the other tests check.

--- a/front/peers.go
+++ b/front/peers.go
@@ -52,8 +52,11 @@
 // followPeers adds the peers whose addresses are in the store, now and as they register.
 func (frt *Front) followPeers() {
 	addPeer := func(rec follow.Record) {
-		if rec.Value != nil {
-			frt.peers.AddPeer(rec.Key)
+		if rec.Value == nil {
+			return
+		}
+		if err := frt.peers.AddPeer(rec.Key); err != nil {
+			frt.odd.report("peers", rec.Key, err)
 		}
 	}
 	follow.Start(frt.group, follow.Options{
--- a/peers/cell_test.go
+++ b/peers/cell_test.go
@@ -45,9 +45,9 @@
 	iis := is.New(t)
 	one, two, other := startInCell(t, "one", "a"), startInCell(t, "two", "a"), startInCell(t, "other", "b")
 	time.Sleep(1100 * time.Millisecond) // until they have noticed that their data centres are cells
-	one.exc.AddPeer(two.addr)
-	one.exc.AddPeer(other.addr)
-	two.exc.AddPeer(other.addr)
+	iis.NoErr(one.exc.AddPeer(two.addr))
+	iis.NoErr(one.exc.AddPeer(other.addr))
+	iis.NoErr(two.exc.AddPeer(other.addr))
 	waitFor(t, func() bool { return other.exc.LiveProcesses() == 3 && one.exc.LiveProcesses() == 3 })
 	iis.Equal(one.exc.LiveNear(), 2)
 	iis.Equal(other.exc.LiveNear(), 1)
@@ -78,7 +78,7 @@
 			})
 		}
 	}
-	one.exc.AddPeer(other.addr)
+	iis.NoErr(one.exc.AddPeer(other.addr))
 	known := func() (num int) {
 		list, _ := other.flt.ReplicaSet("s").CellViews("a")
 		for _, vie := range list {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -39,6 +39,7 @@
 	removePeerAfter    = 5 * time.Minute
 	maxTasksPerMessage = 40 // so that a datagram fits into one packet
 	maxDatagramBytes   = 64 << 10
+	maxPeers           = 4096
 )
 
 // Options configure an Exchange.
@@ -130,39 +131,12 @@
 	return exc, nil
 }
 
-// AddPeer adds a process by its address and sends it this process's tasks.
-func (exc *Exchange) AddPeer(address string) {
-	addr, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		exc.opts.Log.Info("peers: address cannot be used", "address", address, "error", err.Error())
-		return
-	}
-	if address == exc.opts.Address {
-		return
-	}
-	exc.mu.Lock()
-	exc.getOrAddPeer(addr)
-	exc.mu.Unlock()
-	// The peer answers with its own tasks.
-	exc.sendAllTasks(addr, "")
-}
-
 // sendAllTasks introduces this process to a peer and sends it the tasks that concern it. The data centre of the peer is
 // empty if it is not known.
 func (exc *Exchange) sendAllTasks(addr *net.UDPAddr, dataCentre string) {
 	exc.sendTasks([]*net.UDPAddr{addr}, exc.greeting(), exc.tasksFor(dataCentre, exc.opts.Fleet.LocalTasks()))
 }
 
-// getOrAddPeer returns the peer with an address, and adds it if needed. The caller must hold the lock.
-func (exc *Exchange) getOrAddPeer(addr *net.UDPAddr) *peer {
-	per := exc.peers[addr.String()]
-	if per == nil {
-		per = &peer{addr: addr, inactiveSince: exc.opts.Clock.Now()}
-		exc.peers[addr.String()] = per
-	}
-	return per
-}
-
 // LiveProcesses returns the number of processes that have not timed out, including this one. Those of other cells are
 // counted by the processes there.
 func (exc *Exchange) LiveProcesses() int {
@@ -232,6 +206,10 @@
 	now := exc.opts.Clock.Now()
 	exc.mu.Lock()
 	per := exc.getOrAddPeer(addr)
+	if per == nil {
+		exc.mu.Unlock()
+		return
+	}
 	isNew := per.lastReceived.IsZero() || per.runID != msg.RunID
 	per.runID, per.lastReceived = msg.RunID, now
 	if msg.Name != "" {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -95,7 +95,7 @@
 	rep := one.flt.ReplicaSet("s").Views()[0].Replica
 	// The processes learn of one another after this task has started, which must reach process two as well.
 	before := rep.StartTask(fleet.Task{KVTokens: 7}, one.exc.QueueTaskChange)
-	two.exc.AddPeer(one.addr)
+	iis.NoErr(two.exc.AddPeer(one.addr))
 	two.waitTokens(t, 7)
 	during := rep.StartTask(fleet.Task{KVTokens: 100}, one.exc.QueueTaskChange)
 	two.waitTokens(t, 107)
@@ -109,13 +109,14 @@
 // TestRestartEndsTasks guards against tasks of a killed process that still count as load after the process has started
 // again.
 func TestRestartEndsTasks(t *testing.T) {
+	iis := is.New(t)
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
-	two.exc.AddPeer(one.addr)
+	iis.NoErr(two.exc.AddPeer(one.addr))
 	one.flt.ReplicaSet("s").Views()[0].Replica.StartTask(fleet.Task{KVTokens: 50}, one.exc.QueueTaskChange)
 	two.waitTokens(t, 50)
 	_ = one.group.Stop()
 	restarted := start(t, "one", one.addr)
-	restarted.exc.AddPeer(two.addr)
+	iis.NoErr(restarted.exc.AddPeer(two.addr))
 	two.waitTokens(t, 0)
 }
 
@@ -124,7 +125,7 @@
 func TestCrashReachesPeers(t *testing.T) {
 	iis := is.New(t)
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
-	one.exc.AddPeer(two.addr)
+	iis.NoErr(one.exc.AddPeer(two.addr))
 	cal := cause.Call{Fingerprint: 42, Parts: []uint64{43, 44}}
 	one.exc.SendCrash(cause.Report{Replica: 7, At: time.Now(), Call: cal})
 	rpt := <-two.crashes
@@ -139,7 +140,7 @@
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
 	known := cause.Report{Replica: 7, At: time.Now().Add(-time.Minute), Call: cause.Call{Fingerprint: 42}}
 	one.known.Store(&known)
-	two.exc.AddPeer(one.addr)
+	iis.NoErr(two.exc.AddPeer(one.addr))
 	rpt := <-two.crashes
 	iis.Equal(rpt.Call, known.Call)
 	iis.True(time.Since(rpt.At) >= time.Minute)
@@ -153,7 +154,7 @@
 	iis.NoErr(err)
 	_, err = con.Write([]byte("\xff\x00damaged"))
 	iis.NoErr(err)
-	two.exc.AddPeer(one.addr)
+	iis.NoErr(two.exc.AddPeer(one.addr))
 	one.flt.ReplicaSet("s").Views()[0].Replica.StartTask(fleet.Task{KVTokens: 3}, one.exc.QueueTaskChange)
 	two.waitTokens(t, 3)
 }
