Do not complete a stream that ended without events

A replica that answered a call, or the request to go on with a broken stream, with a stream that ends at once completed the client's stream: an empty one, or the part that the client had, looked whole. A replica that crashes after the head of a response without length does just that.

Such an answer fails the attempt. It is forwarded only to a client that itself resumed the stream, which may have all events. If a stream breaks between its last event and its end, its client now sees it cut and can ask for the rest.

'no event' and 'only a comment' of TestOnlyTheRestOfAStreamFollows failed before with a stream that looked complete, TestClientThatHasAllEventsGetsNone with 200 instead of 502 for a stream without events.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -130,6 +130,7 @@
 	replyReceived      bool        // the head of a response to the call has been read
 	answered           bool        // a whole response or the first event of a stream has been read
 	firstEventReceived atomic.Bool // of a stream
+	sentEvent          bool        // an event of this attempt, other than a comment, was sent to the client
 	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
 	stall              *stallWatch
 	reservationUnused  atomic.Bool // the attempt was ended because its reserved KV memory was not used
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -66,6 +66,8 @@
 	"head as an event": func(req request) string {
 		return eventStream(req, response(req, "500 X", "", "broken")+"\n\n")
 	},
+	"no event":          func(req request) string { return eventStream(req, "") },
+	"only a comment":    func(req request) string { return eventStream(req, ": comment\n\n") },
 	"incomplete event":  func(req request) string { return eventStream(req, "id: 4\ndata: pie") },
 	"missing piece":     func(req request) string { return eventStream(req, events(5, 6)) },
 	"no response":       func(request) string { return "broken\r\n\r\n" },
@@ -113,3 +115,20 @@
 	iis.Equal(status, 200)
 	iis.Equal(body, events(1, 6))
 }
+
+// TestClientThatHasAllEventsGetsNone guards against an error for a client that resumes a stream of which it has all
+// events.
+func TestClientThatHasAllEventsGetsNone(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool {
+		_, err := io.WriteString(con, eventStream(req, ""))
+		return err == nil
+	}))
+	status, body, err := rig.sendWith(t, "/stream/x", "Last-Event-Id", "3")
+	iis.NoErr(err)
+	iis.Equal(status, 200)
+	iis.Equal(body, "")
+	status, _, err = rig.send(t, "/stream/x") // A stream cannot be whole without events.
+	iis.NoErr(err)
+	iis.Equal(status, 502)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -116,6 +116,7 @@
 		if evt.hasID && att.hdl.hasLastEventID && evt.id <= att.hdl.lastEventID {
 			continue // The client already has it.
 		}
+		att.sentEvent = att.sentEvent || !evt.isComment
 		if err := att.sendEvent(rep, evt, evr.reader.Buffered() == 0); err != nil {
 			return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
 		}
@@ -193,10 +194,15 @@
 	}
 }
 
-// finishStream completes a response whose last event has been forwarded. A stream without events still gets a head.
+// finishStream completes a response whose last event has been forwarded. A stream without events is whole only if its
+// client resumed it and has them all.
 func (att *attempt) finishStream(res *http.Response, rep call.Reply) outcome {
 	hdl := att.hdl
 	att.releaseConn(res, nil)
+	if !att.sentEvent && (hdl.headSent || !hdl.hasLastEventID) {
+		err := errors.New("relay: stream without events")
+		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+	}
 	att.recordAnswer()
 	if !hdl.headSent {
 		hdl.opts.Codec.WriteReply(hdl.rw.Header(), rep)
