Test two mends of earlier faults that no test held

Trials that take out a mend showed that none of the tests failed when a replica's bytes that are no response counted as its crash, when a planned stop did not wait for the calls in flight, and when it did not tell clients to use another connection.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -112,11 +112,22 @@
 // newRigWithStore starts a front on a store that may hold records already.
 func newRigWithStore(t *testing.T, store *fakeStore) *rig {
 	t.Helper()
-	return newRigWithLog(t, store, logr.Discard())
+	return startRig(t, store, logr.Discard(), time.Second)
 }
 
 // newRigWithLog starts a front on a store that writes to the given log.
 func newRigWithLog(t *testing.T, store *fakeStore, log logr.Logger) *rig {
+	t.Helper()
+	return startRig(t, store, log, time.Second)
+}
+
+// newRigWithGrace starts a front that is killed after the given time when it stops.
+func newRigWithGrace(t *testing.T, grace time.Duration) *rig {
+	t.Helper()
+	return startRig(t, &fakeStore{topics: make(map[string][][2]string)}, logr.Discard(), grace)
+}
+
+func startRig(t *testing.T, store *fakeStore, log logr.Logger, grace time.Duration) *rig {
 	t.Helper()
 	rig := &rig{store: store}
 	rig.replica = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
@@ -127,8 +138,8 @@
 	t.Cleanup(rig.replica.Close)
 	srv := httptest.NewServer(rig.store)
 	t.Cleanup(srv.Close)
-	text := fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = 1s\n"+
-		"[front]\nready = 127.0.0.1:0\nstore = %s\ndrain-time = 300ms\nconfig-time = 300ms\n", host(srv))
+	text := fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = %s\n"+
+		"[front]\nready = 127.0.0.1:0\nstore = %s\ndrain-time = 300ms\nconfig-time = 300ms\n", grace, host(srv))
 	rig.settings = text
 	set, err := config.Parse(text, "front")
 	if err != nil {
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +112,68 @@
 	}
 }
 
+// TestDrainWaitsForCalls guards against a planned stop that ends while a call is at its replica, so that its connection
+// is cut, and against clients that are not told to use another connection.
+func TestDrainWaitsForCalls(t *testing.T) {
+	iis := is.New(t)
+	rig := newRigWithGrace(t, 6*time.Second)
+	var arrived atomic.Bool
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		id := req.Header.Get("Tarragonwheel-Request-Id")
+		rw.Header().Set("Tarragonwheel-Request-Id", id)
+		rw.Header().Set("Tarragonwheel-Replica-Signature", "sig")
+		if id == "slow" {
+			arrived.Store(true)
+			<-release
+		}
+	}))
+	t.Cleanup(srv.Close)
+	rig.store.put("keyed.op", "config", strings.Replace(operatorConfig(3, "s"), "/a/", "/b/", 1))
+	rig.store.put("keyed.servers", "i-1", registration("s", host(srv), "ready", 1))
+	waitUntil(t, func() bool { return !rig.refusesCalls() })
+	slow := make(chan error, 1)
+	go func() {
+		_, _, err := rig.exchange("slow")
+		slow <- err
+	}()
+	waitUntil(t, arrived.Load)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		rig.frt.Drain(context.Background())
+	}()
+	waitUntil(t, func() bool { return !rig.frt.Ready() })
+	_, closes, err := rig.exchange("other")
+	iis.NoErr(err)
+	iis.True(closes)
+	waitUntil(t, rig.refusesCalls)
+	select {
+	case <-stopped:
+		t.Error("stopped with a call at its replica")
+	case <-time.After(300 * time.Millisecond):
+	}
+	close(release)
+	iis.NoErr(<-slow)
+	<-stopped
+}
+
+// exchange sends one request on a new connection and reads the response.
+func (rig *rig) exchange(id string) (status int, closes bool, err error) {
+	con, err := net.Dial("tcp", rig.frt.Address())
+	if err != nil {
+		return 0, true, err
+	}
+	defer func() { _ = con.Close() }()
+	return exchange(con, bufio.NewReader(con), id)
+}
+
+// refusesCalls reports whether the front refuses new calls or connections.
+func (rig *rig) refusesCalls() bool {
+	status, _, err := rig.exchange("new")
+	return err != nil || status == http.StatusServiceUnavailable
+}
+
 // TestRestartForgetsWhatIsGone guards against a process that uses after its restart a replica that has left or a key
 // that has been withdrawn, because it reads old records of the store.
 func TestRestartForgetsWhatIsGone(t *testing.T) {
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// TestOtherBytesAreNoCrash guards against sound calls that are refused because replicas sent bytes that are no answer,
+// or the response of another call: the replicas have not crashed.
+func TestOtherBytesAreNoCrash(t *testing.T) {
+	for _, text := range []string{
+		"what is this\r\n\r\n",
+		strings.Repeat("HTTP/1.1 200 OK\r\nTarragonwheel-Request-Id: c0\r\nContent-Length: 0\r\n\r\n", 3),
+	} {
+		iis := is.New(t)
+		var odd atomic.Int64
+		hdl := func(con net.Conn, req request) bool {
+			if odd.Add(1) <= 6 {
+				_, _ = io.WriteString(con, text)
+				_, _ = io.Copy(io.Discard, con) // The connection stays open.
+				return false
+			}
+			return reply(con, req, 200, "ok")
+		}
+		rig := newRig(t, newReplica(t, hdl), newReplica(t, hdl), newReplica(t, hdl))
+		for range 6 {
+			iis.Equal(rig.sendRequest(t, http.MethodPost, "/unsafe/x", "asked"), http.StatusBadGateway)
+		}
+		iis.Equal(rig.sendRequest(t, http.MethodPost, "/unsafe/x", "asked"), http.StatusOK)
+	}
+}
+
 // TestPromptPartThatCrashesReplicasIsRefused guards against calls that crash one replica after another because they
 // share a part of their prompts, though no two of them are alike. Sound calls that share their other parts must be
 // served.
