--- a/front/front_test.go
+++ b/front/front_test.go
@@ -265,3 +265,18 @@
 	hup <- syscall.SIGHUP
 	waitUntil(t, func() bool { return rig.frt.Grace() == 4*time.Second })
 }
+
+// TestRemovedReplicaGetsNoMoreCalls guards against a replica that is used after the removal of its registration has
+// been read.
+func TestRemovedReplicaGetsNoMoreCalls(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t)
+	rig.store.put("keyed.op", "config", operatorConfig(3, "s"))
+	rig.store.put("keyed.servers", "i-1", registration("s", host(rig.replica), "ready", 1))
+	waitUntil(t, func() bool { return rig.frt.Ready() && rig.call(t) == http.StatusOK })
+	rig.store.put("keyed.servers", "i-1", "")
+	waitUntil(t, func() bool { return rig.call(t) == http.StatusServiceUnavailable })
+	rig.store.put("keyed.servers", "i-1", registration("s", host(rig.replica), "ready", 2))
+	waitUntil(t, func() bool { return rig.call(t) == http.StatusOK })
+	iis.True(rig.frt.Ready())
+}
