--- a/relay/event_test.go
+++ b/relay/event_test.go
@@ -59,3 +59,17 @@
 		}
 	})
 }
+
+// TestLongEventIsAnError guards against a stream that takes all memory for events with one event that does not end.
+func TestLongEventIsAnError(t *testing.T) {
+	iis := is.New(t)
+	for _, text := range []string{
+		"data: " + strings.Repeat("x", maxEventBytes), strings.Repeat("id: 1\n", maxEventBytes/6+1),
+	} {
+		evr := &eventReader{
+			reader: bufio.NewReader(strings.NewReader(text + "\n\n")), buffers: &callBuffers{buffers: newBuffers(0)},
+		}
+		_, err := evr.next()
+		iis.True(errors.Is(err, errEventTooLong))
+	}
+}
