Bound the numbers in datagrams

The datagrams between fronts are not authenticated, and numbers in them were used as they came. A digest with a negative age put off its receiver's next read of the store by as much (read in the code: the next read is due so long after the moment of the digest); huge or negative load made sums overflow, and a huge number of live processes left a front no share of the retry budget.

Times are bounded to an hour, numbers to what a front can mean.

TestOddNumbersInMessagesAreBounded failed before.

--- a/peers/digest.go
+++ b/peers/digest.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/follow"
 )
@@ -61,7 +60,7 @@
 
 // toDigest returns the follow.Digest.
 func (dig *storeDigest) toDigest() follow.Digest {
-	out := follow.Digest{From: dig.From, To: dig.To, Age: time.Duration(dig.AgeMs) * time.Millisecond}
+	out := follow.Digest{From: dig.From, To: dig.To, Age: toDuration(dig.AgeMs)}
 	for _, rec := range dig.Records {
 		val := rec.Value
 		if rec.Removed {
--- a/peers/message.go
+++ b/peers/message.go
@@ -57,14 +57,12 @@
 
 func (rsm *replicaSummary) toSummary() fleet.Summary {
 	return fleet.Summary{
-		Replica: rsm.Replica, Calls: rsm.Calls, ShortCalls: rsm.ShortCalls, DecodeStreams: rsm.DecodeStreams,
-		DecodeTokens: rsm.DecodeTokens, KVTokens: rsm.KVTokens,
-		PrefillBacklog: time.Duration(rsm.PrefillBacklogMs) * time.Millisecond,
-		SplitBacklog:   time.Duration(rsm.SplitBacklogMs) * time.Millisecond,
-		DecodeValue:    float64(rsm.DecodeValueTenths) / 10,
-		GapTarget:      time.Duration(rsm.GapTargetMs) * time.Millisecond,
-		PrefillValue:   float64(rsm.PrefillValueTenths) / 10,
-		DueIn:          time.Duration(rsm.FirstEventDueInMs) * time.Millisecond,
+		Replica: rsm.Replica, Calls: toCount(rsm.Calls), ShortCalls: toCount(rsm.ShortCalls),
+		DecodeStreams: toCount(rsm.DecodeStreams), DecodeTokens: toCount(rsm.DecodeTokens),
+		KVTokens: toCount(rsm.KVTokens), PrefillBacklog: toDuration(rsm.PrefillBacklogMs),
+		SplitBacklog: toDuration(rsm.SplitBacklogMs), DecodeValue: float64(toCount(rsm.DecodeValueTenths)) / 10,
+		GapTarget: toDuration(rsm.GapTargetMs), PrefillValue: float64(toCount(rsm.PrefillValueTenths)) / 10,
+		DueIn: toDuration(rsm.FirstEventDueInMs),
 	}
 }
 
@@ -140,20 +138,20 @@
 // toRemoteTask returns the described task, with times on this process's clock.
 func (upd *taskUpdate) toRemoteTask(now time.Time) fleet.RemoteTask {
 	tsk := fleet.Task{
-		ID: upd.ID, KVTokens: upd.KVTokens, PrefillTime: time.Duration(upd.PrefillMs) * time.Millisecond,
-		GapTarget: time.Duration(upd.GapTargetMs) * time.Millisecond, Value: float64(upd.ValueTenths) / 10,
+		ID: upd.ID, KVTokens: toCount(upd.KVTokens), PrefillTime: toDuration(upd.PrefillMs),
+		GapTarget: toDuration(upd.GapTargetMs), Value: float64(toCount(upd.ValueTenths)) / 10,
 		IsPart: upd.Flags&flagPart != 0, TargetMissed: upd.Flags&flagTargetMissed != 0,
 		SplitPrompt: upd.Flags&flagSplitPrompt != 0,
-		StartedAt:   now.Add(-time.Duration(upd.AgeMs) * time.Millisecond),
+		StartedAt:   now.Add(-toDuration(upd.AgeMs)),
 	}
 	if upd.Flags&flagDecode != 0 {
 		tsk.Phase = fleet.Decode
 	}
 	if upd.DueMs != 0 {
-		tsk.DueAt = tsk.StartedAt.Add(time.Duration(upd.DueMs) * time.Millisecond)
+		tsk.DueAt = tsk.StartedAt.Add(toOffset(upd.DueMs))
 	}
 	if upd.ExpectedMs != 0 {
-		tsk.ExpectedAt = tsk.StartedAt.Add(time.Duration(upd.ExpectedMs) * time.Millisecond)
+		tsk.ExpectedAt = tsk.StartedAt.Add(toOffset(upd.ExpectedMs))
 	}
 	return fleet.RemoteTask{Replica: upd.Replica, Task: tsk, Ended: upd.Flags&flagEnded != 0}
 }
--- a/peers/summary.go
+++ b/peers/summary.go
@@ -60,7 +60,7 @@
 		return
 	}
 	exc.mu.Lock()
-	exc.cellSizes[msg.DataCentre] = cellSize{live: msg.Live, receivedAt: exc.opts.Clock.Now()}
+	exc.cellSizes[msg.DataCentre] = cellSize{live: min(max(msg.Live, 0), maxPeers), receivedAt: exc.opts.Clock.Now()}
 	exc.mu.Unlock()
 	list := make([]fleet.Summary, 0, len(msg.Summaries))
 	for idx := range msg.Summaries {
