--- a/relay/stream.go
+++ b/relay/stream.go
@@ -108,7 +108,7 @@
 			return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 		}
 		if err := rsm.check(&evt); err != nil {
-			return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+			return att.rejectStream(err)
 		}
 		if !evt.isComment {
 			att.recordProgress()
@@ -123,6 +123,16 @@
 	}
 }
 
+// rejectStream ends an attempt whose stream cannot be that of the call.
+func (att *attempt) rejectStream(err error) outcome {
+	hdl := att.hdl
+	hdl.opts.Metrics.CountEvent("stream-rejected")
+	hdl.opts.Log.Info("relay: stream is not that of the call", "call", hdl.cal.ID,
+		"replica", att.placement.Primary.ID, "last-event", hdl.lastEventID, "events", hdl.eventsSent,
+		"error", err.Error())
+	return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+}
+
 // recordProgress records that the replica has sent an event.
 func (att *attempt) recordProgress() {
 	att.stall.recordEvent()
@@ -200,8 +210,7 @@
 	hdl := att.hdl
 	att.releaseConn(res, nil)
 	if !att.sentEvent && (hdl.headSent || !hdl.hasLastEventID) {
-		err := errors.New("relay: stream without events")
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+		return att.rejectStream(errors.New("relay: the stream has no events"))
 	}
 	att.recordAnswer()
 	if !hdl.headSent {
