--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -119,6 +119,7 @@
 	rig := newRigWithGrace(t, 6*time.Second)
 	var arrived atomic.Bool
 	release := make(chan struct{})
+	endSlow := sync.OnceFunc(func() { close(release) })
 	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		id := req.Header.Get("Tarragonwheel-Request-Id")
 		rw.Header().Set("Tarragonwheel-Request-Id", id)
@@ -129,6 +130,7 @@
 		}
 	}))
 	t.Cleanup(srv.Close)
+	t.Cleanup(endSlow)
 	rig.store.put("keyed.op", "config", strings.Replace(operatorConfig(3, "s"), "/a/", "/b/", 1))
 	rig.store.put("keyed.servers", "i-1", registration("s", host(srv), "ready", 1))
 	waitUntil(t, func() bool { return !rig.refusesCalls() })
@@ -153,7 +155,7 @@
 		t.Error("stopped with a call at its replica")
 	case <-time.After(300 * time.Millisecond):
 	}
-	close(release)
+	endSlow()
 	iis.NoErr(<-slow)
 	<-stopped
 }
