--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,12 +25,14 @@
 	expired     map[string]time.Time   // end of the grace period, by the ID of a replica whose registration is missing
 	gone        goneReplicas           // that have been removed lately
 	pending     pendingTasks           // updates for replicas that are not registered here yet
+	rivals      map[string]rival       // by the ID of a replica
 	// graceEnd is the end of the grace period after an outage or a restore of the store. A registration that disappears
 	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
 }
 
-// reregisterGrace is the time after a store outage in which replicas whose registration expired may register again.
+// reregisterGrace is the time in which replicas may register again whose registration expired during a store outage, or
+// was overwritten.
 const reregisterGrace = 1800 * time.Millisecond
 
 // New returns an empty Fleet. The function onRemoved is called with the ID of each replica that is removed; it may be
@@ -43,6 +45,7 @@
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
 		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), gone: make(goneReplicas),
+		rivals: make(map[string]rival),
 	}
 }
 
@@ -82,7 +85,8 @@
 }
 
 // UpdateRegistration records a registration. One that is older than the known one is ignored, also if the replica has
-// been removed lately, and a replica that has begun to drain keeps draining until its incarnation ends.
+// been removed lately, unless such ones keep coming, but for the news that the replica drains. A replica that has begun
+// to drain keeps draining until its incarnation ends.
 func (flt *Fleet) UpdateRegistration(reg Registration) {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -95,10 +99,16 @@
 		return
 	}
 	known := old.Registration()
-	if !reg.Newer(&known) {
+	sameIncarnation := reg.StartedAtMs == known.StartedAtMs
+	if !reg.Newer(&known) && !flt.recordRival(&reg) {
+		if sameIncarnation && reg.Draining && !known.Draining {
+			known.Draining = true
+			flt.log.Info("fleet: replica drains", "replica", reg.ID, "sequence", reg.Sequence)
+			old.setRegistration(known)
+		}
 		return
 	}
-	sameIncarnation := reg.StartedAtMs == known.StartedAtMs
+	delete(flt.rivals, reg.ID)
 	if !sameIncarnation || reg.Service != known.Service || reg.Address != known.Address {
 		flt.remove(old, "replaced by a new incarnation", true)
 		flt.add(reg)
@@ -154,6 +164,7 @@
 	rep.set.remove(rep)
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
+	delete(flt.rivals, reg.ID)
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onRemoved(reg.ID)
 }
@@ -174,9 +185,15 @@
 	flt.remove(rep, "registration removed", true)
 }
 
-// ReplaceRegistrations records the full list of registrations. Replicas that are not on it are unregistered.
-func (flt *Fleet) ReplaceRegistrations(list []Registration) {
-	listed := make(map[string]bool, len(list))
+// ReplaceRegistrations records the full list of registrations. Replicas that are not on it are unregistered. Replicas
+// did not write the records of the IDs in unreadable. If there is a replica with such an ID, its own record has been
+// overwritten, so it gets the time to write the next one.
+func (flt *Fleet) ReplaceRegistrations(list []Registration, unreadable []string) {
+	listed := make(map[string]bool, len(list)+len(unreadable))
+	for _, id := range unreadable {
+		listed[id] = true
+		flt.expectRegistration(id)
+	}
 	for _, reg := range list {
 		listed[reg.ID] = true
 		flt.UpdateRegistration(reg)
@@ -188,6 +205,15 @@
 	}
 }
 
+// expectRegistration removes a replica after the grace period unless it registers again.
+func (flt *Fleet) expectRegistration(id string) {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	if flt.byID[id] != nil && flt.expired[id].IsZero() {
+		flt.expired[id] = flt.clock.Now().Add(reregisterGrace)
+	}
+}
+
 func (flt *Fleet) ids() []string {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -206,8 +232,8 @@
 	flt.graceEnd = flt.clock.Now().Add(reregisterGrace)
 }
 
-// RemoveExpired removes the replicas whose registration expired during a store outage and was not renewed within the
-// grace period. It also removes stale updates for replicas that are not registered.
+// RemoveExpired removes the replicas whose registration was missing and was not renewed within the grace period. It
+// also removes stale updates for replicas that are not registered.
 func (flt *Fleet) RemoveExpired() {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
@@ -220,7 +246,7 @@
 		}
 		delete(flt.expired, id)
 		if rep := flt.byID[id]; rep != nil {
-			flt.remove(rep, "registration missing after an outage or a restore, and not renewed", false)
+			flt.remove(rep, "registration missing or overwritten, and not renewed", false)
 		}
 	}
 }
--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -46,7 +46,7 @@
 	flt, man, _ := newFleet()
 	flt.UpdateRegistration(registration("i-1", 5, 3))
 	flt.StoreOutageEnded()
-	flt.ReplaceRegistrations(nil)
+	flt.ReplaceRegistrations(nil, nil)
 	iis.Equal(usableReplicas(flt), 1)
 	man.Advance(2 * time.Second)
 	flt.RemoveExpired()
--- a/front/peer_config_test.go
+++ b/front/peer_config_test.go
@@ -25,8 +25,8 @@
 	rig.putConfig(3, "s")
 	rig.putReplica(false, 1)
 	lnk := &link{store: rig.store}
-	one, _ := startFront(t, lnk, frontTimes+"peers = "+freeAddress(t)+"\n")
-	two, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+	one, _ := startFront(t, lnk, withLines(frontTimes+"peers = "+freeAddress(t)+"\n"))
+	two, _ := startFront(t, rig.store, withLines(frontTimes+"peers = "+freeAddress(t)+"\n"))
 	waitForStatus(t, one, http.StatusOK)
 	waitForStatus(t, two, http.StatusOK)
 	waitFor(t, "the fronts are not registered", func() bool { return len(rig.store.PeerAddresses()) == 2 })
@@ -48,14 +48,14 @@
 	rig := newRestoreRig(t)
 	rig.putConfig(3, "s")
 	rig.putReplica(false, 1)
-	one, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+	one, _ := startFront(t, rig.store, withLines(frontTimes+"peers = "+freeAddress(t)+"\n"))
 	waitForStatus(t, one, http.StatusOK)
 	waitFor(t, "the front is not registered", func() bool { return len(rig.store.PeerAddresses()) == 1 })
 	copied := time.Now()
 	rig.store.PutConfig(5, nil) // without the route
 	waitForStatus(t, one, http.StatusNotFound)
 	rig.store.Restore(copied)
-	two, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+	two, _ := startFront(t, rig.store, withLines(frontTimes+"peers = "+freeAddress(t)+"\n"))
 	waitForStatus(t, two, http.StatusNotFound)
 }
 
@@ -90,7 +90,7 @@
 			t.Cleanup(srv.Close)
 			_, err = platform.NewStore(host(srv), &http.Transport{}).RegisterPeer(t.Context(), addr)
 			iis.NoErr(err)
-			frt, _ := startFront(t, rig.store, frontTimes+"peers = "+freeAddress(t)+"\n")
+			frt, _ := startFront(t, rig.store, withLines(frontTimes+"peers = "+freeAddress(t)+"\n"))
 			<-sent
 			<-sent // The front has not used the first one.
 			waitForStatus(t, frt, http.StatusOK)
--- a/front/rules.go
+++ b/front/rules.go
@@ -70,7 +70,7 @@
 	}
 	spc, err := platform.ReadConfig(rec.Value)
 	if err != nil {
-		frt.log.Error(err, "front: cannot decode the configuration, ignoring it")
+		frt.odd.report("configuration", rec.Key, err)
 		return
 	}
 	frt.applyConfig(spc, rec.Value, "store")
--- a/peers/config.go
+++ b/peers/config.go
@@ -110,7 +110,7 @@
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
 	per, now := exc.getOrAddPeer(addr), exc.opts.Clock.Now()
-	if now.Sub(per.configSentAt) < configSendInterval {
+	if per == nil || now.Sub(per.configSentAt) < configSendInterval {
 		return false
 	}
 	per.configSentAt = now
--- a/peers/digest.go
+++ b/peers/digest.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/follow"
 )
@@ -71,9 +70,7 @@
 
 // toDigest returns the follow.Digest, whose offsets are of the given era of the store.
 func (dig *storeDigest) toDigest(era int64) follow.Digest {
-	out := follow.Digest{
-		Era: era, From: dig.From, To: dig.To, Age: time.Duration(dig.AgeMs) * time.Millisecond,
-	}
+	out := follow.Digest{Era: era, From: dig.From, To: dig.To, Age: toDuration(dig.AgeMs)}
 	for _, rec := range dig.Records {
 		val := rec.Value
 		if rec.Removed {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -90,17 +91,20 @@
 	reply              call.Reply
 	response           *http.Response
 	events             *eventReader // of the response, if it is a stream
-	connReleased       bool         // the connection was returned to the pool
-	replyReceived      bool         // the head of a response to the call has been read
-	answered           bool         // a whole response or the first event of a stream has been read
-	firstEventReceived atomic.Bool  // of a stream
-	lastEventAt        time.Time    // when the latest event was sent to the client; zero before the first
-	stall              *stallWatch  // nil for a standby attempt
-	reservationUnused  atomic.Bool  // the attempt was ended because its reserved KV memory was not used
+	rest               resumption
+	sentEvent          bool        // an event of this attempt, other than a comment, was sent to the client
+	connReleased       bool        // the connection was returned to the pool
+	replyReceived      bool        // the head of a response to the call has been read
+	answered           bool        // a whole response or the first event of a stream has been read
+	firstEventReceived atomic.Bool // of a stream
+	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
+	stall              *stallWatch // nil for a standby attempt
+	reservationUnused  atomic.Bool // the attempt was ended because its reserved KV memory was not used
 }
 
 // newAttempt returns the next attempt at the call.
 func (hdl *callHandler) newAttempt(plc *place.Placement) *attempt {
+	needsNewConn := hdl.needsNewConn(plc.Primary.ID)
 	hdl.attempts++
 	hdl.triedReplicas = append(hdl.triedReplicas, plc.Primary.ID)
 	now := hdl.opts.Clock.Now()
@@ -108,7 +112,7 @@
 	return &attempt{
 		hdl: hdl, placement: plc, placedAt: now, ctx: ctx, cancel: cancel, cleanup: []func(){cancel},
 		task: hdl.newTask(plc), buffers: &hdl.buffers,
-		needsNewConn: !hdl.rte.Retryable() || hdl.possibleRuns > 0, // Another retry may be denied.
+		needsNewConn: needsNewConn, rest: newResumption(hdl),
 		message: call.Attempt{
 			Replica: plc.Primary.ID, Account: hdl.account, Priority: enginePriority(hdl.rte.LatencyTarget),
 			LastEventID: hdl.lastEventID, HasLastEventID: hdl.hasLastEventID,
@@ -116,6 +120,14 @@
 	}
 }
 
+// needsNewConn tells whether the next attempt needs a new connection to a replica. On a used one the call could not tell
+// a late answer to an earlier call from its own if it has no ID or was at that replica before. A call that must not be
+// sent again, or that may be denied another retry, would be lost if the replica closed the used one.
+func (hdl *callHandler) needsNewConn(replica string) bool {
+	return !hdl.rte.Retryable() || hdl.possibleRuns > 0 || hdl.cal.ID == "" ||
+		slices.Contains(hdl.triedReplicas, replica)
+}
+
 // open reserves KV memory at helper replicas and connects to the primary one. It returns the outcome of the attempt if
 // that fails, and nil otherwise.
 func (att *attempt) open() *outcome {
@@ -184,7 +196,9 @@
 	}
 	belongsToCall := func(res *http.Response) bool {
 		att.reply = hdl.opts.Codec.ReadReply(res)
-		return hdl.cal.ID == "" || att.reply.CallID == hdl.cal.ID || (att.reply.CallID == "" && att.reply.NotExecuted)
+		// Some replicas may refuse a call without its ID. On a used connection such a refusal may be an earlier one.
+		return hdl.cal.ID == "" || att.reply.CallID == hdl.cal.ID ||
+			(att.reply.CallID == "" && att.reply.NotExecuted && !att.con.Reused())
 	}
 	//nolint:bodyclose // The whole connection is closed or returned to the pool.
 	res, err := att.con.ReadResponse(hdl.cal.Method, belongsToCall)
--- a/relay/standby.go
+++ b/relay/standby.go
@@ -96,13 +96,16 @@
 		return &outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
 	err := att.events.peek()
-	switch {
-	case errors.Is(err, io.EOF): // The client has all events already.
-	case err != nil:
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return &outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errNoEvents}
+	}
+	if err != nil {
 		err = fmt.Errorf("relay: read stream: %w", err)
 		return &outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
-	default:
-		att.recordFirstEvent()
 	}
+	if err := att.rest.check(&att.events.peeked); err != nil {
+		return &outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+	}
+	att.recordFirstEvent()
 	return nil
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,6 +25,8 @@
 	raw   []byte // as received, with the empty line at its end
 	id    int64
 	hasID bool
+	// isComment is set if all lines are comments, so that the event says nothing.
+	isComment bool
 }
 
 // eventReader splits a stream into events. It never returns an incomplete event.
@@ -37,7 +39,10 @@
 	peeked  event
 }
 
-var errEventTooLong = errors.New("relay: stream event is too long")
+var (
+	errEventTooLong = errors.New("relay: stream event is too long")
+	errNoEvents     = errors.New("relay: the stream has no events")
+)
 
 // next returns the next complete event. It returns io.EOF at the end of the stream, and io.ErrUnexpectedEOF if the
 // stream ends within an event. The event is valid until the next call.
@@ -47,13 +52,14 @@
 		return evr.peeked, nil
 	}
 	evr.buf = evr.buf[:0]
-	evt := event{}
+	evt := event{isComment: true}
+	lineStart := 0
 	for {
-		line, err := evr.reader.ReadSlice('\n')
-		if err := evr.grow(len(line)); err != nil {
+		part, err := evr.reader.ReadSlice('\n')
+		if err := evr.grow(len(part)); err != nil {
 			return event{}, err
 		}
-		evr.buf = append(evr.buf, line...)
+		evr.buf = append(evr.buf, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -62,11 +68,13 @@
 		case err != nil:
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(evr.buf[lineStart:], "\r\n")
+		lineStart = len(evr.buf)
 		if len(text) == 0 {
 			evt.raw = evr.buf
 			return evt, nil
 		}
+		evt.isComment = evt.isComment && text[0] == ':'
 		if val, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			num, err := strconv.ParseInt(string(bytes.TrimSpace(val)), 10, 64)
 			evt.id, evt.hasID = num, err == nil
@@ -74,13 +82,18 @@
 	}
 }
 
-// peek reads the next event, which the following call of next returns too.
+// peek reads the next event, which the following call of next returns too. It drops comments before it.
 func (evr *eventReader) peek() error {
-	evt, err := evr.next()
-	if err == nil {
-		evr.peeked, evr.isAhead = evt, true
+	for {
+		evt, err := evr.next()
+		if err != nil {
+			return err
+		}
+		if !evt.isComment {
+			evr.peeked, evr.isAhead = evt, true
+			return nil
+		}
 	}
-	return err
 }
 
 // holdsEvent tells whether another complete event has been received.
@@ -121,17 +134,35 @@
 			err = fmt.Errorf("relay: read stream: %w", err)
 			return outcome{mayHaveRun: true, reason: att.failureReason(err), err: err}
 		}
-		att.stall.recordEvent()
-		att.recordFirstEvent()
+		if err := att.rest.check(&evt); err != nil {
+			return att.rejectStream(err)
+		}
+		if !evt.isComment {
+			att.stall.recordEvent()
+			att.recordFirstEvent()
+		}
 		if !att.hdl.clientHas(evt) {
+			att.sentEvent = att.sentEvent || !evt.isComment
 			if err := att.sendEvent(att.reply, evt, !att.events.holdsEvent()); err != nil {
 				return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
 			}
 		}
-		att.stall.awaitEvent()
+		if !evt.isComment {
+			att.stall.awaitEvent()
+		}
 	}
 }
 
+// rejectStream ends an attempt whose stream cannot be that of the call.
+func (att *attempt) rejectStream(err error) outcome {
+	hdl := att.hdl
+	hdl.opts.Metrics.CountEvent("stream-rejected")
+	hdl.opts.Log.Info("relay: stream is not that of the call", "call", hdl.cal.ID,
+		"replica", att.placement.Primary.ID, "last-event", hdl.lastEventID, "events", hdl.eventsSent,
+		"error", err.Error())
+	return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+}
+
 // recordFirstEvent records that the stream has begun, once.
 func (att *attempt) recordFirstEvent() {
 	if !att.firstEventReceived.Swap(true) {
@@ -156,8 +187,10 @@
 	if _, err := hdl.rw.Write(evt.raw); err != nil {
 		return fmt.Errorf("relay: send event: %w", err)
 	}
-	att.observePause()
-	hdl.recordEvent(evt, att.tasks)
+	if !evt.isComment {
+		att.observePause()
+		hdl.recordEvent(evt, att.tasks)
+	}
 	if !flush {
 		return nil
 	}
@@ -197,6 +230,7 @@
 	hdl.lastEventAt = now
 	hdl.eventsSent++
 	if evt.hasID {
+		hdl.largestIDStep = max(hdl.largestIDStep, evt.id-hdl.lastEventID)
 		hdl.lastEventID, hdl.hasLastEventID = evt.id, true
 	}
 	if !hadMissedTarget && hdl.missedTarget() {
@@ -204,10 +238,14 @@
 	}
 }
 
-// finishStream completes a response whose last event has been forwarded. A stream without events still gets a head.
+// finishStream completes a response whose last event has been forwarded. A stream without events is whole only if its
+// client resumed it and has them all.
 func (att *attempt) finishStream(res *http.Response, rep call.Reply) outcome {
 	hdl := att.hdl
 	att.releaseConn(res, nil)
+	if !att.sentEvent && (hdl.headSent || !hdl.hasLastEventID) {
+		return att.rejectStream(errNoEvents)
+	}
 	att.recordAnswer()
 	if !hdl.headSent {
 		hdl.opts.Codec.WriteReply(hdl.rw.Header(), rep)
