Decode what replicas say of their state in responses

A replica that leaves sends Server-Leaving: 1 with each response, and one that refuses a call with 503 may name a pause in Retry-After.

platform/ now decodes both into call.Notice, for responses to calls and for those to reservations and reports, which NewReplicaAPI hands to a function. Retry-After counts on 503 alone: decimal seconds, or an HTTP date compared with the date of the same response; the longest of several lines, one minute at most. Zero, negative, and anything else say nothing, and none of it makes the response an error.

Before, there was no such field.

--- a/call/call.go
+++ b/call/call.go
@@ -77,4 +77,14 @@
 	Encoded bool
 	// FaultyReplica is the address of the replica whose failure made this one refuse the call; empty if none is named.
 	FaultyReplica string
+	Notice        Notice
 }
+
+// Notice is what a replica says of its own state in a response to any request.
+type Notice struct {
+	Leaving bool          // it is about to leave and wants no new calls
+	Pause   time.Duration // for which it wants no calls from this process; 0 for none
+}
+
+// IsZero tells whether the replica says nothing of its state.
+func (ntc Notice) IsZero() bool { return ntc == Notice{} }
--- a/front/front.go
+++ b/front/front.go
@@ -114,7 +114,7 @@
 		},
 		Rules: frt.activeRules, Fleet: frt.fleet, Pool: frt.pool,
 		Reserver: relay.NewReserver(frt.clock, frt.log,
-			platform.NewReplicaAPI(&http.Client{Transport: transport})),
+			platform.NewReplicaAPI(&http.Client{Transport: transport}, nil)),
 		Crashes:               frt.crashes,
 		RetryLimits:           frt.retryLimits,
 		BudgetSharers:         frt.budgetSharers,
