Keep what replicas say of their state with their incarnation

fleet/ decides without a network what the word of a replica means: one that has said that it leaves takes no calls for as long as its incarnation lives, also if its registration is lost and comes back meanwhile; a new start under its ID or at its address is not held back. One that has asked for a pause takes none until the longest pause that it named is over; a success does not end it.

A service must not be left without replicas by false words, and no call that came later than the drain time may reach a replica that this process has heard say that it leaves. So as a last resort, if no replica takes calls, those that leave may serve a call that arrived within the drain time; those that only a peer has heard of, any call; and those that are still registered as ready five drain times later, while the store answers, any call: their word has proved false. Pauses have no last resort. Shortage tells callers when a pause ends.

--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -50,25 +50,28 @@
 	return false
 }
 
-// Views returns a view of each replica of the service that is not draining.
+// Views returns a view of each replica of the service that takes calls.
 func (set *ReplicaSet) Views() []View {
-	return set.viewsIf(func(string, *Replica) bool { return true })
+	now := set.clock.Now()
+	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.notices.takesCalls(now) })
 }
 
-// CellViews returns a view of each replica that is not draining in the cell of a data centre. It also reports whether
-// the service has replicas in other cells.
+// CellViews returns a view of each replica that takes calls in the cell of a data centre. It also reports whether the
+// service has replicas in other cells.
 func (set *ReplicaSet) CellViews(dataCentre string) (list []View, hasMore bool) {
 	set.mu.Lock()
 	own := set.cellLocked(dataCentre)
 	set.mu.Unlock()
-	list = set.viewsIf(func(cell string, _ *Replica) bool {
+	now := set.clock.Now()
+	list = set.viewsIf(func(cell string, rep *Replica) bool {
 		hasMore = hasMore || cell != own
-		return cell == own
+		return cell == own && rep.notices.takesCalls(now)
 	})
 	return list, hasMore
 }
 
-// WiderViews returns a view of each replica in the cell of a data centre and of some in other cells, chosen at random.
+// WiderViews returns a view of each replica that takes calls in the cell of a data centre and of some in other cells,
+// chosen at random.
 // The processes of a cell know those only by summaries. If they all considered all of them, they would choose the same
 // few in the time between two summaries. Replicas elsewhere whose load is not known are left out, unless there are no
 // others.
@@ -77,7 +80,10 @@
 	own := set.cellLocked(dataCentre)
 	chosen := set.sampleElsewhereLocked(own)
 	set.mu.Unlock()
-	return set.viewsIf(func(cell string, rep *Replica) bool { return cell == own || chosen[rep] })
+	now := set.clock.Now()
+	return set.viewsIf(func(cell string, rep *Replica) bool {
+		return (cell == own || chosen[rep]) && rep.notices.takesCalls(now)
+	})
 }
 
 // sampleElsewhereLocked returns some replicas outside a cell, chosen at random. The caller holds the lock.
@@ -86,7 +92,7 @@
 	var known, unknown []*Replica
 	for _, rep := range set.replicas {
 		switch cell := set.cellLocked(rep.reg.DataCentre); {
-		case cell == own || rep.reg.Draining:
+		case cell == own || rep.reg.Draining || !rep.notices.takesCalls(now):
 		case cell == commonCell || rep.summary.fresh(now):
 			known = append(known, rep)
 		default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	// graceEnd is the end of the grace period after a store outage. A registration that disappears before may merely
 	// have expired during the outage.
 	graceEnd time.Time
+	former   formerNotices
 }
 
 // reregisterGrace is the time after a store outage in which replicas whose registration expired may register again.
@@ -41,7 +42,7 @@
 	return &Fleet{
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
-		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time),
+		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), former: make(formerNotices),
 	}
 }
 
@@ -132,7 +133,10 @@
 // add registers a replica and applies the updates of tasks that arrived before its registration. The caller holds the
 // lock.
 func (flt *Fleet) add(reg Registration) {
-	rep := &Replica{hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now()}
+	rep := &Replica{
+		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now(),
+		notices: flt.former.take(incarnationOf(&reg)),
+	}
 	rep.set = flt.replicaSetLocked(reg.Service)
 	flt.byID[reg.ID] = rep
 	flt.byHash[rep.hash] = rep
@@ -149,6 +153,7 @@
 	rep.set.remove(rep)
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
+	flt.former.keep(incarnationOf(&reg), rep.notices, flt.clock.Now())
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onRemoved(reg.ID)
 }
@@ -207,6 +212,7 @@
 	defer flt.mu.Unlock()
 	now := flt.clock.Now()
 	flt.pending.removeStale(now)
+	flt.former.removeOld(now)
 	for id, until := range flt.expired {
 		if now.Before(until) {
 			continue
@@ -217,3 +223,17 @@
 		}
 	}
 }
+
+// AtAddress returns the replicas that are registered with an address. While an address changes hands, there may be
+// several.
+func (flt *Fleet) AtAddress(address string) []*Replica {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	var list []*Replica
+	for _, rep := range flt.byID {
+		if rep.Registration().Address == address {
+			list = append(list, rep)
+		}
+	}
+	return list
+}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -54,18 +54,19 @@
 	localTasks  map[uint32]*Task            // of this process, by ID
 	remoteTasks map[string]map[uint32]*Task // of other processes, by peer and task ID
 	health      health
+	notices     *notices
 	summary     Summary // of its load, if processes of another cell use it; zero if none was received
 	removed     bool    // it is not registered any more
 	// longPrefillAt is when a task with a long prefill last ended there or was begun to be decoded.
 	longPrefillAt time.Time
 }
 
-// Leaving tells whether the replica is draining or has been removed. It may then close connections mid-call without
-// having crashed.
+// Leaving tells whether the replica is draining, has said that it leaves or has been removed. It may then close
+// connections mid-call without having crashed.
 func (rep *Replica) Leaving() bool {
 	rep.set.mu.Lock()
 	defer rep.set.mu.Unlock()
-	return rep.removed || rep.reg.Draining
+	return rep.removed || rep.reg.Draining || rep.notices.leaving()
 }
 
 // HadLongPrefill reports whether within the given time a prompt or a part of one was known at the replica whose prefill
--- /dev/null
+++ b/fleet/shortage.go
@@ -0,0 +1,62 @@
+package fleet
+
+import "time"
+
+// Shortage describes why no replica of a service takes calls.
+type Shortage struct {
+	Leaving   int             // replicas that have said that they leave
+	NoticeAge time.Duration   // since the first of the notices that count
+	Pauses    []time.Duration // remaining pauses of the other replicas
+}
+
+// Shortage returns why no replica of the service takes calls. It returns false if one does, or if there is none.
+func (set *ReplicaSet) Shortage() (Shortage, bool) {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	var sho Shortage
+	now := set.clock.Now()
+	for _, rep := range set.replicas {
+		ntc := rep.notices
+		switch {
+		case rep.reg.Draining:
+		case ntc.takesCalls(now):
+			return Shortage{}, false
+		case ntc.leaving():
+			sho.Leaving++
+			sho.NoticeAge = max(sho.NoticeAge, now.Sub(earliest(ntc.leavingAt, ntc.peerAt)))
+		default:
+			sho.Pauses = append(sho.Pauses, ntc.pausedUntil.Sub(now))
+			sho.NoticeAge = max(sho.NoticeAge, now.Sub(ntc.pausedAt))
+		}
+	}
+	return sho, sho.Leaving+len(sho.Pauses) > 0
+}
+
+// earliest returns the earlier of two times, of which one may be zero for none.
+func earliest(one, two time.Time) time.Time {
+	if one.IsZero() || (!two.IsZero() && two.Before(one)) {
+		return two
+	}
+	return one
+}
+
+// CapacityReturnsIn returns when a caller that waits for the given time at most should come again. That is when the
+// pause of a replica ends that is chosen with a random number in [0, 1), so that callers return as the replicas do. It
+// returns false if no such time is known.
+func (sho *Shortage) CapacityReturnsIn(limit time.Duration, rnd float64) (time.Duration, bool) {
+	var list []time.Duration
+	var first time.Duration
+	for _, pause := range sho.Pauses {
+		first = leastPositive(first, pause)
+		if pause <= limit {
+			list = append(list, pause)
+		}
+	}
+	switch {
+	case len(sho.Pauses) == 0:
+		return 0, false
+	case len(list) == 0:
+		return first, true
+	}
+	return list[int(rnd*float64(len(list)))], true
+}
