Tell other fronts which replicas say that they leave

A front that has heard it from the replica adds the notice to the next datagram with changes of tasks, within its batch delay, and to its full updates for six seconds, since datagrams may be lost. No datagram is sent for it alone unless no change of a task is due. Fronts of other cells get it with changes that concern them. A front that a peer has told does not repeat it. The field is new and optional: earlier versions ignore its key.

The word of a peer is advice: the replica gets no calls while others take them.

--- a/peers/decode_test.go
+++ b/peers/decode_test.go
@@ -9,6 +9,7 @@
 func FuzzDecode(f *testing.F) {
 	raw, err := encode(&message{
 		Name: "f", RunID: 3, Tasks: []taskUpdate{{Replica: 1, ID: 2}}, Progress: []progressUpdate{{Replica: 1}},
+		Leaving: []leavingNotice{{Replica: 1, StartedAtMs: 2, AgeMs: 3}},
 	})
 	if err != nil {
 		f.Fatal(err)
--- a/peers/message.go
+++ b/peers/message.go
@@ -26,6 +26,7 @@
 	StoreAnswers  bool             `cbor:"11,keyasint,omitempty"` // again, after an outage
 	Crashes       []crashReport    `cbor:"12,keyasint,omitempty"`
 	Answers       []answer         `cbor:"13,keyasint,omitempty"` // of calls that had been suspected
+	Leaving       []leavingNotice  `cbor:"14,keyasint,omitempty"` // replicas that say that they leave
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -76,8 +76,9 @@
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
 	crashes        []unsentCrash
-	cellSizes      map[string]cellSize // by data centre
-	flushScheduled bool                // sendChanges is going to run
+	leaving        []fleet.LeavingNotice // that have not been sent yet
+	cellSizes      map[string]cellSize   // by data centre
+	flushScheduled bool                  // sendChanges is going to run
 
 	crashesScheduled bool // sendCrashes is going to run
 }
@@ -266,6 +267,7 @@
 	}
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
 	exc.applyCrashes(msg)
+	exc.applyLeaving(msg)
 }
 
 // expirePeers drops the tasks of peers that have timed out, and removes peers that have been inactive for long.
--- a/peers/send.go
+++ b/peers/send.go
@@ -16,6 +16,11 @@
 	exc.pending = append(exc.pending, fleet.RemoteTask{
 		Replica: chg.Replica, Cell: chg.Cell, Task: chg.Task, Ended: chg.Ended, ProgressOnly: !isStart,
 	})
+	exc.scheduleChanges()
+}
+
+// scheduleChanges sends the queued changes after the batch delay. The caller holds the lock.
+func (exc *Exchange) scheduleChanges() {
 	if !exc.flushScheduled {
 		exc.flushScheduled = true
 		exc.opts.Clock.After(exc.batchDelay(), exc.sendChanges)
@@ -37,14 +42,16 @@
 // sendChanges sends the queued changes to the peers that place calls on the replicas concerned.
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
-	changes := exc.pending
-	exc.pending, exc.flushScheduled = nil, false
+	changes, leaving := exc.pending, exc.leaving
+	exc.pending, exc.leaving, exc.flushScheduled = nil, nil, false
 	to := exc.audiences(func(per *peer) bool { return exc.isLive(per) || !exc.isNear(per) })
 	exc.mu.Unlock()
 	changes = latestChanges(changes)
+	msg := message{Leaving: toLeavingNotices(leaving, exc.opts.Clock.Now())}
 	for dataCentre, addrs := range to {
-		if tasks := exc.tasksFor(dataCentre, changes); len(tasks) > 0 {
-			exc.sendTasks(addrs, message{}, tasks)
+		tasks := exc.tasksFor(dataCentre, changes)
+		if len(tasks) > 0 || (len(msg.Leaving) > 0 && exc.isNearDataCentre(dataCentre)) {
+			exc.sendTasks(addrs, msg, tasks)
 		}
 	}
 }
@@ -76,10 +83,12 @@
 	to := exc.audiences(func(*peer) bool { return true })
 	exc.mu.Unlock()
 	all := exc.opts.Fleet.LocalTasks()
+	msg := exc.greeting()
+	msg.Leaving = toLeavingNotices(exc.opts.Fleet.LeavingNotices(leavingNoticeTime), exc.opts.Clock.Now())
 	for dataCentre, addrs := range to {
 		tasks := exc.tasksFor(dataCentre, all)
 		if greetAll || len(tasks) > 0 || exc.isNearDataCentre(dataCentre) {
-			exc.sendTasks(addrs, exc.greeting(), tasks)
+			exc.sendTasks(addrs, msg, tasks)
 		}
 	}
 }
