Heed what replicas say of their state

A replica that said in its answers that it leaves went on getting calls until its registration said so, and one that refused a call and asked for a pause got the next retry.

Now the front records both from the head of any response: of calls, streams, refusals, failures, misdirected calls (then for all that is registered at the address), late responses to other calls, reports and reservations. One in a pause gets nothing until its end, also not a call that was placed before and is still to be sent. If all replicas of a service pause, callers are refused at once with replicas-pause and the end of the pause of a random replica as Retry-After, so that they return as the capacity does; if all leave, see fleet's last resort. Log lines and counters name the replica and the age of its word.

Whether a call has failed once on each replica is now counted by replica: the views may lack some on which it has failed.

--- a/front/front.go
+++ b/front/front.go
@@ -114,7 +114,7 @@
 		},
 		Rules: frt.activeRules, Fleet: frt.fleet, Pool: frt.pool,
 		Reserver: relay.NewReserver(frt.clock, frt.log,
-			platform.NewReplicaAPI(&http.Client{Transport: transport}, nil)),
+			platform.NewReplicaAPI(&http.Client{Transport: transport}, frt.recordReplicaNotice)),
 		Crashes:               frt.crashes,
 		RetryLimits:           frt.retryLimits,
 		BudgetSharers:         frt.budgetSharers,
@@ -124,6 +124,9 @@
 		BufferBytes:           int64(config.FrontMemory.Of(frt.startSettings)) * bytesPerMB / bufferShare,
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
+		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
+		RegistrationsAge:      frt.registrationsAge,
+		OnReplicaLeaving:      frt.sendReplicaLeaving,
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -48,6 +48,9 @@
 	ctx, cancel := hdl.opts.Clock.WithTimeout(hdl.ctx, hdl.deadline.Sub(now))
 	defer cancel()
 	rep := plc.Primary.Replica
+	if rep.Paused() { // It has asked for the pause since the call was placed.
+		return outcome{notSent: true, reason: reasonReplicasPause}
+	}
 	con, err := hdl.opts.Pool.Get(ctx, plc.Primary.ID, plc.Primary.Address, !hdl.rte.Retryable())
 	if err != nil {
 		if ctx.Err() == nil {
@@ -144,6 +147,7 @@
 	var rep call.Reply
 	belongsToCall := func(res *http.Response) bool {
 		rep = hdl.opts.Codec.ReadReply(res)
+		att.recordNotice(&rep) // Also of a response to another call: it comes from the same replica.
 		return hdl.cal.ID == "" || rep.CallID == hdl.cal.ID || (rep.CallID == "" && rep.NotExecuted)
 	}
 	//nolint:bodyclose // The whole connection is closed or returned to the pool.
@@ -237,9 +241,9 @@
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 }
 
-// releaseConn returns the connection to the pool unless reading the response failed with err.
+// releaseConn returns the connection to the pool unless reading the response failed with err or the replica leaves.
 func (att *attempt) releaseConn(res *http.Response, err error) {
-	if err == nil {
+	if err == nil && !att.placement.Primary.Replica.Leaving() {
 		att.con.Release(res)
 		att.connReleased = true
 	}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
@@ -28,7 +29,7 @@
 	}
 	plc, ok := hdl.placeInCells(left)
 	if !ok {
-		return place.Placement{}, reasonNoReplica
+		return hdl.placeAtLastResort(left)
 	}
 	return plc, ""
 }
@@ -58,8 +59,8 @@
 	reps *fleet.ReplicaSet, views []fleet.View, left time.Duration,
 ) (place.Placement, bool) {
 	req := hdl.placementRequest(left)
-	if len(views) == len(hdl.failedReplicas) {
-		req.ExcludeReplicas = nil // The call has failed once on each replica, so all are equal again.
+	if hdl.failedOnceOnEach(views) {
+		req.ExcludeReplicas = nil // All are equal again.
 	}
 	srv := hdl.set.Service(hdl.service)
 	if srv == nil || srv.Engine == nil {
@@ -68,6 +69,15 @@
 	return hdl.opts.Policy(req, srv.Engine, views, reps.PrefillLoads())
 }
 
+// failedOnceOnEach tells whether the call has failed exactly once on each of the replicas.
+func (hdl *callHandler) failedOnceOnEach(views []fleet.View) bool {
+	failures := make(map[string]int, len(hdl.failedReplicas))
+	for _, id := range hdl.failedReplicas {
+		failures[id]++
+	}
+	return !slices.ContainsFunc(views, func(vie fleet.View) bool { return failures[vie.ID] != 1 })
+}
+
 // placementRequest describes the call to the placement policy. The client waits for the given time at most.
 func (hdl *callHandler) placementRequest(left time.Duration) place.Request {
 	prm := hdl.cal.Prompt
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -13,6 +13,8 @@
 	reasonBodyIncomplete    = "body-incomplete"
 	reasonNoReplica         = "no-replica"
 	reasonOverload          = "overload"
+	reasonReplicasPause     = "replicas-pause"
+	reasonReplicasLeave     = "replicas-leave"
 	reasonNotRun            = "not-run"
 	reasonNoMemory          = "no-memory"
 	reasonUnreachable       = "unreachable"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,13 @@
 	// ReservationUseTimeout is the time within which a call must use the KV memory reserved for it; else the attempt is
 	// ended.
 	ReservationUseTimeout time.Duration
+	// DrainTime is the time within which calls must stop to arrive for a replica that leaves.
+	DrainTime time.Duration
+	// RegistrationsAge returns how old the known registrations of replicas may be; nil if that is not known.
+	RegistrationsAge func() time.Duration
+	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
+	// before; nil for none.
+	OnReplicaLeaving func(ntc fleet.LeavingNotice)
 	// OnTaskChange is called when a task of a call starts, changes or ends.
 	OnTaskChange func(chg fleet.TaskChange)
 }
