Let the soak's replicas say that they leave and ask for pauses

The stand-in replicas sent neither header. Now one leaves in each calm part and says so only in its responses, one asks for a pause, and in the parts with faults replicas do both, also falsely and with values that stand for no time, and also 50 ms before a front is killed or paused. Two invariants are checked: a front sends a replica no call that its client sent later than the drain time after the front had passed on its word, whatever faults there are; and it sends at most two calls within a pause. Replicas that drain say nothing, as before, so that the path by registrations stays tested.

plsim reports each arrival as a struct, since the checker needs its call and what the replica says of itself; the test that violations are seen passes one and checks what it did before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,8 @@
 	invariantRecovery    = "all fronts serve again after the faults"
 	invariantNoExit      = "no front exits unless it is stopped"
 	invariantCrashes     = "a call that crashes replicas is refused"
+	invariantLeaving     = "a replica that says that it leaves gets no new calls"
+	invariantPause       = "a replica that asks for a pause gets two calls at most"
 )
 
 // slack is added to time limits, because a busy machine may delay what this process observes.
@@ -56,6 +58,7 @@
 	runEnds       map[string]time.Time   // when the last run of a call ended, by call ID
 	calls         []call
 	lastArrivals  map[string]time.Time // last call at each replica, also if rejected; by replica ID
+	arrivals      []plsim.Arrival
 	drainingSince map[string]time.Time // when the replica was registered as draining, by replica ID
 	publishTimes  []time.Time          // of each configuration version, the first at index 0
 	faults        []interval
@@ -80,10 +83,11 @@
 			defer chk.mu.Unlock()
 			chk.runs[run.ID] = append(chk.runs[run.ID], run)
 		},
-		OnArrival: func(replica string, at time.Time) {
+		OnArrival: func(arv plsim.Arrival) {
 			chk.mu.Lock()
 			defer chk.mu.Unlock()
-			chk.lastArrivals[replica] = at
+			chk.lastArrivals[arv.Replica] = arv.At
+			chk.arrivals = append(chk.arrivals, arv)
 		},
 		OnRunEnd: func(run plsim.Run, _ bool, at time.Time) {
 			chk.mu.Lock()
@@ -135,6 +139,7 @@
 	}
 	chk.verifyConfigOrder()
 	chk.verifyCrashes()
+	chk.verifyNotices()
 	for replica, since := range chk.drainingSince {
 		last := chk.lastArrivals[replica]
 		limit := since.Add(drainTime + slack)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -48,9 +48,25 @@
 				chk.recordCrash(plsim.Run{Path: "/safe/deadly-1", At: sec(second)})
 			}
 		},
+		invariantLeaving: func(chk *checker) {
+			chk.observer().OnArrival(plsim.Arrival{Call: "c1", Replica: "i", At: at(0), Leaving: true})
+			chk.recordCall(call{id: "c1", sent: at(0), ended: at(0), outcome: plsim.Outcome{
+				Status: 200, Complete: true,
+			}})
+			chk.observer().OnArrival(plsim.Arrival{Call: "c2", Replica: "i", At: at(drainTime + 2*time.Second)})
+			chk.recordCall(call{id: "c2", sent: at(drainTime + time.Second)})
+		},
+		invariantPause: func(chk *checker) {
+			chk.observer().OnArrival(plsim.Arrival{Call: "c0", Replica: "i", At: at(0), Pause: 3 * time.Second})
+			chk.recordCall(call{id: "c0"})
+			for _, id := range []string{"c1", "c2", "c3"} {
+				chk.observer().OnArrival(plsim.Arrival{Call: id, Replica: "i", At: at(time.Second)})
+				chk.recordCall(call{id: id})
+			}
+		},
 		invariantDrain: func(chk *checker) {
 			chk.drainingSince["i"] = at(0)
-			chk.observer().OnArrival("i", at(drainTime+time.Second))
+			chk.observer().OnArrival(plsim.Arrival{Replica: "i", At: at(drainTime + time.Second)})
 		},
 		invariantConfigDelay: func(chk *checker) {
 			chk.publishTimes = []time.Time{at(0), at(time.Second)}
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -9,16 +9,18 @@
 )
 
 // runPlannedPhase waits until the last faults have settled and then makes planned changes only: a new configuration, a
-// replica that drains, and the planned restart of a front.
+// replica that drains, one that says that it leaves, one that asks for a pause, and the planned restart of a front.
 func (sok *Soak) runPlannedPhase() {
 	time.Sleep(settleTime + 2*time.Second) // Checks also cover the time shortly before a change.
 	sok.publishConfig()
 	sok.drainReplica()
+	sok.leaveReplica()
+	sok.pauseReplica(pauses[sok.rnd.IntN(len(pauses))], plannedPauseTime)
 	sok.restartPlanned(sok.fronts[sok.rnd.IntN(len(sok.fronts))])
 	time.Sleep(plannedPhaseTime)
 }
 
-// drainReplica registers a replica as draining, and removes and stops it later.
+// drainReplica registers a replica as draining, and removes and stops it later. The replica itself says nothing of it.
 func (sok *Soak) drainReplica() {
 	rep := sok.replaceReplica()
 	sok.store.PutReplica(rep.id, rep.service, rep.route.Address(), true, 2, time.Now().UnixMilli())
@@ -72,7 +74,7 @@
 func (sok *Soak) injectFault(remaining time.Duration) {
 	frt := sok.fronts[sok.rnd.IntN(len(sok.fronts))]
 	dur := min(time.Duration(200+sok.rnd.IntN(2000))*time.Millisecond, max(remaining, 0))
-	switch sok.rnd.IntN(13) {
+	switch sok.rnd.IntN(16) {
 	case 0, 1:
 		sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[sok.rnd.IntN(2)]
 		go sok.restart(frt, sig)
@@ -99,6 +101,12 @@
 		sok.drainReplica()
 	case 11, 12:
 		sok.disturbReplica(dur)
+	case 13:
+		sok.leaveFalsely()
+	case 14:
+		sok.pauseReplica(pauses[sok.rnd.IntN(len(pauses))], dur)
+	case 15:
+		sok.disturbAfterNotice(frt, dur)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,7 @@
 	started       time.Time
 	configVersion int          // last one published
 	faultPhases   atomic.Int64 // started so far
+	lying         atomic.Bool  // a replica falsely says that it leaves
 	mu            sync.Mutex
 	replicaCount  int        // replicas started so far, numbers their IDs; guarded by mu
 	live          []*replica // guarded by mu
@@ -239,7 +240,7 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop, invariantRecovery,
-		invariantCrashes, invariantNoExit,
+		invariantCrashes, invariantLeaving, invariantPause, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
