Let idle connections of reservations and reports go

They were kept until the replica closed them, also to a replica that leaves. They have a transport of their own now, whose idle connections end after 4 s.

--- a/front/front.go
+++ b/front/front.go
@@ -35,6 +35,9 @@
 	storeDialTimeout = 500 * time.Millisecond
 	storeTimeout     = 600 * time.Millisecond // for a response, on top of the time that a long poll waits
 	sweepInterval    = 200 * time.Millisecond // between removals of expired replicas and of idle connections
+	// replicaIdleTimeout is the time after which a connection for reservations and reports is closed, so that none is
+	// kept to a replica that has left.
+	replicaIdleTimeout = 4 * time.Second
 )
 
 const (
@@ -106,6 +109,8 @@
 }
 
 func (frt *Front) relayOptions(transport *http.Transport) relay.Options {
+	toReplicas := transport.Clone()
+	toReplicas.IdleConnTimeout = replicaIdleTimeout
 	return relay.Options{
 		Clock: frt.clock, Log: frt.log, Metrics: frt.metrics,
 		Codec: relay.Codec{
@@ -114,7 +119,7 @@
 		},
 		Rules: frt.activeRules, Fleet: frt.fleet, Pool: frt.pool,
 		Reserver: relay.NewReserver(frt.clock, frt.log,
-			platform.NewReplicaAPI(&http.Client{Transport: transport}, frt.recordReplicaNotice)),
+			platform.NewReplicaAPI(&http.Client{Transport: toReplicas}, frt.recordReplicaNotice)),
 		Crashes:               frt.crashes,
 		RetryLimits:           frt.retryLimits,
 		BudgetSharers:         frt.budgetSharers,
