--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,7 @@
 	// graceEnd is the end of the grace period after an outage or a restore of the store. A registration that disappears
 	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
+	former   formerNotices
 }
 
 // reregisterGrace is the time in which replicas may register again whose registration expired during a store outage, or
@@ -45,7 +46,7 @@
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
 		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), gone: make(goneReplicas),
-		rivals: make(map[string]rival),
+		rivals: make(map[string]rival), former: make(formerNotices),
 	}
 }
 
@@ -145,7 +146,10 @@
 // add registers a replica and applies the updates of tasks that arrived before its registration. The caller holds the
 // lock.
 func (flt *Fleet) add(reg Registration) {
-	rep := &Replica{hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now()}
+	rep := &Replica{
+		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now(),
+		notices: flt.former.take(incarnationOf(&reg)),
+	}
 	rep.set = flt.replicaSetLocked(reg.Service)
 	flt.byID[reg.ID] = rep
 	flt.byHash[rep.hash] = rep
@@ -165,6 +169,7 @@
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
 	delete(flt.rivals, reg.ID)
+	flt.former.keep(incarnationOf(&reg), rep.notices, flt.clock.Now())
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onRemoved(reg.ID)
 }
@@ -240,6 +245,7 @@
 	now := flt.clock.Now()
 	flt.pending.removeStale(now)
 	flt.gone.removeStale(now)
+	flt.former.removeOld(now)
 	for id, until := range flt.expired {
 		if now.Before(until) {
 			continue
@@ -250,3 +256,17 @@
 		}
 	}
 }
+
+// AtAddress returns the replicas that are registered with an address. While an address changes hands, there may be
+// several.
+func (flt *Fleet) AtAddress(address string) []*Replica {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	var list []*Replica
+	for _, rep := range flt.byID {
+		if rep.Registration().Address == address {
+			list = append(list, rep)
+		}
+	}
+	return list
+}
--- a/front/clients_test.go
+++ b/front/clients_test.go
@@ -50,7 +50,7 @@
 				}
 				for brd := bufio.NewReader(con); err == nil && time.Now().Before(until); num++ {
 					id := fmt.Sprint(client, "-", num)
-					if err = call(con, brd, id); err != nil {
+					if err = exchange(con, brd, id); err != nil {
 						closed.Add(1)
 						if _, ok := taken.Load(id); ok {
 							cut.Add(1)
@@ -71,8 +71,8 @@
 	is.New(t).True(closed.Load() > clients) // Idle connections are closed.
 }
 
-// call sends one request on a connection and reads the response.
-func call(con net.Conn, brd *bufio.Reader, id string) error {
+// exchange sends one request on a connection and reads the response.
+func exchange(con net.Conn, brd *bufio.Reader, id string) error {
 	if _, err := fmt.Fprintf(con, "GET / HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n", id); err != nil {
 		return err
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -36,6 +36,9 @@
 	storeDialTimeout = 500 * time.Millisecond
 	storeTimeout     = 600 * time.Millisecond // for a response, on top of the time that a long poll waits
 	sweepInterval    = 200 * time.Millisecond // between removals of expired replicas and of idle connections
+	// replicaIdleTimeout is the time after which a connection for reservations and reports is closed, so that none is
+	// kept to a replica that has left.
+	replicaIdleTimeout = 4 * time.Second
 )
 
 const (
@@ -112,6 +115,8 @@
 }
 
 func (frt *Front) relayOptions(transport *http.Transport) relay.Options {
+	toReplicas := transport.Clone()
+	toReplicas.IdleConnTimeout = replicaIdleTimeout
 	return relay.Options{
 		Clock: frt.clock, Log: frt.log, Metrics: frt.metrics,
 		Codec: relay.Codec{
@@ -120,7 +125,7 @@
 		},
 		Rules: frt.activeRules, Fleet: frt.fleet, Pool: frt.pool,
 		Reserver: relay.NewReserver(frt.clock, frt.log,
-			platform.NewReplicaAPI(&http.Client{Transport: transport})),
+			platform.NewReplicaAPI(&http.Client{Transport: toReplicas}, frt.recordReplicaNotice)),
 		Crashes:               frt.crashes,
 		RetryLimits:           frt.retryLimits,
 		BudgetSharers:         frt.budgetSharers,
@@ -130,6 +135,9 @@
 		BufferBytes:           int64(config.FrontMemory.Of(frt.startSettings)) * bytesPerMB / bufferShare,
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
+		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
+		RegistrationsAge:      frt.registrationsAge,
+		OnReplicaLeaving:      frt.sendReplicaLeaving,
 	}
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -88,9 +88,10 @@
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
 	crashes        []unsentCrash
-	transfer       *configTransfer     // that this process has requested; nil for none
-	cellSizes      map[string]cellSize // by data centre
-	flushScheduled bool                // sendChanges is going to run
+	leaving        []fleet.LeavingNotice // that have not been sent yet
+	transfer       *configTransfer       // that this process has requested; nil for none
+	cellSizes      map[string]cellSize   // by data centre
+	flushScheduled bool                  // sendChanges is going to run
 
 	crashesScheduled bool // sendCrashes is going to run
 }
@@ -229,4 +230,5 @@
 	}
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
 	exc.applyCrashes(msg)
+	exc.applyLeaving(msg)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -132,6 +132,9 @@
 // that fails, and nil otherwise.
 func (att *attempt) open() *outcome {
 	hdl, plc := att.hdl, att.placement
+	if plc.Primary.Replica.Paused() { // It has asked for the pause since the call was placed.
+		return &outcome{notSent: true, reason: reasonReplicasPause}
+	}
 	att.tasks = hdl.startTasks(plc, att.task)
 	att.onEnd(att.tasks.end)
 	mem, err := hdl.opts.Reserver.reserve(hdl.ctx, plc)
@@ -196,6 +199,7 @@
 	}
 	belongsToCall := func(res *http.Response) bool {
 		att.reply = hdl.opts.Codec.ReadReply(res)
+		att.recordNotice() // Also of a response to another call: it comes from the same replica.
 		// Some replicas may refuse a call without its ID. On a used connection such a refusal may be an earlier one.
 		return hdl.cal.ID == "" || att.reply.CallID == hdl.cal.ID ||
 			(att.reply.CallID == "" && att.reply.NotExecuted && !att.con.Reused())
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
@@ -28,7 +29,7 @@
 	}
 	plc, ok := hdl.placeInCells(left)
 	if !ok {
-		return place.Placement{}, reasonNoReplica
+		return hdl.placeAtLastResort(left)
 	}
 	return plc, ""
 }
@@ -58,8 +59,8 @@
 	reps *fleet.ReplicaSet, views []fleet.View, left time.Duration,
 ) (place.Placement, bool) {
 	req := hdl.placementRequest(left)
-	if len(views) == len(hdl.triedReplicas) {
-		req.ExcludeReplicas = nil // The call was sent once to each replica, so all are equal again.
+	if hdl.triedOnceOnEach(views) {
+		req.ExcludeReplicas = nil // All are equal again.
 	}
 	srv := hdl.set.Service(hdl.service)
 	if srv == nil || srv.Engine == nil {
@@ -68,6 +69,15 @@
 	return hdl.opts.Policy(req, srv.Engine, views, reps.PrefillLoads())
 }
 
+// triedOnceOnEach tells whether the call was sent exactly once to each of the replicas.
+func (hdl *callHandler) triedOnceOnEach(views []fleet.View) bool {
+	attempts := make(map[string]int, len(hdl.triedReplicas))
+	for _, id := range hdl.triedReplicas {
+		attempts[id]++
+	}
+	return !slices.ContainsFunc(views, func(vie fleet.View) bool { return attempts[vie.ID] != 1 })
+}
+
 // placementRequest describes the call to the placement policy. The client waits for the given time at most.
 func (hdl *callHandler) placementRequest(left time.Duration) place.Request {
 	prm := hdl.cal.Prompt
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -59,9 +59,9 @@
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 }
 
-// releaseConn returns the connection to the pool unless reading the response failed with err.
+// releaseConn returns the connection to the pool unless reading the response failed with err or the replica leaves.
 func (att *attempt) releaseConn(res *http.Response, err error) {
-	if err == nil {
+	if err == nil && !att.placement.Primary.Replica.Leaving() {
 		att.con.Release(res)
 		att.connReleased = true
 	}
