Let a call not close a connection that it has released

Callers saw: a call was cut, or ran a second time, although its replica was sound and silent for no moment.

Cause: a call that has read its whole answer returns the connection to the pool, but what ends the call later still closes that connection: a client that leaves or a deadline that passes while the answer is written, or the watch of a stream route whose answer is no stream. Another call may use the connection by then.

Change: a released Conn is inert.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,8 +12,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -79,9 +77,12 @@
 	}
 }
 
-// Conn is a connection to a replica, used by one call at a time.
+// Conn is a connection to a replica as one call uses it. Once it is released, the call cannot close it any more, since
+// another one may use it.
 type Conn struct {
 	net.Conn
+	mu          sync.Mutex // held by Close and Release, which may be called concurrently
+	released    bool
 	pool        *Pool
 	replica     string
 	limit       *limitedReader // of what reader reads
@@ -239,61 +240,3 @@
 	}
 	return fmt.Errorf("%w: %w", ErrMalformed, err)
 }
-
-// Release returns the connection to the pool after the body of res has been read to its end. The pool keeps it if it
-// can carry another call, and closes it otherwise.
-func (con *Conn) Release(res *http.Response) {
-	con.reusable = !res.Close // Close is also set if the response ends with its connection.
-	con.idleTimeout = parseKeepAlive(res.Header.Get("Keep-Alive"))
-	select {
-	case err := <-con.writeResult:
-		con.reusable = con.reusable && err == nil
-	default: // The response came before the request was sent completely, so the replica still waits for the rest.
-		con.reusable = false
-	}
-	if !con.reusable || con.reader.Buffered() > 0 {
-		_ = con.Close() // The response is complete.
-		return
-	}
-	con.idleSince = con.pool.clock.Now()
-	con.pool.putIdle(con)
-}
-
-// putIdle keeps an idle connection and closes the oldest one to the same replica if there are too many.
-func (pol *Pool) putIdle(con *Conn) {
-	pol.mu.Lock()
-	list := pol.idle[con.replica]
-	list = append(list, con)
-	var oldest *Conn
-	if len(list) > maxIdleConns {
-		oldest = list[0]
-		list = list[1:]
-	}
-	pol.idle[con.replica] = list
-	pol.mu.Unlock()
-	if oldest != nil {
-		_ = oldest.Close() // Nothing is in flight on an idle connection.
-	}
-}
-
-// Close implements net.Conn. The kernel resets the connection if data is unread, so that the replica aborts the call.
-func (con *Conn) Close() error {
-	if err := con.Conn.Close(); err != nil {
-		return fmt.Errorf("pool: close: %w", err)
-	}
-	return nil
-}
-
-// parseKeepAlive returns how long a replica keeps an idle connection, from its Keep-Alive header.
-func parseKeepAlive(header string) time.Duration {
-	for _, part := range strings.Split(header, ",") {
-		name, val, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if sec, err := strconv.Atoi(val); err == nil && sec >= 0 {
-			return min(time.Duration(sec)*time.Second, maxIdleTimeout)
-		}
-	}
-	return defaultIdleTimeout
-}
