--- a/front/follow.go
+++ b/front/follow.go
@@ -141,7 +141,7 @@
 	}
 	reg, err := platform.ReadReplica(rec.Key, rec.Value)
 	if err != nil {
-		frt.log.V(1).Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+		frt.odd.report("replicas", rec.Key, err) // What the replica itself wrote before holds.
 		return
 	}
 	frt.fleet.UpdateRegistration(reg)
@@ -150,15 +150,17 @@
 // replaceRegistrations records the full list of registrations. Replicas that are not on it have been removed.
 func (frt *Front) replaceRegistrations(list []follow.Record) {
 	regs := make([]fleet.Registration, 0, len(list))
+	var unreadable []string
 	for _, rec := range list {
 		reg, err := platform.ReadReplica(rec.Key, rec.Value)
 		if err != nil {
-			frt.log.Info("front: ignoring an invalid replica registration", "replica", rec.Key, "error", err.Error())
+			frt.odd.report("replicas", rec.Key, err)
+			unreadable = append(unreadable, rec.Key)
 			continue
 		}
 		regs = append(regs, reg)
 	}
-	frt.fleet.ReplaceRegistrations(regs)
+	frt.fleet.ReplaceRegistrations(regs, unreadable)
 	frt.replicasKnown.Store(true)
-	frt.log.Info("front: replicas listed", "replicas", len(regs))
+	frt.log.Info("front: replicas listed", "replicas", len(regs), "odd", len(unreadable))
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -92,7 +92,8 @@
 }
 
 func registration(service, addr, state string, sequence int) string {
-	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"z","Slots":4,"State":%q,"Sequence":%d,"born":1}`,
+	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"z","Version":"v1","Slots":4,"State":%q,"ColdLeftMs":0,
+	 "Sequence":%d,"born":1}`,
 		service, addr, state, sequence)
 }
 
@@ -111,6 +112,23 @@
 
 // newRigWithStore starts a front on a store that may hold records already.
 func newRigWithStore(t *testing.T, store *fakeStore) *rig {
+	t.Helper()
+	return startRig(t, store, logr.Discard(), time.Second)
+}
+
+// newRigWithLog starts a front on a store that writes to the given log.
+func newRigWithLog(t *testing.T, store *fakeStore, log logr.Logger) *rig {
+	t.Helper()
+	return startRig(t, store, log, time.Second)
+}
+
+// newRigWithGrace starts a front that is killed after the given time when it stops.
+func newRigWithGrace(t *testing.T, grace time.Duration) *rig {
+	t.Helper()
+	return startRig(t, &fakeStore{topics: make(map[string][][2]string)}, logr.Discard(), grace)
+}
+
+func startRig(t *testing.T, store *fakeStore, log logr.Logger, grace time.Duration) *rig {
 	t.Helper()
 	rig := &rig{store: store}
 	rig.replica = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
@@ -119,27 +137,39 @@
 		_, _ = io.WriteString(rw, "answer")
 	}))
 	t.Cleanup(rig.replica.Close)
-	rig.frt, rig.settings = startFront(t, rig.store, frontTimes)
+	rig.frt, rig.settings = startFront(t, rig.store, frontOptions{log: log, grace: grace, lines: frontTimes})
 	return rig
 }
 
 // frontTimes are the settings of a front's times.
 const frontTimes = "drain-time = 300ms\nconfig-time = 300ms\n"
 
-// startFront starts a front on a store. The lines are added to its settings, which are returned.
-func startFront(t *testing.T, store http.Handler, lines string) (frt *front.Front, settings string) {
+// frontOptions are the options of a front under test.
+type frontOptions struct {
+	log   logr.Logger
+	grace time.Duration // after which it is killed when it stops
+	lines string        // added to its settings
+}
+
+// withLines returns the options of a front without a log whose settings get the given lines.
+func withLines(lines string) frontOptions {
+	return frontOptions{log: logr.Discard(), grace: time.Second, lines: lines}
+}
+
+// startFront starts a front on a store and returns it and its settings.
+func startFront(t *testing.T, store http.Handler, opts frontOptions) (frt *front.Front, settings string) {
 	t.Helper()
 	srv := httptest.NewServer(store)
 	t.Cleanup(srv.Close)
-	settings = fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = 1s\n"+
-		"[front]\nready = 127.0.0.1:0\nstore = %s\n", host(srv)) + lines
+	settings = fmt.Sprintf("[process]\nname = f\ndata-centre = z\nlisten = 127.0.0.1:0\ngrace = %s\n"+
+		"[front]\nready = 127.0.0.1:0\nstore = %s\n", opts.grace, host(srv)) + opts.lines
 	set, err := config.Parse(settings, "front")
 	if err != nil {
 		t.Fatal(err)
 	}
 	grp := group.New(context.Background(), "front")
 	t.Cleanup(func() { _ = grp.Stop() })
-	frt, err = front.New(grp, set, timer.New(), logr.Discard(), metric.New())
+	frt, err = front.New(grp, set, timer.New(), opts.log, metric.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -263,3 +293,18 @@
 	hup <- syscall.SIGHUP
 	waitUntil(t, func() bool { return rig.frt.Grace() == 4*time.Second })
 }
+
+// TestRemovedReplicaGetsNoMoreCalls guards against a replica that is used after the removal of its registration has
+// been read.
+func TestRemovedReplicaGetsNoMoreCalls(t *testing.T) {
+	iis := is.New(t)
+	rig := newRig(t)
+	rig.store.put("keyed.op", "config", operatorConfig(3, "s"))
+	rig.store.put("keyed.servers", "i-1", registration("s", host(rig.replica), "ready", 1))
+	waitUntil(t, func() bool { return rig.frt.Ready() && rig.call(t) == http.StatusOK })
+	rig.store.put("keyed.servers", "i-1", "")
+	waitUntil(t, func() bool { return rig.call(t) == http.StatusServiceUnavailable })
+	rig.store.put("keyed.servers", "i-1", registration("s", host(rig.replica), "ready", 2))
+	waitUntil(t, func() bool { return rig.call(t) == http.StatusOK })
+	iis.True(rig.frt.Ready())
+}
--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -87,7 +87,7 @@
 	rig.putConfig(3, "s")
 	rig.putReplica(false, 1)
 	lnk := &link{store: rig.store}
-	frt, _ := startFront(t, lnk, frontTimes)
+	frt, _ := startFront(t, lnk, withLines(frontTimes))
 	waitForStatus(t, frt, http.StatusOK)
 	copied := time.Now()
 	rig.putConfig(4, "s")
@@ -111,7 +111,7 @@
 	rig.putConfig(3, "s")
 	rig.putReplica(false, 1)
 	polls := &pollKeeper{store: rig.store}
-	frt, _ := startFront(t, polls, "drain-time = 300ms\nconfig-time = 20s\n")
+	frt, _ := startFront(t, polls, withLines("drain-time = 300ms\nconfig-time = 20s\n"))
 	waitForStatus(t, frt, http.StatusOK)
 	copied := time.Now()
 	rig.putConfig(5, "other")
@@ -139,7 +139,7 @@
 	rig.putConfig(3, "s")
 	copied := time.Now()
 	rig.putReplica(false, 1)
-	frt, _ := startFront(t, rig.store, frontTimes)
+	frt, _ := startFront(t, rig.store, withLines(frontTimes))
 	waitForStatus(t, frt, http.StatusOK)
 	rig.store.Restore(copied)
 	for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
@@ -163,7 +163,7 @@
 			rig := newRestoreRig(t)
 			rig.putConfig(3, "s")
 			rig.putReplica(false, 1)
-			frt, _ := startFront(t, rig.store, frontTimes)
+			frt, _ := startFront(t, rig.store, withLines(frontTimes))
 			waitForStatus(t, frt, http.StatusOK)
 			copied := time.Now()
 			leave(rig)
@@ -195,7 +195,7 @@
 	rig := newRestoreRig(t)
 	copied := time.Now()
 	addr := freeAddress(t)
-	_, _ = startFront(t, rig.store, frontTimes+"peers = "+addr+"\n")
+	_, _ = startFront(t, rig.store, withLines(frontTimes+"peers = "+addr+"\n"))
 	isRegistered := func() bool { return slices.Contains(rig.store.PeerAddresses(), addr) }
 	waitFor(t, "the address is not registered", isRegistered)
 	for range 3 { // restores in a row
@@ -210,7 +210,7 @@
 	iis := is.New(t)
 	rig := newRestoreRig(t)
 	addr := freeAddress(t)
-	_, _ = startFront(t, rig.store, frontTimes+"peers = "+addr+"\n")
+	_, _ = startFront(t, rig.store, withLines(frontTimes+"peers = "+addr+"\n"))
 	waitFor(t, "the address is not registered", func() bool { return len(rig.store.PeerAddresses()) == 1 })
 	rig.store.Restore(time.Now())
 	waitFor(t, "the address is not registered", func() bool { return len(rig.store.PeerAddresses()) == 2 })
