Bound the framing of a body

What callers saw: nothing yet; a test showed it.

Cause: the bound of a body counts its own bytes, but each of them came with five bytes of framing that had to be read.

Change: framing of more than 64 KiB and two bytes for each byte of the body is an error, like other bytes without end. TestFramingWithoutEndIsTooLong failed before (the read went on until its deadline). The bound of the older test is unchanged.

--- a/pool/limit.go
+++ b/pool/limit.go
@@ -12,6 +12,13 @@
 	maxSkippedBytes = 256 << 10 // body of the response of another call
 )
 
+// Limits of the framing of a body, which takes processing time and carries nothing. A body may have maxFramingBytes of
+// it, and framingPerByte more for each of its own bytes.
+const (
+	maxFramingBytes = 64 << 10
+	framingPerByte  = 2
+)
+
 // Errors of replicas that send bytes that are no response.
 var (
 	ErrTooLong   = errors.New("pool: response is too long")
@@ -36,3 +43,21 @@
 	rdr.left -= int64(num)
 	return num, err //nolint:wrapcheck // The error of the connection, as io.Reader requires.
 }
+
+// framedBody is the body of the call's own response. Reading it returns ErrTooLong if its framing, such as that of
+// chunks of single bytes, exceeds its limits.
+type framedBody struct {
+	io.ReadCloser
+	wire *limitedReader // its limit was set to noLimit before the body
+	size int64          // bytes read so far
+}
+
+// Read implements io.Reader.
+func (bdy *framedBody) Read(buf []byte) (int, error) {
+	num, err := bdy.ReadCloser.Read(buf)
+	bdy.size += int64(num)
+	if framing := noLimit - bdy.wire.left - bdy.size; framing > maxFramingBytes+framingPerByte*bdy.size {
+		return num, ErrTooLong
+	}
+	return num, err //nolint:wrapcheck // The error of the body, as io.Reader requires.
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -218,6 +218,7 @@
 		}
 		if isOurs(res) {
 			con.limit.left = noLimit
+			res.Body = &framedBody{ReadCloser: res.Body, wire: con.limit}
 			return res, nil
 		}
 		con.limit.left = maxSkippedBytes
