Send a call that has one attempt on a new connection

Callers saw: an idempotent call on a route with one attempt is answered with 502 after its replica was restarted, although the replica is sound again.

The last attempt must not depend on a connection that has silently become unusable, but where a route has one attempt, the first is the last.

relay.TestOnlyAttemptUsesANewConnection failed before in two of two runs: "502 != 200".

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -120,11 +120,11 @@
 	}
 }
 
-// needsNewConn tells whether the next attempt needs a new connection to a replica. On a used one the call could not tell
-// a late answer to an earlier call from its own if it has no ID or was at that replica before. A call that must not be
-// sent again, or that may be denied another retry, would be lost if the replica closed the used one.
+// needsNewConn tells whether the next attempt needs a new connection to a replica. On a used one the call could not
+// tell a late answer to an earlier call from its own if it has no ID or was at that replica before. A call that must
+// not be sent again, or that may be denied another retry, would be lost if the replica closed the used one.
 func (hdl *callHandler) needsNewConn(replica string) bool {
-	return !hdl.rte.Retryable() || hdl.possibleRuns > 0 || hdl.cal.ID == "" ||
+	return !hdl.rte.Retryable() || hdl.possibleRuns > 0 || hdl.rte.MaxAttempts <= 1 || hdl.cal.ID == "" ||
 		slices.Contains(hdl.triedReplicas, replica)
 }
 
