--- a/peers/config_test.go
+++ b/peers/config_test.go
@@ -85,7 +85,7 @@
 			addr := freeAddress(t)
 			one := startWithConfig(t, addr, 7, record)
 			two := startWithConfig(t, freeAddress(t), 5, nil)
-			two.exc.AddPeer(addr)
+			iis.NoErr(two.exc.AddPeer(addr))
 			got, ok := two.waitForConfig(5, 5*time.Second)
 			iis.True(ok)
 			iis.True(bytes.Equal(got, record))
@@ -102,7 +102,7 @@
 	addr := freeAddress(t)
 	_ = startWithConfig(t, addr, 7, noise(200<<10))
 	two := startWithConfig(t, freeAddress(t), 5, nil)
-	two.exc.AddPeer(addr)
+	is.New(t).NoErr(two.exc.AddPeer(addr))
 	_, ok := two.waitForConfig(5, time.Second)
 	is.New(t).True(!ok)
 }
@@ -114,7 +114,7 @@
 	addr := freeAddress(t)
 	two := startWithConfig(t, addr, 5, nil)
 	one := startWithConfig(t, freeAddress(t), 7, []byte(`{"Version":7}`))
-	one.exc.AddPeer(addr) // The other process has heard of this one, but it was not told its address.
+	iis.NoErr(one.exc.AddPeer(addr)) // The other process has heard of this one, but it was not told its address.
 	_, ok := two.waitForConfig(5, time.Second)
 	iis.True(!ok)
 	iis.Equal(two.exc.LiveProcesses(), 2)
--- a/peers/era_test.go
+++ b/peers/era_test.go
@@ -47,7 +47,7 @@
 	one := startInEra(t, freeAddress(t), 7)
 	addr := freeAddress(t)
 	two := startInEra(t, addr, 8)
-	one.exc.AddPeer(addr)
+	iis.NoErr(one.exc.AddPeer(addr))
 	iis.Equal(<-two.eras, int64(7))
 	iis.Equal(<-one.eras, int64(8))
 	one.exc.SendDigest("topic", follow.Digest{Era: 6, From: 3, To: 4}) // read before the era rose
--- a/peers/leaving_test.go
+++ b/peers/leaving_test.go
@@ -12,7 +12,7 @@
 func TestLeavingReachesPeers(t *testing.T) {
 	iis := is.New(t)
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
-	two.exc.AddPeer(one.addr)
+	iis.NoErr(two.exc.AddPeer(one.addr))
 	for one.exc.LiveNear() < 2 || two.exc.LiveNear() < 2 {
 		time.Sleep(time.Millisecond)
 	}
@@ -31,7 +31,7 @@
 // leaves.
 func TestLostLeavingNoticeIsRepeated(t *testing.T) {
 	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
-	two.exc.AddPeer(one.addr)
+	is.New(t).NoErr(two.exc.AddPeer(one.addr))
 	for one.exc.LiveNear() < 2 {
 		time.Sleep(time.Millisecond)
 	}
--- a/soak/notice.go
+++ b/soak/notice.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// verifyLeavingNotices checks that a front sent no calls to a replica later than the drain time after it had passed on a
-// response that said that the replica leaves. A call that reached several replicas does not show whose response was
+// verifyLeavingNotices checks that a front sent no calls to a replica later than the drain time after it had passed on
+// a response that said that the replica leaves. A call that reached several replicas does not show whose response was
 // passed on.
 func (chk *checker) verifyLeavingNotices(
 	pair senderAt, list []plsim.Arrival, calls map[string]*call, perCall map[string]int,
