--- a/relay/stall.go
+++ b/relay/stall.go
@@ -148,8 +148,8 @@
 	wtc.decide(state)
 }
 
-// decide ends the attempt or goes on watching it. The lock must be held. It keeps the call from being used meanwhile,
-// because an event that arrives is recorded first.
+// decide ends the attempt, begins a standby attempt or goes on watching. The lock must be held: an event that arrives
+// meanwhile is recorded under it before anything else of the call is changed.
 func (wtc *stallWatch) decide(state runState) {
 	silent := wtc.silence()
 	if wtc.stopped || silent < wtc.times.examine { // An event has come meanwhile.
