--- a/follow/digest_test.go
+++ b/follow/digest_test.go
@@ -259,21 +259,7 @@
 // store answers others again, and against one that calls the store for each such message.
 func TestRetryEndsABackoff(t *testing.T) {
 	iis := is.New(t)
-	src := &scriptedSource{reads: make(chan func() ([]follow.Record, follow.Position, error))}
-	seen := make(chan string, 100)
-	grp := group.New(context.Background(), "test")
-	t.Cleanup(func() { _ = grp.Stop() })
-	flw := follow.Start(grp, follow.Options{
-		Name: "test", Clock: timer.New(), Log: logr.Discard(), Source: src.source(), ResponseTimeout: time.Minute,
-		MaxBackoff: func() time.Duration { return time.Hour },
-		OnList:     func([]follow.Record) { seen <- "listing" }, OnChange: func(rec follow.Record) { seen <- rec.Key },
-	})
-	iis.Equal(<-seen, "listing")
-	for range 6 { // The last backoff takes 1.6 s at least.
-		src.reads <- failure(errors.New("store unavailable"))
-	}
-	began := time.Now()
-	time.Sleep(20 * time.Millisecond) // until the follower waits
+	src, flw, _, began := startInBackoff(t)
 	flw.Retry()
 	src.reads <- failure(errors.New("store unavailable"))
 	iis.True(time.Since(began) < time.Second)
