--- a/review/standin/deadly.go
+++ b/review/standin/deadly.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"os"
 	"strings"
@@ -28,7 +29,7 @@
 	partTokens      = 40   // of each part but the last
 	callPath        = "2f" // after the prefix of the route
 	// recurringPrefix is the prompt of the request that crashes replicas and comes again.
-	recurringPrefix = "f007:40,c0ffee07:4960"
+	recurringPrefix = "f000:40,c0ffee07:4960"
 	readyTimeout    = 10 * time.Second
 	maxReached      = 3 // deadly requests that may still reach replicas
 )
@@ -140,10 +141,26 @@
 	return judgeDeadly(ply, flt, calls, &ddl), nil
 }
 
+// pickSession picks a session, and with it the first part of a prompt. Some are more frequent than others: the weight of
+// the one with number n, from 0, is 1/sqrt(n+1).
+func pickSession(rnd *rand.Rand) int {
+	total := 0.0
+	for num := range firstParts {
+		total += 1 / math.Sqrt(float64(num+1))
+	}
+	point := rnd.Float64() * total
+	for num := range firstParts {
+		if point -= 1 / math.Sqrt(float64(num+1)); point < 0 {
+			return num
+		}
+	}
+	return firstParts - 1
+}
+
 // promptPrefix returns the parts of a prompt: the first one, those of the session, the deadly one if there is one, and
 // the request's own.
 func promptPrefix(rnd *rand.Rand, sessionParts int, deadly bool) string {
-	session := rnd.Intn(firstParts)
+	session := pickSession(rnd)
 	parts := []string{fmt.Sprintf("f%03x:%d", session, partTokens)}
 	for num := range sessionParts {
 		parts = append(parts, fmt.Sprintf("a%03x%02x:%d", session, num, partTokens))
