--- a/review/standin/net.go
+++ b/review/standin/net.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 )
 
 // listen opens a listener on a free loopback port.
@@ -14,9 +16,15 @@
 	return lis
 }
 
-// freeAddress returns a loopback address that is free at the moment.
+// freeAddress returns a loopback address that is free at the moment. Its host is that of this process alone, so that no
+// outgoing connection and no other play takes the port meanwhile.
 func freeAddress() string {
-	lis := listen()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
+	lis, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		fail("listen: %v", err)
+	}
 	defer func() { _ = lis.Close() }()
 	return lis.Addr().String()
 }
