--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		fail("temporary folder: %v", err)
 	}
+	tempDir = dir
 	rec, err := newRecorder(*record)
 	if err != nil {
 		fail("%v", err)
@@ -55,9 +56,7 @@
 	}()
 	broken, err := run(&play{root: *root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", rec: rec})
 	stopAll()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(dir)
-	}
+	removeTempDir()
 	switch {
 	case err != nil:
 		rec.say("the case could not run: %v", err)
@@ -74,5 +73,16 @@
 func fail(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	stopAll()
+	removeTempDir()
 	os.Exit(exitFailed)
 }
+
+// tempDir is the folder for settings and logs; empty before it has been made.
+var tempDir string
+
+// removeTempDir removes the folder, unless KEEP is set.
+func removeTempDir() {
+	if tempDir != "" && os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(tempDir)
+	}
+}
