Log each answer that a replica breaks off, and how far it had come

What callers saw: nothing changes for them.

Why: the log had a line only for breaks before the first event, so it could not tell whether such a break is recorded as a crash, recorded and cleared, or explained by something else. The line is now written for each failed attempt, with the number of events that had come and whether it is taken for a crash.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -96,6 +96,7 @@
 	connReleased       bool        // the connection was returned to the pool
 	replyReceived      bool        // the head of a response to the call has been read
 	answered           bool        // a whole response or the first event of a stream has been read
+	eventsReceived     int         // other than comments
 	firstEventReceived atomic.Bool // of a stream
 	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
 	stall              *stallWatch // nil for a standby attempt
@@ -256,10 +257,14 @@
 		out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
 	case out.reason == reasonStreamBroken && !att.answered:
+		att.logBrokenAnswer(out, !rep.Leaving())
 		att.recordCrash()
 	case att.con.Reused() && !att.replyReceived:
 		// The connection may have been unusable before the call, which says nothing about the replica.
 	default:
+		if out.err != nil {
+			att.logBrokenAnswer(out, false)
+		}
 		rep.RecordFailure()
 	}
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// logBrokenAnswer logs that an attempt failed at its replica, how far the response had come by then, and whether that is
+// taken for a crash of the replica.
+func (att *attempt) logBrokenAnswer(out *outcome, isCrash bool) {
+	hdl := att.hdl
+	hdl.opts.Log.Info("relay: replica broke off its answer", "call", hdl.cal.ID,
+		"replica", att.placement.Primary.ID, "crash", isCrash, "outcome", out.reason, "error", out.errorText(),
+		"reused", att.con.Reused(), "head", att.replyReceived, "events", att.eventsReceived,
+		"resumed", att.rest.active, "body-bytes", len(hdl.cal.Body),
+		"parts", strings.Join(hdl.cal.Prompt.Parts, ","),
+		"fingerprint", strconv.FormatUint(hdl.causeCall().Fingerprint, 16))
+}
+
 // recordCrash records that the replica closed the connection before its answer: the whole response, or the first event
 // of a stream.
 func (att *attempt) recordCrash() {
@@ -78,10 +90,6 @@
 	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
 	cal := hdl.causeCall()
 	hdl.opts.Metrics.CountEvent("closed-before-answer")
-	hdl.opts.Log.Info("relay: replica closed the connection before its answer", "call", hdl.cal.ID,
-		"replica", att.placement.Primary.ID, "crash", !leaving, "reused", att.con.Reused(),
-		"head", att.replyReceived, "body-bytes", len(hdl.cal.Body), "parts", strings.Join(hdl.cal.Prompt.Parts, ","),
-		"fingerprint", strconv.FormatUint(cal.Fingerprint, 16))
 	if !leaving {
 		hdl.opts.Crashes.RecordCrash(att.placement.Primary.ID, cal)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -138,6 +138,7 @@
 			return att.rejectStream(err)
 		}
 		if !evt.isComment {
+			att.eventsReceived++
 			att.stall.recordEvent()
 			att.recordFirstEvent()
 		}
