Take a break at any point of an answer for a possible crash of its replica

Cause: the first event of a stream counted as an answer of the call. So the crash after it was not recorded, and the event cleared the call and its parts of earlier crashes, at the other fronts too. No event can show that a call does not crash replicas, since a replica may end at any point of an answer.

Change: each break is reported, and only a complete answer clears a call and its parts. A break or an answer beyond the first event makes a weaker suspect: five such crashes block, where three at the beginning do, and those within 250 ms count once unless one call took part in both, since replicas that are lost together break many streams. Answers that change a suspicion are sent to the other fronts at once and not only with the next report; a front that had seen none refused the call until then. TestAnswersReachOtherProcesses asserted that delay as its premise; it now begins with a call that both refuse, and keeps its bounds.

--- a/cause/answer.go
+++ b/cause/answer.go
@@ -19,16 +19,34 @@
 	maxAnnounceDelay = 100 * time.Millisecond
 )
 
-// RecordAnswer records that a replica has answered a call, at least in part.
-func (trk *Tracker) RecordAnswer(cal Call) {
+// evidence is when calls with a feature were last answered; zero for never.
+type evidence struct {
+	advancedAt time.Time // beyond the beginning, or completely
+	completeAt time.Time
+}
+
+// RecordAnswer records that a replica has answered a call completely.
+func (trk *Tracker) RecordAnswer(cal Call) { trk.recordAnswer(cal, true) }
+
+// RecordProgress records that the answer to a call has gone beyond its beginning.
+func (trk *Tracker) RecordProgress(cal Call) { trk.recordAnswer(cal, false) }
+
+func (trk *Tracker) recordAnswer(cal Call, complete bool) {
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
 	now := trk.opts.Clock.Now()
 	if trk.suspected[cal.Fingerprint] { // Other calls are not likely to come again.
-		trk.clearFeature(cal.Fingerprint, now)
+		trk.applyOwnAnswer(Answer{Feature: cal.Fingerprint, At: now, Complete: complete})
 	}
 	for _, part := range cal.Parts {
-		trk.clearFeature(part, now)
+		trk.applyOwnAnswer(Answer{Feature: part, At: now, Complete: complete})
+	}
+}
+
+// applyOwnAnswer applies an answer that this process has seen, and informs the others if it changes a suspicion.
+func (trk *Tracker) applyOwnAnswer(ans Answer) {
+	if trk.applyAnswer(ans) {
+		trk.queueAnswer(ans.Feature)
 	}
 }
 
@@ -37,33 +55,74 @@
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
 	for _, ans := range list {
-		delete(trk.unsent, ans.Feature) // The other processes know it now.
-		trk.clearFeature(ans.Feature, ans.At)
+		evi := trk.answers[ans.Feature]
+		if !ans.At.Before(evi.completeAt) && (ans.Complete || !ans.At.Before(evi.advancedAt)) {
+			delete(trk.unsent, ans.Feature) // The other processes know it now.
+		}
+		trk.applyAnswer(ans)
 	}
 }
 
-// clearFeature removes the suspicion from calls with a feature that were answered at the given time.
-func (trk *Tracker) clearFeature(feature uint64, at time.Time) {
-	answeredAt, ok := trk.answers[feature]
+// applyAnswer records an answer. It removes the suspicion from calls with its feature if the answer is complete, and
+// weakens it otherwise. It returns false if that changes nothing.
+func (trk *Tracker) applyAnswer(ans Answer) bool {
+	before, ok := trk.answers[ans.Feature]
 	if !ok {
 		trk.evictAnswers()
 	}
-	if !at.After(answeredAt) {
-		return
+	evi := before
+	if ans.Complete && ans.At.After(evi.completeAt) {
+		evi.completeAt = ans.At
 	}
-	trk.answers[feature] = at
-	if !trk.suspected[feature] {
-		return
+	if ans.At.After(evi.advancedAt) {
+		evi.advancedAt = ans.At
 	}
-	stillSuspected := false
+	trk.answers[ans.Feature] = evi
+	if evi == before || !trk.suspected[ans.Feature] {
+		return false
+	}
+	if ans.Complete {
+		return trk.clearFeature(ans.Feature, ans.At)
+	}
+	return trk.weakenFeature(ans.Feature, before.advancedAt, evi.advancedAt)
+}
+
+// clearFeature removes the suspicion from calls with a feature that were answered completely at the given time. It
+// returns false if there was none.
+func (trk *Tracker) clearFeature(feature uint64, at time.Time) bool {
+	stillSuspected, changed := false, false
 	for _, crs := range trk.crashes {
 		if !crs.at.Before(at.Add(recentAnswer)) {
 			stillSuspected = true
 		} else if crs.clear(feature) {
-			trk.outdated = true
+			changed = true
 		}
 	}
 	trk.suspected[feature] = stillSuspected
+	trk.outdated = trk.outdated || changed
+	return changed
+}
+
+// weakenFeature has the crashes explained again if an answer at the given time has made a feature a weaker suspect of
+// one of them. The answer before it may have done so already. It returns false if nothing changes.
+func (trk *Tracker) weakenFeature(feature uint64, before, at time.Time) bool {
+	changed := slices.ContainsFunc(trk.crashes, func(crs *crash) bool {
+		return exonerates(at, crs.at) && !exonerates(before, crs.at) && crs.suspects(feature)
+	})
+	trk.outdated = trk.outdated || changed
+	return changed
+}
+
+// exonerates reports whether an answer speaks against a cause of a crash: it came after the crash, or so recently
+// before it that what had been answered is not likely to be the cause.
+func exonerates(answeredAt, crashedAt time.Time) bool {
+	return answeredAt.After(crashedAt.Add(-recentAnswer))
+}
+
+// hasAdvanced reports whether the answer to a call with the given feature has gone beyond its beginning since a crash
+// at the given time.
+func (trk *Tracker) hasAdvanced(feature uint64, crashedAt time.Time) bool {
+	return exonerates(trk.answers[feature].advancedAt, crashedAt)
 }
 
 // evictAnswers makes room for one more answer if there are too many.
@@ -72,8 +131,8 @@
 		return
 	}
 	now := trk.opts.Clock.Now()
-	for feature, at := range trk.answers {
-		if now.Sub(at) > answerTime {
+	for feature, evi := range trk.answers {
+		if now.Sub(evi.advancedAt) > answerTime {
 			delete(trk.answers, feature)
 		}
 	}
@@ -85,18 +144,23 @@
 // clear removes the suspicion from a feature. It returns false if there was none.
 func (crs *crash) clear(feature uint64) bool {
 	num := len(crs.calls)
-	crs.calls = slices.DeleteFunc(crs.calls, func(cal Call) bool { return cal.Fingerprint == feature })
+	crs.calls = slices.DeleteFunc(crs.calls, func(sus suspect) bool { return sus.Fingerprint == feature })
 	found := len(crs.calls) < num
 	for idx := range crs.calls {
-		cal := &crs.calls[idx]
-		if pos := slices.Index(cal.Parts, feature); pos >= 0 {
-			cal.Parts = slices.Delete(cal.Parts, pos, pos+1)
+		sus := &crs.calls[idx]
+		if pos := slices.Index(sus.Parts, feature); pos >= 0 {
+			sus.Parts = slices.Delete(sus.Parts, pos, pos+1)
 			found = true
 		}
 	}
 	return found
 }
 
+// suspects reports whether a feature is a suspect of the crash.
+func (crs *crash) suspects(feature uint64) bool {
+	return slices.ContainsFunc(crs.calls, func(sus suspect) bool { return sus.has(feature) })
+}
+
 // withoutAnswered returns the call of a report without the parts that are no suspects because calls with them have been
 // answered.
 func (trk *Tracker) withoutAnswered(rpt Report) Call {
@@ -109,15 +173,16 @@
 	return cal
 }
 
-// wasAnswered reports whether a call with the given feature was answered after a crash, or so recently before it that
-// the feature is no suspect. The other processes may not know of the answer and are informed.
+// wasAnswered reports whether a call with the given feature was answered completely after a crash, or so recently
+// before it that the feature is no suspect. The other processes may not know of an answer that speaks against it, and
+// are informed.
 func (trk *Tracker) wasAnswered(feature uint64, crashedAt time.Time) bool {
-	at, ok := trk.answers[feature]
-	if !ok || !at.After(crashedAt.Add(-recentAnswer)) {
+	evi, ok := trk.answers[feature]
+	if !ok || !exonerates(evi.advancedAt, crashedAt) {
 		return false
 	}
 	trk.queueAnswer(feature)
-	return true
+	return exonerates(evi.completeAt, crashedAt)
 }
 
 // queueAnswer schedules that the other processes are told when calls with a feature were answered.
@@ -133,9 +198,7 @@
 	trk.mu.Lock()
 	var list []Answer
 	for feature := range trk.unsent {
-		if at, ok := trk.answers[feature]; ok {
-			list = append(list, Answer{Feature: feature, At: at})
-		}
+		list = append(list, trk.answers[feature].answers(feature)...)
 	}
 	clear(trk.unsent)
 	trk.mu.Unlock()
@@ -143,3 +206,14 @@
 		trk.opts.OnAnswers(list)
 	}
 }
+
+// answers returns the answers of which the evidence of a feature consists.
+func (evi evidence) answers(feature uint64) (list []Answer) {
+	if !evi.completeAt.IsZero() {
+		list = append(list, Answer{Feature: feature, At: evi.completeAt, Complete: true})
+	}
+	if evi.advancedAt.After(evi.completeAt) {
+		list = append(list, Answer{Feature: feature, At: evi.advancedAt})
+	}
+	return list
+}
--- a/cause/cause.go
+++ b/cause/cause.go
@@ -2,9 +2,10 @@
 //
 // A replica that crashes breaks the connections of all calls that it has begun. Each of them is a suspect of the crash,
 // at whichever process its connection was, and so are the parts of its prompt; the processes send each other reports. A
-// call that a replica answers is no suspect of earlier crashes, nor are its parts, since what crashes replicas is never
-// answered. A call or a part is blocked when it is the best explanation of several crashes; the other calls of these
-// crashes are then no suspects of them any more.
+// replica may crash at any point of an answer, so only a complete answer shows that a call and its parts do not crash
+// replicas. One that goes beyond its beginning makes them weaker suspects, which must explain more crashes. A call or a
+// part is blocked when it is the best explanation of several crashes; the other calls of these crashes are then no
+// suspects of them any more.
 package cause
 
 import (
@@ -40,17 +41,21 @@
 	Parts       []uint64 // hashes of the parts of its prompt that other calls may have too
 }
 
-// Report states that a replica broke the connection of a call before it had answered it.
+// Report states that a replica broke the connection of a call before it had answered it completely.
 type Report struct {
 	Replica uint64 // hash of the ID of the replica
 	At      time.Time
 	Call    Call
+	// Advanced is set if the answer had gone beyond its beginning.
+	Advanced bool
 }
 
 // Answer states that a replica answered calls with a feature that had been suspected.
 type Answer struct {
 	Feature uint64 // fingerprint of the call, or hash of a part
 	At      time.Time
+	// Complete is set if the answer was complete. Otherwise it had gone beyond its beginning.
+	Complete bool
 }
 
 // Options configure a Tracker.
@@ -70,8 +75,8 @@
 
 	mu         sync.Mutex
 	crashes    []*crash
-	suspected  map[uint64]bool      // features of the calls in crashes, and some that no longer are
-	answers    map[uint64]time.Time // when calls with a feature were last answered
+	suspected  map[uint64]bool     // features of the calls in crashes, and some that no longer are
+	answers    map[uint64]evidence // how calls with a feature were last answered
 	culprits   []culprit
 	outdated   bool                // culprits must be found again
 	unsent     map[uint64]struct{} // features of answers that the other processes lack
@@ -83,7 +88,13 @@
 	replica uint64
 	at      time.Time
 	until   time.Time // when it is forgotten
-	calls   []Call
+	calls   []suspect
+}
+
+// suspect is a call that may have caused a crash.
+type suspect struct {
+	Call
+	advanced bool // its answer had gone beyond the beginning
 }
 
 // New returns a Tracker without crashes.
@@ -95,7 +106,7 @@
 		opts.OnAnswers = func([]Answer) {}
 	}
 	return &Tracker{
-		opts: opts, suspected: make(map[uint64]bool), answers: make(map[uint64]time.Time),
+		opts: opts, suspected: make(map[uint64]bool), answers: make(map[uint64]evidence),
 		unsent: make(map[uint64]struct{}),
 	}
 }
@@ -103,9 +114,10 @@
 // Active reports whether there are crashes. If not, no call is blocked.
 func (trk *Tracker) Active() bool { return trk.active.Load() }
 
-// RecordCrash records that a replica broke the connection of a call before it had answered it.
-func (trk *Tracker) RecordCrash(replica string, cal Call) {
-	rpt := Report{Replica: xxhash.Sum64String(replica), At: trk.opts.Clock.Now(), Call: cal}
+// RecordCrash records that a replica broke the connection of a call before it had answered it completely. The answer
+// had advanced if it had gone beyond its beginning.
+func (trk *Tracker) RecordCrash(replica string, cal Call, advanced bool) {
+	rpt := Report{Replica: xxhash.Sum64String(replica), At: trk.opts.Clock.Now(), Call: cal, Advanced: advanced}
 	trk.mu.Lock()
 	trk.addReport(rpt)
 	rpt.Call = trk.withoutAnswered(rpt)
@@ -135,13 +147,13 @@
 	for _, feature := range cal.features() {
 		trk.suspected[feature] = true
 	}
-	crs.calls = append(crs.calls, cal)
+	crs.calls = append(crs.calls, suspect{Call: cal, advanced: rpt.Advanced})
 	trk.outdated = true
 	trk.active.Store(true)
 }
 
-func hasCall(calls []Call, fingerprint uint64) bool {
-	return slices.ContainsFunc(calls, func(cal Call) bool { return cal.Fingerprint == fingerprint })
+func hasCall(calls []suspect, fingerprint uint64) bool {
+	return slices.ContainsFunc(calls, func(sus suspect) bool { return sus.Fingerprint == fingerprint })
 }
 
 // features returns all that may crash replicas in the call.
@@ -198,7 +210,7 @@
 	}
 	trk.outdated = false
 	known := trk.culprits
-	trk.culprits = explain(trk.crashes)
+	trk.culprits = explain(trk.crashes, trk.hasAdvanced)
 	for _, cul := range trk.culprits {
 		if !slices.ContainsFunc(known, cul.equal) {
 			trk.opts.Log.Info("cause: calls are refused because they crash replicas", "fingerprint",
@@ -260,10 +272,11 @@
 	var list []Report
 	for _, cul := range trk.culprits {
 		for _, crs := range cul.crashes {
-			for _, cal := range crs.calls {
-				if cul.matches(cal) {
+			for _, sus := range crs.calls {
+				if cul.matches(sus.Call) {
+					cal := sus.Call
 					cal.Parts = slices.Clone(cal.Parts) // The tracker removes parts from its own list.
-					list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal})
+					list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal, Advanced: sus.advanced})
 				}
 			}
 		}
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -22,22 +22,26 @@
 }
 
 // applySteps applies steps 100 ms apart: "1+a,b:PQ" is a crash of replica 1 that breaks call a and call b with the
-// parts P and Q, "-a" is an answer to call a, "+5s" is a pause.
+// parts P and Q, "1*a" one that breaks an answer beyond its beginning, "~a" is such an answer, "-a" is a complete one,
+// "+5s" is a pause.
 func applySteps(t *testing.T, trk *cause.Tracker, man *timer.Manual, steps string) {
 	t.Helper()
 	for _, step := range strings.Fields(steps) {
 		man.Advance(100 * time.Millisecond)
-		replica, rest, isCrash := strings.Cut(step, "+")
+		pos := strings.IndexAny(step, "+*~-")
+		replica, kind, rest := step[:pos], step[pos], step[pos+1:]
 		pause, err := time.ParseDuration(rest)
 		switch {
-		case isCrash && replica == "" && err == nil:
+		case kind == '~':
+			trk.RecordProgress(call(rest))
+		case kind == '-':
+			trk.RecordAnswer(call(rest))
+		case replica == "" && err == nil:
 			man.Advance(pause)
-		case isCrash:
+		default:
 			for text := range strings.SplitSeq(rest, ",") {
-				trk.RecordCrash(replica, call(text))
+				trk.RecordCrash(replica, call(text), kind == '*')
 			}
-		default:
-			trk.RecordAnswer(call(step[1:]))
 		}
 	}
 }
@@ -98,6 +102,23 @@
 			"k:Q l:Q y:Q",
 		},
 		{"a part that is answered again is free", "1+a:AP 2+b:BP 3+c:CP -d:P", "", "x:P"},
+		{
+			"answers that go beyond their beginning are no proof",
+			"1+a:P ~a:P +1s 2+b:P ~b:P +1s 3+c:P ~c:P +1s 4+d:P ~d:P +1s 5+e:P", "x:P", "y:A",
+		},
+		{"they make a part a weaker suspect", "1+a:P ~a:P 2+b:P ~b:P 3+c:P ~c:P", "", "x:P"},
+		{
+			"crashes far into answers count less", "1*a:P +250ms 2*b:P +250ms 3*c:P +250ms 4*d:P", "", "x:P",
+		},
+		{
+			"five of them block", "1*a:P +250ms 2*b:P +250ms 3*c:P +250ms 4*d:P +250ms 5*e:P", "x:P", "y:A",
+		},
+		{"those of replicas that are lost together count once", "1*a:P 2*b:P 3*c:P 4*d:P 5*e:P 6*f:P", "", "x:P"},
+		{"those of one call are not lost together", "1*a:P 2*a:P +250ms 3*b:P 4*b:P 5*b:P", "x:P", "y:A"},
+		{
+			"a part of sound calls beside a blocked one is free",
+			"1+a:AP,k:A 2+b:AP ~z:A 3+c:BP,l:A ~z:A", "x:P", "y:A y:B",
+		},
 		{"two parts are found at the same time", "1+a:P 2+b:Q 3+c:P 4+d:Q 5+e:P 6+f:Q", "x:P x:Q", "y:A"},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
@@ -141,11 +162,16 @@
 		OnAnswers: func(list []cause.Answer) { two.AddAnswers(list) },
 	})
 	two = cause.New(cause.Options{Clock: clk})
-	applySteps(t, one, man, "1+a -a 2+a")
+	applySteps(t, one, man, "1+a 2+a")
 	iis.True(two.Blocked(call("a")))
+	applySteps(t, one, man, "-a")
 	man.Advance(time.Second)
 	iis.True(!two.Blocked(call("a")))
 	iis.True(!one.Blocked(call("a")))
+	applySteps(t, one, man, "1+b -b 2+b")
+	man.Advance(time.Second)
+	iis.True(!two.Blocked(call("b")))
+	iis.True(!one.Blocked(call("b")))
 }
 
 // TestAnswerBeforeReportCounts guards against a call that is suspected again by a report that comes late.
--- a/cause/explain.go
+++ b/cause/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,10 +11,22 @@
 const (
 	// crashesToBlock suffices for a call if nothing else that was not answered since took part in both crashes.
 	crashesToBlock = 2
-	// crashesToBlockAny suffices for a call even if others took part in the same crashes.
+	// crashesToBlockAny suffices for a call even if others took part in the same crashes, and for a part of prompts if
+	// different calls had it.
 	crashesToBlockAny = 3
-	// crashesToBlockPart suffices for a part of prompts, if different calls had it.
-	crashesToBlockPart = 3
+	// weakCrashesToBlock suffices for weaker suspects.
+	weakCrashesToBlock = 5
+)
+
+// Weights of crashes.
+const (
+	strongWeight = weakCrashesToBlock
+	weakWeight   = crashesToBlockAny
+	// sufficientWeight is that of enough crashes of either kind.
+	sufficientWeight = strongWeight * weakWeight
+	// weakSpan is the time within which crashes count once for a weaker suspect. Replicas that are lost together break
+	// many answers that had begun.
+	weakSpan = 250 * time.Millisecond
 )
 
 // culprit is what explains several crashes: a call, or parts that all these calls had in their prompts.
@@ -40,15 +53,17 @@
 // explanation is the work of explaining crashes.
 type explanation struct {
 	crashes  []*crash
-	suspects [][]Call // by crash, without the calls that are no suspects any more
+	suspects [][]suspect // by crash, without the calls that are no suspects any more
 	culprits []culprit
+	// hasAdvanced reports whether a feature is a weaker suspect of crashes at the given time.
+	hasAdvanced func(feature uint64, crashedAt time.Time) bool
 }
 
 // explain returns what explains the crashes best: first parts of prompts, since each of them explains the crashes of
-// many calls, then calls. What is a suspect of most crashes goes first; the calls of these crashes that it does not
-// match are then no suspects of them any more.
-func explain(crashes []*crash) []culprit {
-	exp := &explanation{crashes: crashes, suspects: make([][]Call, len(crashes))}
+// many calls, then calls. What explains most crashes goes first, weaker suspects of a crash counting less; the calls of
+// these crashes that it does not match are then no suspects of them any more.
+func explain(crashes []*crash, hasAdvanced func(feature uint64, crashedAt time.Time) bool) []culprit {
+	exp := &explanation{crashes: crashes, suspects: make([][]suspect, len(crashes)), hasAdvanced: hasAdvanced}
 	for idx, crs := range crashes {
 		exp.suspects[idx] = slices.Clone(crs.calls)
 	}
@@ -60,95 +75,85 @@
 // blameParts finds the parts that explain enough crashes of different calls. Parts that always occur together cannot be
 // told apart, so they are refused only together.
 func (exp *explanation) blameParts() {
-	parts := func(cal Call) []uint64 { return cal.Parts }
-	for _, part := range exp.repeatedFeatures(parts, crashesToBlockPart) {
-		indices, calls := exp.callsWith(func(cal Call) bool { return slices.Contains(cal.Parts, part) })
-		if len(indices) >= crashesToBlockPart && haveDifferentCalls(calls) {
-			exp.blame(culprit{parts: commonParts(calls)}, indices, crashesToBlockPart)
+	for _, part := range exp.repeatedFeatures(partsOf, crashesToBlockAny) {
+		spn := exp.suspicionOf(part)
+		if spn.weight() >= sufficientWeight && haveDifferentCalls(spn.calls) {
+			exp.blame(culprit{parts: commonParts(spn.calls)}, &spn, crashesToBlockAny)
 		}
 	}
 }
 
 // blameCalls finds the calls that explain enough crashes.
 func (exp *explanation) blameCalls() {
-	fingerprint := func(cal Call) []uint64 { return []uint64{cal.Fingerprint} }
-	for _, fpr := range exp.repeatedFeatures(fingerprint, crashesToBlock) {
-		indices, calls := exp.callsWith(func(cal Call) bool { return cal.Fingerprint == fpr })
-		if len(indices) >= crashesToBlockAny || (len(indices) == crashesToBlock && !exp.hasRival(indices, calls[0])) {
-			exp.blame(culprit{fingerprint: fpr}, indices, crashesToBlock)
+	for _, fpr := range exp.repeatedFeatures(fingerprintOf, crashesToBlock) {
+		spn := exp.suspicionOf(fpr)
+		if spn.weight() >= sufficientWeight || (spn.strong >= crashesToBlock && !exp.hasRival(&spn)) {
+			exp.blame(culprit{fingerprint: fpr}, &spn, crashesToBlock)
 		}
 	}
 }
 
-// blame adds a culprit for the crashes with the given indices, unless it is known.
-func (exp *explanation) blame(cul culprit, indices []int, suffice int) {
+// blame adds a culprit for the crashes of a suspicion, unless it is known. The given number of crashes suffices for one
+// that is not weaker.
+func (exp *explanation) blame(cul culprit, spn *suspicion, suffice int) {
 	if slices.ContainsFunc(exp.culprits, cul.equal) {
 		return
 	}
-	for _, idx := range indices {
+	for _, idx := range spn.indices {
 		cul.crashes = append(cul.crashes, exp.crashes[idx])
-		exp.suspects[idx] = slices.DeleteFunc(exp.suspects[idx], func(cal Call) bool { return !cul.matches(cal) })
+		exp.suspects[idx] = slices.DeleteFunc(exp.suspects[idx], func(sus suspect) bool {
+			return !cul.matches(sus.Call)
+		})
+	}
+	if spn.strong < suffice {
+		suffice = weakCrashesToBlock
 	}
 	cul.until = blockedUntil(cul.crashes, suffice)
 	exp.culprits = append(exp.culprits, cul)
 }
 
-// repeatedFeatures returns the features that are suspects of at least the given number of crashes, those of most
-// crashes first. The function returns the features of a call that are considered.
-func (exp *explanation) repeatedFeatures(featuresOf func(cal Call) []uint64, minCrashes int) []uint64 {
+// repeatedFeatures returns the features that are suspects of at least the given number of crashes, those with most
+// weight first. The function returns the features of a call that are considered.
+func (exp *explanation) repeatedFeatures(featuresOf func(cal *Call) []uint64, minCrashes int) []uint64 {
 	counts := make(map[uint64]int)
 	for _, calls := range exp.suspects {
 		for feature := range featureSet(calls, featuresOf) {
 			counts[feature]++
 		}
 	}
-	var list []uint64
+	weights := make(map[uint64]int)
 	for feature, count := range counts {
 		if count >= minCrashes {
-			list = append(list, feature)
+			spn := exp.suspicionOf(feature)
+			weights[feature] = spn.weight()
 		}
 	}
-	slices.SortFunc(list, func(one, two uint64) int {
-		return cmp.Or(cmp.Compare(counts[two], counts[one]), cmp.Compare(one, two))
+	return slices.SortedFunc(maps.Keys(weights), func(one, two uint64) int {
+		return cmp.Or(cmp.Compare(weights[two], weights[one]), cmp.Compare(one, two))
 	})
-	return list
 }
 
 // featureSet returns the features of several calls without duplicates.
-func featureSet(calls []Call, featuresOf func(cal Call) []uint64) map[uint64]bool {
+func featureSet(calls []suspect, featuresOf func(cal *Call) []uint64) map[uint64]bool {
 	set := make(map[uint64]bool)
-	for _, cal := range calls {
-		for _, feature := range featuresOf(cal) {
+	for idx := range calls {
+		for _, feature := range featuresOf(&calls[idx].Call) {
 			set[feature] = true
 		}
 	}
 	return set
 }
 
-// callsWith returns the suspects that a function accepts, and the indices of their crashes.
-func (exp *explanation) callsWith(accept func(cal Call) bool) (indices []int, calls []Call) {
-	for idx, suspects := range exp.suspects {
-		num := len(calls)
-		for _, cal := range suspects {
-			if accept(cal) {
-				calls = append(calls, cal)
-			}
-		}
-		if len(calls) > num {
-			indices = append(indices, idx)
-		}
-	}
-	return indices, calls
-}
+func fingerprintOf(cal *Call) []uint64 { return []uint64{cal.Fingerprint} }
 
-// hasRival reports whether another call, or a part that the call does not have, is a suspect of all the given crashes
-// too.
-func (exp *explanation) hasRival(indices []int, cal Call) bool {
+func partsOf(cal *Call) []uint64 { return cal.Parts }
+
+// hasRival reports whether another call, or a part that the call does not have, is a suspect of all crashes of a
+// suspicion of one call too, and not a weaker one.
+func (exp *explanation) hasRival(spn *suspicion) bool {
 	var rivals map[uint64]bool
-	for _, idx := range indices {
-		set := featureSet(exp.suspects[idx], func(other Call) []uint64 {
-			return append([]uint64{other.Fingerprint}, other.Parts...)
-		})
+	for _, idx := range spn.indices {
+		set := featureSet(exp.suspects[idx], (*Call).features)
 		for feature := range rivals {
 			if !set[feature] {
 				delete(rivals, feature)
@@ -158,23 +163,25 @@
 			rivals = set
 		}
 	}
-	delete(rivals, cal.Fingerprint)
-	for _, part := range cal.Parts {
-		delete(rivals, part)
+	cal := &spn.calls[0].Call
+	for feature := range rivals {
+		if !slices.Contains(cal.features(), feature) && exp.suspicionOf(feature).strong >= len(spn.indices) {
+			return true
+		}
 	}
-	return len(rivals) > 0
+	return false
 }
 
 // haveDifferentCalls reports whether the calls are not all the same one.
-func haveDifferentCalls(calls []Call) bool {
-	return slices.ContainsFunc(calls, func(cal Call) bool { return cal.Fingerprint != calls[0].Fingerprint })
+func haveDifferentCalls(calls []suspect) bool {
+	return slices.ContainsFunc(calls, func(sus suspect) bool { return sus.Fingerprint != calls[0].Fingerprint })
 }
 
 // commonParts returns the parts that all calls have.
-func commonParts(calls []Call) []uint64 {
+func commonParts(calls []suspect) []uint64 {
 	common := slices.Clone(calls[0].Parts)
-	for _, cal := range calls[1:] {
-		common = slices.DeleteFunc(common, func(part uint64) bool { return !slices.Contains(cal.Parts, part) })
+	for _, sus := range calls[1:] {
+		common = slices.DeleteFunc(common, func(part uint64) bool { return !slices.Contains(sus.Parts, part) })
 	}
 	slices.Sort(common)
 	return common
@@ -190,7 +197,7 @@
 		}
 	}
 	limit := blockTime
-	for range len(crashes) - suffice {
+	for range max(len(crashes)-suffice, 0) {
 		limit = min(2*limit, maxBlockTime)
 	}
 	return latest.Add(limit)
--- a/peers/crash.go
+++ b/peers/crash.go
@@ -77,17 +77,21 @@
 }
 
 // sendReports sends crashes, in as many datagrams as needed.
-func (exc *Exchange) sendReports(to []*net.UDPAddr, reports []cause.Report) {
+func (exc *Exchange) sendReports(peers []*net.UDPAddr, reports []cause.Report) {
 	now := exc.opts.Clock.Now()
 	for chunk := range slices.Chunk(reports, maxReportsPerMessage) {
 		msg := exc.withSender(exc.greeting())
 		for _, rpt := range chunk {
-			msg.Crashes = append(msg.Crashes, crashReport{
+			to := &msg.Crashes
+			if rpt.Advanced {
+				to = &msg.LateCrashes
+			}
+			*to = append(*to, crashReport{
 				Replica: rpt.Replica, Call: rpt.Call.Fingerprint, Parts: rpt.Call.Parts,
 				AgeMs: ageMs(now, rpt.At),
 			})
 		}
-		exc.send(to, &msg)
+		exc.send(peers, &msg)
 	}
 }
 
@@ -106,36 +110,53 @@
 // SendAnswers sends all peers that suspected calls have been answered.
 func (exc *Exchange) SendAnswers(list []cause.Answer) {
 	exc.mu.Lock()
-	to := exc.allPeers()
+	peers := exc.allPeers()
 	exc.mu.Unlock()
 	now := exc.opts.Clock.Now()
 	for chunk := range slices.Chunk(list, maxAnswersPerMessage) {
 		msg := exc.withSender(exc.greeting())
 		for _, ans := range chunk {
-			msg.Answers = append(msg.Answers, answer{Feature: ans.Feature, AgeMs: ageMs(now, ans.At)})
+			to := &msg.Progressing
+			if ans.Complete {
+				to = &msg.Answers
+			}
+			*to = append(*to, answer{Feature: ans.Feature, AgeMs: ageMs(now, ans.At)})
 		}
-		exc.send(to, &msg)
+		exc.send(peers, &msg)
 	}
 }
 
 // applyCrashes hands the crashes and answers that a peer has sent to the function that records them.
 func (exc *Exchange) applyCrashes(msg *message) {
-	now := exc.opts.Clock.Now()
-	ago := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
 	if exc.opts.OnCrash != nil {
-		for _, rpt := range msg.Crashes {
-			exc.opts.OnCrash(cause.Report{
-				Replica: rpt.Replica, At: ago(rpt.AgeMs),
-				Call: cause.Call{Fingerprint: rpt.Call, Parts: rpt.Parts},
-			})
-		}
+		exc.applyReports(msg.Crashes, false)
+		exc.applyReports(msg.LateCrashes, true)
 	}
-	if exc.opts.OnAnswers == nil || len(msg.Answers) == 0 {
-		return
+	if exc.opts.OnAnswers != nil && len(msg.Answers)+len(msg.Progressing) > 0 {
+		exc.opts.OnAnswers(append(exc.answersOf(msg.Answers, true), exc.answersOf(msg.Progressing, false)...))
 	}
-	list := make([]cause.Answer, 0, len(msg.Answers))
-	for _, ans := range msg.Answers {
-		list = append(list, cause.Answer{Feature: ans.Feature, At: ago(ans.AgeMs)})
+}
+
+// applyReports hands crashes to the function that records them.
+func (exc *Exchange) applyReports(reports []crashReport, advanced bool) {
+	for _, rpt := range reports {
+		exc.opts.OnCrash(cause.Report{
+			Replica: rpt.Replica, At: exc.timeAgo(rpt.AgeMs), Advanced: advanced,
+			Call: cause.Call{Fingerprint: rpt.Call, Parts: rpt.Parts},
+		})
 	}
-	exc.opts.OnAnswers(list)
+}
+
+// answersOf returns the answers that a peer has sent.
+func (exc *Exchange) answersOf(list []answer, complete bool) []cause.Answer {
+	answers := make([]cause.Answer, 0, len(list))
+	for _, ans := range list {
+		answers = append(answers, cause.Answer{Feature: ans.Feature, At: exc.timeAgo(ans.AgeMs), Complete: complete})
+	}
+	return answers
+}
+
+// timeAgo returns the time of an event from its age in milliseconds.
+func (exc *Exchange) timeAgo(ageMs uint32) time.Time {
+	return exc.opts.Clock.Now().Add(-time.Duration(ageMs) * time.Millisecond)
 }
--- a/peers/message.go
+++ b/peers/message.go
@@ -30,6 +30,8 @@
 	StoreEra      int64            `cbor:"15,keyasint,omitempty"` // that of the digest, or the last one known
 	ConfigRequest *configRequest   `cbor:"16,keyasint,omitempty"`
 	ConfigPart    *configPart      `cbor:"17,keyasint,omitempty"`
+	LateCrashes   []crashReport    `cbor:"18,keyasint,omitempty"` // of calls whose answers had advanced
+	Progressing   []answer         `cbor:"19,keyasint,omitempty"` // answers that are not complete
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -24,6 +24,7 @@
 	addr    string
 	group   *group.Group
 	crashes chan cause.Report
+	answers chan []cause.Answer
 	known   atomic.Pointer[cause.Report] // crash that the process remembers
 }
 
@@ -54,12 +55,13 @@
 	clk := timer.New()
 	prc := &process{
 		flt: fleet.New(clk, logr.Discard(), nil), addr: addr, group: group.New(context.Background(), name),
-		crashes: make(chan cause.Report, 10),
+		crashes: make(chan cause.Report, 10), answers: make(chan []cause.Answer, 10),
 	}
 	t.Cleanup(func() { _ = prc.group.Stop() })
 	exc, err := peers.Start(prc.group, peers.Options{
 		Name: name, DataCentre: dataCentre, Address: addr, Clock: clk, Log: logr.Discard(), Fleet: prc.flt,
 		OnCrash:      func(rpt cause.Report) { prc.crashes <- rpt },
+		OnAnswers:    func(list []cause.Answer) { prc.answers <- list },
 		KnownCrashes: prc.knownCrashes,
 	})
 	if err != nil {
@@ -131,6 +133,26 @@
 	rpt := <-two.crashes
 	iis.Equal(rpt.Replica, uint64(7))
 	iis.Equal(rpt.Call, cal)
+	iis.True(!rpt.Advanced)
+}
+
+// TestEvidenceReachesPeersAsItIs guards against a front that refuses sound calls because it takes crashes far into
+// answers for crashes at their beginning, and against one that refuses nothing because it takes answers that have only
+// gone beyond their beginning for complete ones.
+func TestEvidenceReachesPeersAsItIs(t *testing.T) {
+	iis := is.New(t)
+	one, two := start(t, "one", freeAddress(t)), start(t, "two", freeAddress(t))
+	iis.NoErr(one.exc.AddPeer(two.addr))
+	one.exc.SendCrash(cause.Report{Replica: 7, At: time.Now(), Call: cause.Call{Fingerprint: 42}, Advanced: true})
+	rpt := <-two.crashes
+	iis.Equal(rpt.Call.Fingerprint, uint64(42))
+	iis.True(rpt.Advanced)
+	one.exc.SendAnswers([]cause.Answer{{Feature: 1, At: time.Now()}, {Feature: 2, At: time.Now(), Complete: true}})
+	complete := make(map[uint64]bool)
+	for _, ans := range <-two.answers {
+		complete[ans.Feature] = ans.Complete
+	}
+	iis.Equal(complete, map[uint64]bool{1: false, 2: true})
 }
 
 // TestRestartedPeerGetsCrashes guards against a front that has been restarted and sends a call on that all others
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -27,8 +27,9 @@
 
 // limitedReader reads from a connection until a limit is reached.
 type limitedReader struct {
-	src  io.Reader
-	left int64 // bytes that may still be read
+	src   io.Reader
+	left  int64 // bytes that may still be read
+	ended bool  // the connection has ended, or reading from it has failed
 }
 
 // noLimit is the limit while the body of the call's own response is read, whose reader bounds it.
@@ -41,6 +42,7 @@
 	}
 	num, err := rdr.src.Read(buf[:min(int64(len(buf)), rdr.left)])
 	rdr.left -= int64(num)
+	rdr.ended = rdr.ended || err != nil
 	return num, err //nolint:wrapcheck // The error of the connection, as io.Reader requires.
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -95,7 +95,6 @@
 	sentEvent          bool        // an event of this attempt, other than a comment, was sent to the client
 	connReleased       bool        // the connection was returned to the pool
 	replyReceived      bool        // the head of a response to the call has been read
-	answered           bool        // a whole response or the first event of a stream has been read
 	eventsReceived     int         // other than comments
 	firstEventReceived atomic.Bool // of a stream
 	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
@@ -256,7 +255,7 @@
 	case out.reason == reasonClientLeft, out.reason == reasonTimeLimit, out.reason == reasonReservationUnused,
 		out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
-	case out.reason == reasonStreamBroken && !att.answered:
+	case out.reason == reasonStreamBroken:
 		att.logBrokenAnswer(out, !rep.Leaving())
 		att.recordCrash()
 	case att.con.Reused() && !att.replyReceived:
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -53,20 +53,34 @@
 	return true
 }
 
-// recordAnswer records that the replica has answered the call, at least in part, so that a later crash of the replica
-// has another cause.
+// beginningEvents is the number of events up to which a stream is at its beginning.
+const beginningEvents = 1
+
+// recordProgress records that the replica has sent an event of a stream. One that goes beyond its beginning speaks
+// against the call and its parts as causes of crashes.
+func (att *attempt) recordProgress() {
+	att.eventsReceived++
+	if att.eventsReceived == beginningEvents+1 {
+		att.hdl.opts.Crashes.RecordProgress(att.hdl.causeAnswer())
+	}
+}
+
+// recordAnswer records that the replica has answered the call completely, so that it does not crash replicas.
 func (att *attempt) recordAnswer() {
-	att.answered = true
-	hdl := att.hdl
+	att.hdl.opts.Crashes.RecordAnswer(att.hdl.causeAnswer())
+}
+
+// causeAnswer returns what an answer to the call speaks for. The fingerprint is costly, and left out if there were no
+// crashes.
+func (hdl *callHandler) causeAnswer() cause.Call {
 	if hdl.opts.Crashes.Active() {
-		hdl.opts.Crashes.RecordAnswer(hdl.causeCall())
-	} else {
-		hdl.opts.Crashes.RecordAnswer(cause.Call{Parts: hdl.causeParts()}) // The fingerprint is costly.
+		return hdl.causeCall()
 	}
+	return cause.Call{Parts: hdl.causeParts()}
 }
 
-// logBrokenAnswer logs that an attempt failed at its replica, how far the response had come by then, and whether that is
-// taken for a crash of the replica.
+// logBrokenAnswer logs that an attempt failed at its replica, how far the response had come by then, and whether that
+// is taken for a crash of the replica.
 func (att *attempt) logBrokenAnswer(out *outcome, isCrash bool) {
 	hdl := att.hdl
 	hdl.opts.Log.Info("relay: replica broke off its answer", "call", hdl.cal.ID,
@@ -77,8 +91,7 @@
 		"fingerprint", strconv.FormatUint(hdl.causeCall().Fingerprint, 16))
 }
 
-// recordCrash records that the replica closed the connection before its answer: the whole response, or the first event
-// of a stream.
+// recordCrash records that the replica closed the connection before it had answered the call completely.
 func (att *attempt) recordCrash() {
 	hdl, rep := att.hdl, att.placement.Primary.Replica
 	switch {
@@ -89,8 +102,8 @@
 	}
 	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
 	cal := hdl.causeCall()
-	hdl.opts.Metrics.CountEvent("closed-before-answer")
+	hdl.opts.Metrics.CountEvent("answer-broken-off")
 	if !leaving {
-		hdl.opts.Crashes.RecordCrash(att.placement.Primary.ID, cal)
+		hdl.opts.Crashes.RecordCrash(att.placement.Primary.ID, cal, att.eventsReceived > beginningEvents)
 	}
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -180,8 +180,8 @@
 	iis.Equal(rig.sendPrompt(t, "3001:900"), http.StatusOK)
 }
 
-// sendPrompt sends a call for a stream whose prompt has the given parts and returns the status of the response.
-func (rig *rig) sendPrompt(t *testing.T, parts string) int {
+// promptRequest returns a request for a stream whose prompt has the given parts.
+func (rig *rig) promptRequest(t *testing.T, parts string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+"/stream/x", strings.NewReader(parts))
 	if err != nil {
@@ -192,7 +192,24 @@
 	req.Header.Set("Tarragonwheel-Token-Usage", "1000,80")
 	req.Header.Set("Tarragonwheel-Prompt-Prefix", parts)
 	req.Header.Set("Api-Key", "k")
-	return roundTrip(t, req)
+	return req
+}
+
+// sendPrompt sends a call for a stream whose prompt has the given parts and returns the status of the response.
+func (rig *rig) sendPrompt(t *testing.T, parts string) int {
+	t.Helper()
+	return roundTrip(t, rig.promptRequest(t, parts))
+}
+
+// sendPromptUntilEnd is sendPrompt for a call whose response may break off at any point.
+func (rig *rig) sendPromptUntilEnd(t *testing.T, parts string) {
+	t.Helper()
+	res, err := http.DefaultClient.Do(rig.promptRequest(t, parts))
+	if err != nil {
+		return // The connection was closed before the head.
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, res.Body) // Only what the replicas have seen matters.
 }
 
 // addIdleConn leaves a connection in the pool on which the replica has answered a call.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -138,9 +138,9 @@
 			return att.rejectStream(err)
 		}
 		if !evt.isComment {
-			att.eventsReceived++
 			att.stall.recordEvent()
 			att.recordFirstEvent()
+			att.recordProgress()
 		}
 		if !att.hdl.clientHas(evt) {
 			att.sentEvent = att.sentEvent || !evt.isComment
@@ -168,7 +168,6 @@
 func (att *attempt) recordFirstEvent() {
 	if !att.firstEventReceived.Swap(true) {
 		att.tasks.markDecoding()
-		att.recordAnswer()
 	}
 }
 
