Take a head that is cut off for the end of its connection

Cause: the last line of a head that ends within a header's name or within the status line has no colon or no status, so the parser reports a malformed line, not the end of the connection. A malformed head is taken to come from a replica that lives, so no crash was recorded. The same holds for a body whose framing is malformed: there a crash was recorded though the connection was open.

Evidence: TestPartThatCrashesReplicasWithinTheHeadIsRefused cuts a head at each byte.

Change: the connection knows whether the replica has ended it. A head that starts like a response and ends with its connection is cut off; bytes that do not start like one, or a whole malformed line, are malformed as before, whether the connection ends or not. A malformed body on an open connection is no crash.

--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/matryer/is"
 
 	"github.com/tarragonwheel/tarragonwheel/pool"
@@ -64,6 +65,35 @@
 	}
 }
 
+// TestHeadThatIsCutOffEndsTheConnection guards against a replica that crashes within the name of a header or the status
+// line, which looks like bytes that are no response.
+func TestHeadThatIsCutOffEndsTheConnection(t *testing.T) {
+	for size := range len(ownResponse) - len("ok") {
+		iis := is.New(t)
+		_, _, err := exchange(t, pool.New(timer.New()), startReplica(t, func(con net.Conn) {
+			_, _ = io.ReadFull(con, make([]byte, len(request)))
+			_, _ = io.WriteString(con, ownResponse[:size])
+			_ = con.Close()
+		}))
+		iis.True(err != nil && !errors.Is(err, pool.ErrMalformed))
+		iis.True(trace.IsConnectionProblem(err))
+	}
+}
+
+// TestOtherBytesAreMalformedThoughTheConnectionEnds guards against a replica that counts as crashed because it closes
+// the connection after bytes that are no response.
+func TestOtherBytesAreMalformedThoughTheConnectionEnds(t *testing.T) {
+	for _, text := range []string{"x", "garbage", "\x00\r\n\r\n", "HTTP/1.1 200 OK\r\nno header\r\n\r\n"} {
+		iis := is.New(t)
+		_, _, err := exchange(t, pool.New(timer.New()), startReplica(t, func(con net.Conn) {
+			_, _ = io.ReadFull(con, make([]byte, len(request)))
+			_, _ = io.WriteString(con, text)
+			_ = con.Close()
+		}))
+		iis.True(errors.Is(err, pool.ErrMalformed))
+	}
+}
+
 // FuzzReadResponse checks that any bytes of a replica end a call: with a response that names the call, or with an
 // error.
 func FuzzReadResponse(f *testing.F) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -175,6 +176,9 @@
 	return err == nil && drained
 }
 
+// Ended reports whether the replica has closed the connection, or reading from it has failed.
+func (con *Conn) Ended() bool { return con.limit.ended }
+
 // Reused reports whether the connection has carried a call before.
 func (con *Conn) Reused() bool { return con.reused }
 
@@ -203,15 +207,18 @@
 // ReadResponse reads the header of the response to the call that was sent. The function isOurs reports whether a
 // response belongs to that call; other responses are read and dropped. It returns ErrMismatchedResponse if none of the
 // first maxResponses belongs to the call, an error that wraps ErrTooLong or ErrMalformed if the replica sends bytes
-// that are no response, and a trace.ConnectionProblem error if the connection ends first.
+// that are no response, and a trace.ConnectionProblem error if the connection ends first, also within a line of the
+// header.
 func (con *Conn) ReadResponse(method string, isOurs func(res *http.Response) bool) (*http.Response, error) {
 	const maxResponses = 3
 	req := &http.Request{Method: method}
 	for range maxResponses {
 		con.limit.left = maxHeadBytes
+		start, _ := con.reader.Peek(len(responseStart)) // What ends sooner is an error of ReadResponse too.
+		isResponse := strings.HasPrefix(responseStart, string(start))
 		res, err := http.ReadResponse(con.reader, req)
 		if err != nil {
-			return nil, con.headerError(err)
+			return nil, con.headerError(err, isResponse)
 		}
 		if res.StatusCode < http.StatusOK { // an informational response
 			continue
@@ -229,14 +236,18 @@
 	return nil, ErrMismatchedResponse
 }
 
-// headerError describes why the header of a response cannot be read.
-func (con *Conn) headerError(err error) error {
+// responseStart is how each response starts.
+const responseStart = "HTTP/"
+
+// headerError describes why the header of a response cannot be read, of which the start was that of a response or not.
+// A line that is cut off may be reported as a malformed one.
+func (con *Conn) headerError(err error, isResponse bool) error {
 	var netErr net.Error
 	switch {
 	case errors.Is(err, ErrTooLong):
 		return fmt.Errorf("pool: receive header: %w", err)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
-		errors.As(err, &netErr):
+	case con.limit.ended && isResponse, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
+		errors.Is(err, net.ErrClosed), errors.As(err, &netErr):
 		return fmt.Errorf("pool: receive: %w", trace.ConnectionProblem(err, "replica %s", con.replica))
 	}
 	return fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -239,7 +239,7 @@
 		return reasonReplicaFailed
 	case errors.Is(err, errBuffersFull):
 		return reasonBuffersFull
-	case errors.Is(err, pool.ErrMismatchedResponse), errors.Is(err, pool.ErrMalformed):
+	case errors.Is(err, pool.ErrMismatchedResponse), errors.Is(err, pool.ErrMalformed), !att.con.Ended():
 		return reasonReplicaFailed // The connection is open, so the replica has not crashed.
 	}
 	return reasonStreamBroken
--- a/relay/crashpoint_test.go
+++ b/relay/crashpoint_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// TestPartThatCrashesReplicasWithinTheHeadIsRefused guards against the same where the replica crashes within the head
+// of its answer, such as in the name of a header, which can be taken for bytes of a replica that lives.
+func TestPartThatCrashesReplicasWithinTheHeadIsRefused(t *testing.T) {
+	for size := range len(streamHead(request{Request: &http.Request{}}, "Transfer-Encoding: chunked")) {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			t.Parallel()
+			checkCrashPoint(t, 0, func(con net.Conn, req request) {
+				_, _ = io.WriteString(con, streamHead(req, "Transfer-Encoding: chunked")[:size])
+			})
+		})
+	}
+}
+
 // checkCrashPoint sends calls with a part that crashes replicas at a point of their answers, and sound ones. The
 // function sends what comes before that point.
 func checkCrashPoint(t *testing.T, pause time.Duration, begin func(con net.Conn, req request)) {
