Suspect all parts of a prompt, however many it has

Cause: a tracker kept the first 16 parts of a call as suspects, so the deadly part was none. What all deadly calls of a session had in common among the first 16 was blocked instead.

Change: all parts of a call are suspects, up to 2,048; a crash keeps 16,384, of which weaker suspects lose theirs first, and all crashes together 65,536. Reports are packed by their parts: a datagram holds 110 hashes, and a report with more becomes several, which the receiver puts together. TestPartThatCrashesReplicasBehindManyOthersIsRefused failed before with 16, 17, 64 and 500 parts.

--- a/cause/answer.go
+++ b/cause/answer.go
@@ -141,28 +141,8 @@
 	}
 }
 
-// clear removes the suspicion from a feature. It returns false if there was none.
-func (crs *crash) clear(feature uint64) bool {
-	num := len(crs.calls)
-	crs.calls = slices.DeleteFunc(crs.calls, func(sus suspect) bool { return sus.Fingerprint == feature })
-	found := len(crs.calls) < num
-	for idx := range crs.calls {
-		sus := &crs.calls[idx]
-		if pos := slices.Index(sus.Parts, feature); pos >= 0 {
-			sus.Parts = slices.Delete(sus.Parts, pos, pos+1)
-			found = true
-		}
-	}
-	return found
-}
-
-// suspects reports whether a feature is a suspect of the crash.
-func (crs *crash) suspects(feature uint64) bool {
-	return slices.ContainsFunc(crs.calls, func(sus suspect) bool { return sus.has(feature) })
-}
-
-// withoutAnswered returns the call of a report without the parts that are no suspects because calls with them have been
-// answered.
+// withoutAnswered returns the call of a report, its parts sorted and without those that are no suspects because calls
+// with them have been answered.
 func (trk *Tracker) withoutAnswered(rpt Report) Call {
 	cal := Call{Fingerprint: rpt.Call.Fingerprint}
 	for _, part := range rpt.Call.Parts[:min(len(rpt.Call.Parts), maxParts)] {
@@ -170,6 +150,8 @@
 			cal.Parts = append(cal.Parts, part)
 		}
 	}
+	slices.Sort(cal.Parts)
+	cal.Parts = slices.Compact(cal.Parts)
 	return cal
 }
 
--- a/cause/cause.go
+++ b/cause/cause.go
@@ -32,7 +32,6 @@
 	maxBlockTime = time.Hour
 	maxCrashes   = 128
 	maxCalls     = 64 // suspects of one crash
-	maxParts     = 16 // suspects of one call
 )
 
 // Call identifies a call by what may crash replicas.
@@ -83,20 +82,6 @@
 	nextExpiry time.Time           // when crashes or culprits may expire next
 }
 
-// crash is the end of a replica and the calls that may have caused it.
-type crash struct {
-	replica uint64
-	at      time.Time
-	until   time.Time // when it is forgotten
-	calls   []suspect
-}
-
-// suspect is a call that may have caused a crash.
-type suspect struct {
-	Call
-	advanced bool // its answer had gone beyond the beginning
-}
-
 // New returns a Tracker without crashes.
 func New(opts Options) *Tracker {
 	if opts.OnCrash == nil {
@@ -139,26 +124,18 @@
 	if now.Sub(rpt.At) > maxBlockTime || trk.wasAnswered(rpt.Call.Fingerprint, rpt.At) {
 		return
 	}
-	crs := trk.findCrash(rpt)
-	if hasCall(crs.calls, rpt.Call.Fingerprint) || len(crs.calls) >= maxCalls {
+	sus := suspect{Call: trk.withoutAnswered(rpt), advanced: rpt.Advanced}
+	if !trk.findCrash(rpt).add(&sus) {
 		return
 	}
-	cal := trk.withoutAnswered(rpt)
-	for _, feature := range cal.features() {
+	for _, feature := range sus.features() {
 		trk.suspected[feature] = true
 	}
-	crs.calls = append(crs.calls, suspect{Call: cal, advanced: rpt.Advanced})
+	trk.limitParts()
 	trk.outdated = true
 	trk.active.Store(true)
 }
 
-func hasCall(calls []suspect, fingerprint uint64) bool {
-	return slices.ContainsFunc(calls, func(sus suspect) bool { return sus.Fingerprint == fingerprint })
-}
-
-// features returns all that may crash replicas in the call.
-func (cal *Call) features() []uint64 { return append([]uint64{cal.Fingerprint}, cal.Parts...) }
-
 // findCrash returns the crash of a report, and adds it if it is new.
 func (trk *Tracker) findCrash(rpt Report) *crash {
 	for _, crs := range trk.crashes {
@@ -174,19 +151,6 @@
 	return crs
 }
 
-// evictCrash removes the crash that would be forgotten first. Those because of which calls are blocked are kept
-// longest.
-func (trk *Tracker) evictCrash() {
-	first := 0
-	for idx, crs := range trk.crashes {
-		if crs.until.Before(trk.crashes[first].until) {
-			first = idx
-		}
-	}
-	trk.crashes = slices.Delete(trk.crashes, first, first+1)
-	trk.outdated = true
-}
-
 // Blocked reports whether a call must be refused because it crashes replicas.
 func (trk *Tracker) Blocked(cal Call) bool {
 	if !trk.Active() {
@@ -197,8 +161,12 @@
 	now := trk.opts.Clock.Now()
 	trk.expire(now)
 	trk.findCulprits(now)
+	if len(trk.culprits) == 0 {
+		return false
+	}
+	cal.Parts = slices.Sorted(slices.Values(cal.Parts))
 	return slices.ContainsFunc(trk.culprits, func(cul culprit) bool {
-		return cul.matches(cal) && now.Before(cul.until)
+		return cul.matches(&cal) && now.Before(cul.until)
 	})
 }
 
@@ -273,7 +241,7 @@
 	for _, cul := range trk.culprits {
 		for _, crs := range cul.crashes {
 			for _, sus := range crs.calls {
-				if cul.matches(sus.Call) {
+				if cul.matches(&sus.Call) {
 					cal := sus.Call
 					cal.Parts = slices.Clone(cal.Parts) // The tracker removes parts from its own list.
 					list = append(list, Report{Replica: crs.replica, At: crs.at, Call: cal, Advanced: sus.advanced})
--- a/cause/explain.go
+++ b/cause/explain.go
@@ -37,12 +37,15 @@
 	until       time.Time // until when calls that match are refused
 }
 
-// matches reports whether the culprit is the call, or whether the call has all its parts.
-func (cul *culprit) matches(cal Call) bool {
+// matches reports whether the culprit is the call, whose parts are sorted, or whether the call has all its parts.
+func (cul *culprit) matches(cal *Call) bool {
 	if len(cul.parts) == 0 {
 		return cal.Fingerprint == cul.fingerprint
 	}
-	return !slices.ContainsFunc(cul.parts, func(part uint64) bool { return !slices.Contains(cal.Parts, part) })
+	return !slices.ContainsFunc(cul.parts, func(part uint64) bool {
+		_, ok := slices.BinarySearch(cal.Parts, part)
+		return !ok
+	})
 }
 
 // equal reports whether both culprits match the same calls.
@@ -102,7 +105,7 @@
 	for _, idx := range spn.indices {
 		cul.crashes = append(cul.crashes, exp.crashes[idx])
 		exp.suspects[idx] = slices.DeleteFunc(exp.suspects[idx], func(sus suspect) bool {
-			return !cul.matches(sus.Call)
+			return !cul.matches(&sus.Call)
 		})
 	}
 	if spn.strong < suffice {
@@ -115,14 +118,8 @@
 // repeatedFeatures returns the features that are suspects of at least the given number of crashes, those with most
 // weight first. The function returns the features of a call that are considered.
 func (exp *explanation) repeatedFeatures(featuresOf func(cal *Call) []uint64, minCrashes int) []uint64 {
-	counts := make(map[uint64]int)
-	for _, calls := range exp.suspects {
-		for feature := range featureSet(calls, featuresOf) {
-			counts[feature]++
-		}
-	}
 	weights := make(map[uint64]int)
-	for feature, count := range counts {
+	for feature, count := range exp.countCrashes(featuresOf) {
 		if count >= minCrashes {
 			spn := exp.suspicionOf(feature)
 			weights[feature] = spn.weight()
@@ -133,6 +130,22 @@
 	})
 }
 
+// countCrashes returns the number of crashes of which each feature is a suspect.
+func (exp *explanation) countCrashes(featuresOf func(cal *Call) []uint64) map[uint64]int {
+	counts, countedIn := make(map[uint64]int), make(map[uint64]int)
+	for idx, calls := range exp.suspects {
+		for num := range calls {
+			for _, feature := range featuresOf(&calls[num].Call) {
+				if counts[feature] == 0 || countedIn[feature] != idx {
+					counts[feature]++
+					countedIn[feature] = idx
+				}
+			}
+		}
+	}
+	return counts
+}
+
 // featureSet returns the features of several calls without duplicates.
 func featureSet(calls []suspect, featuresOf func(cal *Call) []uint64) map[uint64]bool {
 	set := make(map[uint64]bool)
@@ -177,13 +190,12 @@
 	return slices.ContainsFunc(calls, func(sus suspect) bool { return sus.Fingerprint != calls[0].Fingerprint })
 }
 
-// commonParts returns the parts that all calls have.
+// commonParts returns the parts that all calls have, sorted.
 func commonParts(calls []suspect) []uint64 {
 	common := slices.Clone(calls[0].Parts)
 	for _, sus := range calls[1:] {
-		common = slices.DeleteFunc(common, func(part uint64) bool { return !slices.Contains(sus.Parts, part) })
+		common = slices.DeleteFunc(common, func(part uint64) bool { return !sus.has(part) })
 	}
-	slices.Sort(common)
 	return common
 }
 
--- a/cause/suspicion.go
+++ b/cause/suspicion.go
@@ -62,8 +62,3 @@
 func (wcr *weakCrash) hasCallOf(other *weakCrash) bool {
 	return slices.ContainsFunc(wcr.calls, func(sus suspect) bool { return hasCall(other.calls, sus.Fingerprint) })
 }
-
-// has reports whether a feature is the fingerprint or a part of the call.
-func (sus *suspect) has(feature uint64) bool {
-	return sus.Fingerprint == feature || slices.Contains(sus.Parts, feature)
-}
--- a/peers/crash.go
+++ b/peers/crash.go
@@ -15,10 +15,18 @@
 	// crashReportSends is how often each crash is sent, since datagrams may be lost: at once and with the next full
 	// updates.
 	crashReportSends     = 3
-	maxReportsPerMessage = 16 // so that a datagram fits into one packet
 	maxAnswersPerMessage = 80
 )
 
+// Sizes of reports in a datagram, in hashes of at most nine bytes. A datagram fits into one packet.
+const (
+	maxHashesPerMessage = 110
+	// hashesPerReport is the size of a report without parts.
+	hashesPerReport = 3
+	// minPartsPerReport is the number of parts for which a report is begun in what is left of a datagram.
+	minPartsPerReport = 8
+)
+
 // crashReport is a cause.Report.
 type crashReport struct {
 	_       struct{} `cbor:",toarray"`
@@ -79,7 +87,7 @@
 // sendReports sends crashes, in as many datagrams as needed.
 func (exc *Exchange) sendReports(peers []*net.UDPAddr, reports []cause.Report) {
 	now := exc.opts.Clock.Now()
-	for chunk := range slices.Chunk(reports, maxReportsPerMessage) {
+	for _, chunk := range splitReports(reports) {
 		msg := exc.withSender(exc.greeting())
 		for _, rpt := range chunk {
 			to := &msg.Crashes
@@ -95,6 +103,29 @@
 	}
 }
 
+// splitReports distributes reports over datagrams. One whose parts do not fit becomes several, each with some of them.
+func splitReports(reports []cause.Report) (chunks [][]cause.Report) {
+	var chunk []cause.Report
+	left := maxHashesPerMessage
+	for _, rpt := range reports {
+		parts := rpt.Call.Parts
+		for first := true; first || len(parts) > 0; first = false {
+			if left < hashesPerReport+min(len(parts), minPartsPerReport) {
+				chunks = append(chunks, chunk)
+				chunk, left = nil, maxHashesPerMessage
+			}
+			num := min(len(parts), left-hashesPerReport)
+			rpt.Call.Parts, parts = parts[:num], parts[num:]
+			chunk = append(chunk, rpt)
+			left -= hashesPerReport + num
+		}
+	}
+	if len(chunk) > 0 {
+		chunks = append(chunks, chunk)
+	}
+	return chunks
+}
+
 // ageMs returns the time since an event in milliseconds.
 func ageMs(now, at time.Time) uint32 {
 	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
--- a/relay/crashpoint_test.go
+++ b/relay/crashpoint_test.go
@@ -81,7 +81,7 @@
 		for _, pnt := range crashPoints() {
 			t.Run(frm.name+"/"+pnt.name, func(t *testing.T) {
 				t.Parallel()
-				checkCrashPoint(t, pnt.pause, func(con net.Conn, req request) { pnt.write(con, req, frm) })
+				checkCrashPoint(t, "5a:40,", pnt.pause, func(con net.Conn, req request) { pnt.write(con, req, frm) })
 			})
 		}
 	}
@@ -93,16 +93,31 @@
 	for size := range len(streamHead(request{Request: &http.Request{}}, "Transfer-Encoding: chunked")) {
 		t.Run(strconv.Itoa(size), func(t *testing.T) {
 			t.Parallel()
-			checkCrashPoint(t, 0, func(con net.Conn, req request) {
+			checkCrashPoint(t, "5a:40,", 0, func(con net.Conn, req request) {
 				_, _ = io.WriteString(con, streamHead(req, "Transfer-Encoding: chunked")[:size])
 			})
 		})
 	}
 }
 
-// checkCrashPoint sends calls with a part that crashes replicas at a point of their answers, and sound ones. The
-// function sends what comes before that point.
-func checkCrashPoint(t *testing.T, pause time.Duration, begin func(con net.Conn, req request)) {
+// TestPartThatCrashesReplicasBehindManyOthersIsRefused guards against a part of prompts that is no suspect because it
+// stands behind many others.
+func TestPartThatCrashesReplicasBehindManyOthersIsRefused(t *testing.T) {
+	for _, num := range []int{15, 16, 17, 64, 500} {
+		t.Run(strconv.Itoa(num), func(t *testing.T) {
+			t.Parallel()
+			var shared strings.Builder
+			for part := range num {
+				fmt.Fprintf(&shared, "%x:1,", 0x100+part)
+			}
+			checkCrashPoint(t, shared.String(), 0, func(net.Conn, request) {})
+		})
+	}
+}
+
+// checkCrashPoint sends calls with a part that crashes replicas at a point of their answers, and sound ones that share
+// the parts before it. The function sends what comes before that point.
+func checkCrashPoint(t *testing.T, shared string, pause time.Duration, begin func(con net.Conn, req request)) {
 	t.Helper()
 	iis := is.New(t)
 	var crashes atomic.Int64
@@ -120,10 +135,10 @@
 	}
 	rig := newRig(t, replicas...)
 	for num := range 9 {
-		rig.sendPromptUntilEnd(t, fmt.Sprintf("5a:40,dead:60,%x:900", 1000+num))
+		rig.sendPromptUntilEnd(t, fmt.Sprintf("%sdead:60,%x:900", shared, 1000+num))
 		time.Sleep(pause)
-		iis.Equal(rig.sendPrompt(t, fmt.Sprintf("5a:40,7e:60,%x:900", 2000+num)), http.StatusOK)
+		iis.Equal(rig.sendPrompt(t, fmt.Sprintf("%s7e:60,%x:900", shared, 2000+num)), http.StatusOK)
 	}
 	iis.True(crashes.Load() <= maxCrashes)
-	iis.Equal(rig.sendPrompt(t, "5a:40,3000:900"), http.StatusOK)
+	iis.Equal(rig.sendPrompt(t, shared+"3000:900"), http.StatusOK)
 }
