Do not take an empty stream for proof that its call crashes no replicas

Cause: a client that has all events of a stream but not its end resumes it, and gets an empty stream that is complete. That cleared the part, though the replica had written nothing on it.

Change: only a stream with an event is an answer. TestStreamWithoutEventsIsNoProof failed before.

--- a/relay/crashpoint_test.go
+++ b/relay/crashpoint_test.go
@@ -115,6 +115,32 @@
 	}
 }
 
+// TestStreamWithoutEventsIsNoProof guards against a part that crashes replicas without end because clients that have all
+// events of such a stream, but not its end, resume it and get an empty one.
+func TestStreamWithoutEventsIsNoProof(t *testing.T) {
+	iis := is.New(t)
+	var crashes atomic.Int64
+	answer := func(con net.Conn, req request) bool {
+		if req.Header.Get("Last-Event-Id") != "" {
+			return stream(con, req, 1, 0, true)
+		}
+		crashes.Add(1)
+		return false
+	}
+	var replicas []*replica
+	for range 8 {
+		replicas = append(replicas, newReplica(t, answer))
+	}
+	rig := newRig(t, replicas...)
+	for num := range 9 {
+		rig.sendPromptUntilEnd(t, fmt.Sprintf("5a:40,dead:60,%x:900", 1000+num))
+		req := rig.promptRequest(t, fmt.Sprintf("5a:40,dead:60,%x:900", 2000+num))
+		req.Header.Set("Last-Event-Id", "9")
+		roundTrip(t, req)
+	}
+	iis.True(crashes.Load() <= maxCrashes)
+}
+
 // checkCrashPoint sends calls with a part that crashes replicas at a point of their answers, and sound ones that share
 // the parts before it. The function sends what comes before that point.
 func checkCrashPoint(t *testing.T, shared string, pause time.Duration, begin func(con net.Conn, req request)) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -246,7 +246,9 @@
 	if !att.sentEvent && (hdl.headSent || !hdl.hasLastEventID) {
 		return att.rejectStream(errNoEvents)
 	}
-	att.recordAnswer()
+	if att.eventsReceived > 0 { // A replica that has nothing to write does not crash.
+		att.recordAnswer()
+	}
 	if !hdl.headSent {
 		hdl.opts.Codec.WriteReply(hdl.rw.Header(), rep)
 		hdl.rw.WriteHeader(rep.Status)
