Check that a replica lives after an answer that ends with its connection

Cause: the end of the replica was taken for the end of the answer.

Change: after such an answer the front connects to the replica and keeps the connection for the next call. If nothing listens, the answer is broken off; if that is not known, it is forwarded as before and clears nothing.

--- a/relay/crashpoint_test.go
+++ b/relay/crashpoint_test.go
@@ -48,10 +48,16 @@
 
 // write sends what comes before the crash. A call that is resumed gets the events that its client does not have.
 func (pnt *crashPoint) write(con net.Conn, req request, frm framing) {
-	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // None is 0.
+	last := lastEventID(req)
 	_, _ = io.WriteString(con, streamHead(req, frm.header)+frm.encode(events(last+1, last+pnt.events)+pnt.rest))
 }
 
+// lastEventID returns the ID of the last event that the client has; 0 for none.
+func lastEventID(req request) int {
+	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // None is 0.
+	return last
+}
+
 // framing is how the end of a body is found.
 type framing struct {
 	name   string
@@ -115,8 +121,8 @@
 	}
 }
 
-// TestStreamWithoutEventsIsNoProof guards against a part that crashes replicas without end because clients that have all
-// events of such a stream, but not its end, resume it and get an empty one.
+// TestStreamWithoutEventsIsNoProof guards against a part that crashes replicas without end because clients that have
+// all events of such a stream, but not its end, resume it and get an empty one.
 func TestStreamWithoutEventsIsNoProof(t *testing.T) {
 	iis := is.New(t)
 	var crashes atomic.Int64
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/tarragonwheel/tarragonwheel/call"
+	"github.com/tarragonwheel/tarragonwheel/pool"
 )
 
 // forwardReply forwards a response that is not a stream, once it has been read to its end.
@@ -22,7 +23,13 @@
 		}
 	}
 	att.releaseConn(res, nil)
-	att.recordAnswer()
+	isProof, err := att.checkEnd(res)
+	if err != nil {
+		return outcome{mayHaveRun: true, reason: reasonStreamBroken, err: err}
+	}
+	if isProof {
+		att.recordAnswer()
+	}
 	if defect := att.replyDefect(rep); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
@@ -66,3 +73,18 @@
 		att.connReleased = true
 	}
 }
+
+// checkEnd checks a response that has been read to its end. If it ended with its connection, it may be the beginning of
+// one whose replica has crashed, and checkEnd returns an error if nothing listens there any more. The response is proof
+// that the call does not crash replicas, unless that could not be found out.
+func (att *attempt) checkEnd(res *http.Response) (isProof bool, err error) {
+	vie := &att.placement.Primary
+	if !pool.EndsWithConnection(res) || vie.Replica.Leaving() { // One that leaves may end after its last answer.
+		return true, nil
+	}
+	err = att.hdl.opts.Pool.Check(att.ctx, vie.ID, vie.Address)
+	if errors.Is(err, pool.ErrReplicaEnded) {
+		return false, fmt.Errorf("relay: check the end of the response: %w", err)
+	}
+	return err == nil, nil // Otherwise it is not known whether the replica lives.
+}
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -37,8 +37,9 @@
 
 // replica is a fake replica that counts the calls that it receives.
 type replica struct {
-	addr  string
-	calls atomic.Int64
+	addr     string
+	calls    atomic.Int64
+	accepted atomic.Int64 // connections
 }
 
 // newReplica starts a replica that answers with hdl.
@@ -56,6 +57,7 @@
 			if err != nil {
 				return
 			}
+			rep.accepted.Add(1)
 			go rep.serve(con, hdl)
 		}
 	}()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -243,10 +243,14 @@
 func (att *attempt) finishStream(res *http.Response, rep call.Reply) outcome {
 	hdl := att.hdl
 	att.releaseConn(res, nil)
+	isProof, err := att.checkEnd(res)
+	if err != nil {
+		return outcome{mayHaveRun: true, reason: reasonStreamBroken, err: err}
+	}
 	if !att.sentEvent && (hdl.headSent || !hdl.hasLastEventID) {
 		return att.rejectStream(errNoEvents)
 	}
-	if att.eventsReceived > 0 { // A replica that has nothing to write does not crash.
+	if isProof && att.eventsReceived > 0 { // A replica that has nothing to write does not crash.
 		att.recordAnswer()
 	}
 	if !hdl.headSent {
