Suspect what calls have in common that differ only in their query

Cause: a call was recognised by a hash that holds its query.

Change: calls that differ only in their query have a further suspect in common, always a weaker one. An answer to any of them clears it. TestCrashingCallWithOtherQueriesIsRefused and TestSoundCallsWithOtherQueriesAreServed failed before.

--- a/cause/cause.go
+++ b/cause/cause.go
@@ -37,9 +37,21 @@
 // Call identifies a call by what may crash replicas.
 type Call struct {
 	Fingerprint uint64   // hash of all that the call consists of
-	Parts       []uint64 // hashes of the parts of its prompt that other calls may have too
+	Parts       []uint64 // features that other calls may have too: parts of its prompt, and its family
 }
 
+// familyBit tells families from other features.
+const familyBit = 1 << 63
+
+// Feature returns the feature of a call or of a part of a prompt from its hash.
+func Feature(hash uint64) uint64 { return hash &^ familyBit }
+
+// Family returns the feature of all calls that differ only in their query, from the hash of what they have in common.
+// It is always a weaker suspect, as calls of one family are often in progress at the same time.
+func Family(hash uint64) uint64 { return hash | familyBit }
+
+func isFamily(feature uint64) bool { return feature&familyBit != 0 }
+
 // Report states that a replica broke the connection of a call before it had answered it completely.
 type Report struct {
 	Replica uint64 // hash of the ID of the replica
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -11,12 +11,17 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
-// call returns the call that a text stands for: a letter, and after a colon a letter for each part of its prompt.
+// call returns the call that a text stands for: a letter, and after a colon a letter for each part of its prompt, F for
+// its family.
 func call(text string) cause.Call {
 	name, parts, _ := strings.Cut(text, ":")
 	cal := cause.Call{Fingerprint: uint64(name[0])}
 	for _, letter := range parts {
-		cal.Parts = append(cal.Parts, uint64(letter)<<8)
+		part := cause.Feature(uint64(letter) << 8)
+		if letter == 'F' {
+			part = cause.Family(part)
+		}
+		cal.Parts = append(cal.Parts, part)
 	}
 	return cal
 }
@@ -119,6 +124,13 @@
 			"a part of sound calls beside a blocked one is free",
 			"1+a:AP,k:A 2+b:AP ~z:A 3+c:BP,l:A ~z:A", "x:P", "y:A y:B",
 		},
+		{
+			"calls that differ only in their query are refused together after more crashes",
+			"1+a:F 2+a:F +1s 3+b:F 4+b:F", "", "x:F",
+		},
+		{"but they are", "1+a:F 2+a:F +1s 3+b:F 4+b:F +1s 5+c:F", "x:F", "y:A"},
+		{"unless some are answered", "1+a:F 2+a:F +1s 3+b:F 4+b:F -d:F +1s 5+c:F", "", "x:F"},
+		{"replicas that are lost together say nothing of them", "1+a:F 2+b:F 3+c:F 4+d:F 5+e:F 6+f:F", "", "x:F"},
 		{"two parts are found at the same time", "1+a:P 2+b:Q 3+c:P 4+d:Q 5+e:P 6+f:Q", "x:P x:Q", "y:A"},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
--- a/cause/suspicion.go
+++ b/cause/suspicion.go
@@ -35,7 +35,7 @@
 		}
 		at := exp.crashes[idx].at
 		spn.indices = append(spn.indices, idx)
-		if strong && !exp.hasAdvanced(feature, at) {
+		if strong && !isFamily(feature) && !exp.hasAdvanced(feature, at) {
 			spn.strong++
 		} else {
 			spn.weak = append(spn.weak, weakCrash{at: at, calls: spn.calls[num:]})
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -14,27 +14,28 @@
 const crashRetryAfter = 30 * time.Second
 
 // causeCall returns what may crash replicas in this call: the hash of its method, target, client account and body, by
-// which it is recognized when its client sends it again, and the parts of its prompt that it shares with others.
+// which it is recognized when its client sends it again, the parts of its prompt that it shares with others, and the
+// hash of all but its method and query.
 func (hdl *callHandler) causeCall() cause.Call {
 	cal, dig := hdl.cal, xxhash.New()
-	_, _ = dig.WriteString(cal.Method + "\x00" + cal.Target + "\x00" + hdl.account + "\x00") // It never fails.
-	_, _ = dig.Write(cal.Body)                                                               // It never fails.
+	path := stripQuery(cal.Target)
+	_, _ = dig.WriteString(path + "\x00" + hdl.account + "\x00") // It never fails.
+	_, _ = dig.Write(cal.Body)                                   // It never fails.
 	if len(cal.Body) == 0 {
 		_, _ = dig.WriteString(strings.Join(cal.Prompt.Parts, ",")) // It never fails.
 	}
-	return cause.Call{Fingerprint: dig.Sum64(), Parts: hdl.causeParts()}
+	family := dig.Sum64()
+	_, _ = dig.WriteString("\x00" + cal.Method + "\x00" + cal.Target[len(path):]) // It never fails.
+	return cause.Call{Fingerprint: cause.Feature(dig.Sum64()), Parts: append(hdl.causeParts(), cause.Family(family))}
 }
 
 // causeParts returns the hashes of the parts of the prompt that other calls may have too. A part may crash the replicas
 // of one service and not those of another.
 func (hdl *callHandler) causeParts() []uint64 {
 	shared := hdl.cal.Prompt.SharedParts()
-	if len(shared) == 0 {
-		return nil
-	}
-	parts := make([]uint64, 0, len(shared))
+	parts := make([]uint64, 0, len(shared)+1) // The family may follow.
 	for _, part := range shared {
-		parts = append(parts, xxhash.Sum64String(hdl.service+"\x00"+part))
+		parts = append(parts, cause.Feature(xxhash.Sum64String(hdl.service+"\x00"+part)))
 	}
 	return parts
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -8,11 +8,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-// newCrashingReplicas starts replicas that close the connection on each call whose path contains "deadly" and answer
+// newCrashingReplicas starts replicas that close the connection on each call whose target contains "deadly" and answer
 // all others. A function returns the number of deadly calls that they have received.
 func newCrashingReplicas(t *testing.T, num int) (replicas []*replica, deadlyCalls func() int64) {
 	t.Helper()
@@ -20,7 +21,7 @@
 	var list []*replica
 	for range num {
 		list = append(list, newReplica(t, func(con net.Conn, req request) bool {
-			if strings.Contains(req.URL.Path, "deadly") {
+			if strings.Contains(req.RequestURI, "deadly") {
 				deadly.Add(1)
 				return false
 			}
@@ -68,6 +69,34 @@
 	iis.Equal(rig.sendRequest(t, http.MethodGet, "/safe/other", ""), http.StatusOK)
 }
 
+// TestCrashingCallWithOtherQueriesIsRefused guards against a call that crashes one replica after another because its
+// query differs each time.
+func TestCrashingCallWithOtherQueriesIsRefused(t *testing.T) {
+	iis := is.New(t)
+	replicas, deadlyCalls := newCrashingReplicas(t, 8)
+	rig := newRig(t, replicas...)
+	for num := range 9 {
+		rig.sendRequest(t, http.MethodPost, fmt.Sprint("/safe/deadly?try=", num), "asked")
+		time.Sleep(crashPause)
+	}
+	iis.True(deadlyCalls() <= 6) // The rule allows three tries after the third crash.
+	iis.Equal(rig.sendRequest(t, http.MethodPost, "/safe/other?try=1", "asked"), http.StatusOK)
+}
+
+// TestSoundCallsWithOtherQueriesAreServed guards against sound calls that are refused because others that differ only
+// in their query crash replicas.
+func TestSoundCallsWithOtherQueriesAreServed(t *testing.T) {
+	iis := is.New(t)
+	replicas, deadlyCalls := newCrashingReplicas(t, 8)
+	rig := newRig(t, replicas...)
+	for num := range 9 {
+		rig.sendRequest(t, http.MethodGet, fmt.Sprint("/safe/x?deadly=", num%3), "")
+		time.Sleep(crashPause)
+		iis.Equal(rig.sendRequest(t, http.MethodGet, fmt.Sprint("/safe/x?sound=", num), ""), http.StatusOK)
+	}
+	iis.True(deadlyCalls() <= 3*3) // Each of the three is refused by itself.
+}
+
 // TestAnsweredCallIsNotSuspected guards against reads without a body that are refused because alike ones ran while
 // replicas crashed: a call that is answered in between does not crash replicas.
 func TestAnsweredCallIsNotSuspected(t *testing.T) {
