Answer every call before a planned stop ends

What callers saw: other operators' requests that came late in the grace of a planned stop were passed on and cut at its end without an answer, also those that may not be repeated. Here, with a grace of 4 s, a call whose body was complete at 3.3 s was passed on, and no call that was at a replica at the end got an answer.

Cause: new calls were refused before their bodies were read and not after; and nobody ended the calls that were left when the drain's time was over, so that the process ended with their connections open.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -56,7 +56,7 @@
 
 // finish ends the watch of the attempt and settles its outcome.
 func (att *attempt) finish(out outcome) outcome {
-	out.next = att.stall.stop(out.final || out.reason == reasonClientLeft)
+	out.next = att.stall.stop(out.final || att.hdl.ctx.Err() != nil)
 	att.settle(&out)
 	return out
 }
@@ -225,7 +225,7 @@
 func (att *attempt) failureReason(err error) string {
 	switch {
 	case att.hdl.ctx.Err() != nil:
-		return reasonClientLeft
+		return att.hdl.interruption()
 	case att.ctx.Err() != nil:
 		return reasonTimeLimit
 	case att.reservationUnused.Load():
@@ -252,8 +252,8 @@
 	switch {
 	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
 		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
-	case out.reason == reasonClientLeft, out.reason == reasonTimeLimit, out.reason == reasonReservationUnused,
-		out.reason == reasonBuffersFull:
+	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
+		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
 	case out.reason == reasonStreamBroken:
 		att.logBrokenAnswer(out, !rep.Leaving())
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -53,8 +54,7 @@
 // and returns false if it must not run.
 func (hdl *callHandler) prepare() bool {
 	if hdl.relay.refuseNewCalls.Load() {
-		hdl.rw.Header().Set("Connection", "close")
-		hdl.sendError(http.StatusServiceUnavailable, reasonDraining, time.Millisecond)
+		hdl.refuseWhileDraining()
 		return false
 	}
 	if !hdl.applyRules() {
@@ -153,6 +153,7 @@
 	ctl := http.NewResponseController(hdl.rw)
 	_ = ctl.SetReadDeadline(hdl.opts.Clock.Now().Add(bodyTimeout)) // If unsupported, the server's limits apply.
 	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
+	defer context.AfterFunc(hdl.ctx, func() { _ = ctl.SetReadDeadline(hdl.opts.Clock.Now()) })() // Ends the read.
 	if maxBytes <= 0 {
 		maxBytes = noBodyLimit
 	}
@@ -166,6 +167,9 @@
 		hdl.rw.Header().Set("Connection", "close")
 		hdl.sendError(http.StatusServiceUnavailable, reasonBuffersFull, randomRetryAfter())
 		return false
+	case err != nil && hdl.interruption() == reasonDraining:
+		hdl.refuseWhileDraining()
+		return false
 	case err != nil:
 		hdl.rw.Header().Set("Connection", "close")
 		hdl.sendError(http.StatusBadRequest, reasonBodyIncomplete, 0)
@@ -183,20 +187,17 @@
 	hdl.lastEventID, hdl.hasLastEventID = hdl.cal.LastEventID, hdl.cal.HasLastEventID
 	hdl.relay.retryBudget(hdl.service).RecordFirstAttempt()
 	for {
-		if !hdl.headSent && !hdl.applyRules() {
+		if !hdl.mayGoOn() {
 			return
 		}
 		plc, reason := hdl.choosePlacement()
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
 		}
-		if hdl.ctx.Err() != nil {
-			reason = reasonClientLeft
-		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
 			reason = reasonOverload
 		}
-		if reason != "" {
+		if reason = cmp.Or(hdl.interruption(), reason); reason != "" {
 			hdl.failCall(reason)
 			return
 		}
@@ -235,13 +236,15 @@
 // clients send a call again after that status even if it is not idempotent.
 func (hdl *callHandler) failCall(reason string) {
 	switch {
-	case hdl.ctx.Err() != nil:
+	case hdl.interruption() == reasonClientLeft:
 		hdl.abort(reasonClientLeft)
 	case hdl.headSent:
 		hdl.abort(reasonStreamBroken)
 	case hdl.fallback != nil:
 		hdl.sendReply(hdl.fallback)
 		hdl.recordEnd(hdl.fallback.reply.Status, reasonReplicaFailed)
+	case hdl.possibleRuns == 0 && reason == reasonDraining:
+		hdl.refuseWhileDraining()
 	case hdl.possibleRuns == 0 && reason == reasonCrashesReplicas:
 		hdl.sendError(http.StatusServiceUnavailable, reason, crashRetryAfter)
 	case hdl.possibleRuns == 0 && reason == reasonTimeLimit:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -72,7 +73,9 @@
 	started          time.Time
 	closeConnections atomic.Bool // responses carry "Connection: close"
 	refuseNewCalls   atomic.Bool
-	inFlight         sync.WaitGroup // calls
+	inFlight         sync.WaitGroup  // calls
+	lifetime         context.Context // ends with EndCalls
+	endCalls         context.CancelFunc
 	buffers          *buffers
 	mu               sync.Mutex
 	retryBudgets     map[string]*retry.SharedBudget // by service name
@@ -80,18 +83,25 @@
 
 // New returns a Relay.
 func New(opts Options) *Relay {
-	return &Relay{
+	rly := &Relay{
 		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
 		retryBudgets: make(map[string]*retry.SharedBudget),
 	}
+	rly.lifetime, rly.endCalls = context.WithCancel(context.Background())
+	return rly
 }
 
 // CloseConnections makes each response close its connection, so that clients reconnect to another process.
 func (rly *Relay) CloseConnections() { rly.closeConnections.Store(true) }
 
-// RefuseNewCalls makes the relay refuse new calls with status 503, which states that they did not run.
+// RefuseNewCalls makes the relay refuse new calls, and those that it has not sent to a replica yet, with status 503,
+// which states that they did not run.
 func (rly *Relay) RefuseNewCalls() { rly.refuseNewCalls.Store(true) }
 
+// EndCalls ends all calls in flight. Those that may have run get status 502, the others 503, and a response that has
+// begun is broken off. Call RefuseNewCalls first.
+func (rly *Relay) EndCalls() { rly.endCalls() }
+
 // WaitIdle blocks until no call is in flight. Call RefuseNewCalls first.
 func (rly *Relay) WaitIdle() { rly.inFlight.Wait() }
 
@@ -111,8 +121,11 @@
 func (rly *Relay) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	rly.inFlight.Add(1)
 	defer rly.inFlight.Done()
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(rly.lifetime, func() { cancel(errCallsEnd) })()
 	hdl := &callHandler{
-		relay: rly, opts: &rly.opts, rw: rw, ctx: req.Context(), buffers: callBuffers{buffers: rly.buffers},
+		relay: rly, opts: &rly.opts, rw: rw, ctx: ctx, buffers: callBuffers{buffers: rly.buffers},
 	}
 	defer hdl.buffers.release()
 	hdl.cal = rly.opts.Codec.ReadCall(req, rly.opts.Clock.Now())
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -7,7 +7,6 @@
 
 // Checks that keep a call from being sent again, as they appear in logs and metrics.
 const (
-	deniedClientLeft   = "client-left"
 	deniedNoTime       = "no-time"
 	deniedAttempts     = "attempts"
 	deniedNotRetryable = "not-retryable"
@@ -30,7 +29,7 @@
 func (hdl *callHandler) denyAttempt(mayHaveRun bool, possibleRuns int) string {
 	switch {
 	case hdl.ctx.Err() != nil:
-		return deniedClientLeft
+		return hdl.interruption()
 	case hdl.opts.Clock.Now().Add(minAttemptTime).After(hdl.deadline):
 		return deniedNoTime
 	case hdl.attempts >= maxTotalAttempts:
