--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -24,9 +24,9 @@
 	lateCrashes     = 3
 )
 
-// runDeadlyClient sends a call that crashes replicas again and again, each time through a random front, until ctx ends.
-// It is another call from each fault phase on, so that the crashes fall into that phase and the next calm one shows
-// whether it is refused.
+// runDeadlyClient sends a call that crashes replicas again and again, each time through a random front and every other
+// time with a query of its own, until ctx ends. It is another call from each fault phase on, so that the crashes fall
+// into that phase and the next calm one shows whether it is refused.
 func (sok *Soak) runDeadlyClient(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(sok.opts.Seed, 0))
 	cli := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -38,7 +38,10 @@
 		}
 		frt := sok.fronts[rnd.IntN(len(sok.fronts))]
 		lim, cancel := context.WithTimeout(ctx, callTimeout)
-		path := fmt.Sprint("/safe/", plsim.DeadlyPrefix, phase)
+		path := plsim.DeadlyPath(int(phase))
+		if count%2 == 1 {
+			path += fmt.Sprint("?try=", count)
+		}
 		plsim.Read(lim, cli, frt.address, path, fmt.Sprint("d", count), callTimeout)
 		cancel()
 	}
