Let only evidence that says as much stand for one's own

Cause: a process that had seen a complete answer kept silent when another one reported that such an answer had gone beyond its beginning, which is less. A sound call stayed refused at processes that had heard only that.

Change: a complete answer is told unless another process has told of one as late. TestWeakerEvidenceDoesNotStandForStronger failed before.

--- a/cause/answer.go
+++ b/cause/answer.go
@@ -55,9 +55,8 @@
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
 	for _, ans := range list {
-		evi := trk.answers[ans.Feature]
-		if !ans.At.Before(evi.completeAt) && (ans.Complete || !ans.At.Before(evi.advancedAt)) {
-			delete(trk.unsent, ans.Feature) // The other processes know it now.
+		if trk.answers[ans.Feature].isKnownFrom(ans) {
+			delete(trk.unsent, ans.Feature)
 		}
 		trk.applyAnswer(ans)
 	}
@@ -189,6 +188,14 @@
 	}
 }
 
+// isKnownFrom reports whether processes that know an answer need not be told of the evidence.
+func (evi evidence) isKnownFrom(ans Answer) bool {
+	if ans.Complete {
+		return !ans.At.Before(evi.completeAt)
+	}
+	return evi.completeAt.IsZero() && !ans.At.Before(evi.advancedAt)
+}
+
 // answers returns the answers of which the evidence of a feature consists.
 func (evi evidence) answers(feature uint64) (list []Answer) {
 	if !evi.completeAt.IsZero() {
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -1,6 +1,7 @@
 package cause_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -186,6 +187,20 @@
 	iis.True(!one.Blocked(call("b")))
 }
 
+// TestWeakerEvidenceDoesNotStandForStronger guards against a sound call that stays refused at processes that have only
+// heard that its answer went beyond its beginning, because one that has seen all of it keeps silent then.
+func TestWeakerEvidenceDoesNotStandForStronger(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	var sent []cause.Answer
+	trk := cause.New(cause.Options{Clock: clk, OnAnswers: func(list []cause.Answer) { sent = append(sent, list...) }})
+	trk.RecordCrash("1", call("a"), false)
+	trk.RecordAnswer(call("a"))
+	trk.AddAnswers([]cause.Answer{{Feature: call("a").Fingerprint, At: clk.Now().Add(time.Millisecond)}})
+	man.Advance(time.Second)
+	iis.True(slices.ContainsFunc(sent, func(ans cause.Answer) bool { return ans.Complete }))
+}
+
 // TestAnswerBeforeReportCounts guards against a call that is suspected again by a report that comes late.
 func TestAnswerBeforeReportCounts(t *testing.T) {
 	iis := is.New(t)
