Forget the oldest answers first

Cause: when there were 4,096 answered features, none of them older than ten seconds, all were forgotten, also those of the last second, so that a part that most calls have was a suspect of the next crash.

Change: the oldest ones go first, and 16,384 are kept. TestFrequentPartsOutlastManyOthers failed before.

--- a/cause/answer.go
+++ b/cause/answer.go
@@ -1,6 +1,7 @@
 package cause
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,7 +14,7 @@
 	recentAnswer = time.Second
 	// answerTime is how long an answer is kept at least, while there is room.
 	answerTime = 10 * time.Second
-	maxAnswers = 4096
+	maxAnswers = 16 << 10
 	// maxAnnounceDelay bounds the random time after which answers are sent to the other processes. All of them may have
 	// seen such answers, and those that hear of it first keep silent.
 	maxAnnounceDelay = 100 * time.Millisecond
@@ -129,10 +130,11 @@
 	if len(trk.answers) < maxAnswers {
 		return
 	}
-	now := trk.opts.Clock.Now()
-	for feature, evi := range trk.answers {
-		if now.Sub(evi.advancedAt) > answerTime {
-			delete(trk.answers, feature)
+	for _, age := range []time.Duration{answerTime, recentAnswer} {
+		now := trk.opts.Clock.Now()
+		maps.DeleteFunc(trk.answers, func(_ uint64, evi evidence) bool { return now.Sub(evi.advancedAt) > age })
+		if len(trk.answers) < maxAnswers/2 {
+			return
 		}
 	}
 	if len(trk.answers) >= maxAnswers {
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -201,6 +201,28 @@
 	iis.True(slices.ContainsFunc(sent, func(ans cause.Answer) bool { return ans.Complete }))
 }
 
+// TestFrequentPartsOutlastManyOthers guards against a part of sound calls that is refused because its answers were
+// forgotten among those of many others, just before several replicas are lost.
+func TestFrequentPartsOutlastManyOthers(t *testing.T) {
+	iis := is.New(t)
+	clk, man := timer.NewManual(time.Unix(1700000000, 0))
+	trk := cause.New(cause.Options{Clock: clk})
+	frequent := call("a:P").Parts[0]
+	for num := range uint64(900) {
+		man.Advance(5 * time.Millisecond)
+		cal := cause.Call{Parts: []uint64{frequent}}
+		for part := range uint64(20) {
+			cal.Parts = append(cal.Parts, 1<<40+num<<8+part)
+		}
+		trk.RecordAnswer(cal)
+		for replica := range uint64(3) {
+			lost := cause.Call{Fingerprint: num<<8 + replica, Parts: []uint64{frequent}}
+			trk.AddReport(cause.Report{Replica: num<<8 + replica, At: clk.Now(), Call: lost})
+		}
+		iis.True(!trk.Blocked(call("x:P")))
+	}
+}
+
 // TestAnswerBeforeReportCounts guards against a call that is suspected again by a report that comes late.
 func TestAnswerBeforeReportCounts(t *testing.T) {
 	iis := is.New(t)
