--- a/relay/crashpoint_test.go
+++ b/relay/crashpoint_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// eightReplicas starts replicas with the given function.
+func eightReplicas(t *testing.T, start func(t *testing.T, hdl handler) *replica, hdl handler) (list []*replica) {
+	t.Helper()
+	for range 8 {
+		list = append(list, start(t, hdl))
+	}
+	return list
+}
+
 func asChunks(body string) string {
 	if body == "" {
 		return ""
@@ -133,11 +142,7 @@
 		crashes.Add(1)
 		return false
 	}
-	var replicas []*replica
-	for range 8 {
-		replicas = append(replicas, newReplica(t, answer))
-	}
-	rig := newRig(t, replicas...)
+	rig := newRig(t, eightReplicas(t, newReplica, answer)...)
 	for num := range 9 {
 		rig.sendPromptUntilEnd(t, fmt.Sprintf("5a:40,dead:60,%x:900", 1000+num))
 		req := rig.promptRequest(t, fmt.Sprintf("5a:40,dead:60,%x:900", 2000+num))
@@ -161,11 +166,7 @@
 		begin(con, req)
 		return false
 	}
-	var replicas []*replica
-	for range 8 {
-		replicas = append(replicas, newReplica(t, answer))
-	}
-	rig := newRig(t, replicas...)
+	rig := newRig(t, eightReplicas(t, newReplica, answer)...)
 	for num := range 9 {
 		rig.sendPromptUntilEnd(t, fmt.Sprintf("%sdead:60,%x:900", shared, 1000+num))
 		time.Sleep(pause)
--- a/relay/cuthead_test.go
+++ b/relay/cuthead_test.go
@@ -20,7 +20,10 @@
 	"length":  {head: "Content-Type: text/plain\r\nContent-Length: 5\r\n", body: "whole"},
 	"chunks":  {head: "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n", body: "5\r\nwhole\r\n0\r\n\r\n"},
 	"neither": {head: "Content-Type: text/plain\r\n", body: "whole", unframed: true},
-	"stream":  {head: "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", body: "5\r\n:x\n\n\n\r\n0\r\n\r\n"},
+	"stream": {
+		head: "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+		body: "5\r\n:x\n\n\n\r\n0\r\n\r\n",
+	},
 }
 
 // TestResponseThatIsCutOffIsNoSuccess guards against clients that get a success with an empty or short body, framed as
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -107,11 +107,7 @@
 				unframed(con, req, "text/event-stream", events(last+1, last+num))
 				return false
 			}
-			var replicas []*replica
-			for range 8 {
-				replicas = append(replicas, newMortalReplica(t, answer))
-			}
-			rig := newRig(t, replicas...)
+			rig := newRig(t, eightReplicas(t, newMortalReplica, answer)...)
 			for call := range 9 {
 				res, err := http.DefaultClient.Do(rig.promptRequest(t, fmt.Sprintf("5a:40,dead:60,%x:900", 1000+call)))
 				iis.NoErr(err)
