Explain crashes once for parts that always occur together

Cause: since all parts of a prompt are suspects, each of them was weighed, and its common parts were found again.

Change: of parts that occur in the same calls one is weighed, since the outcome is the same for all.

--- a/cause/bench_test.go
+++ b/cause/bench_test.go
@@ -51,3 +51,22 @@
 		trk.RecordAnswer(cause.Call{Parts: []uint64{1, 2, num}})
 	}
 }
+
+// BenchmarkCrashOfLongPrompts measures the explanation of crashes under calls of one long conversation, all of whose
+// parts are suspects.
+func BenchmarkCrashOfLongPrompts(b *testing.B) {
+	clk := timer.New()
+	trk := cause.New(cause.Options{Clock: clk})
+	parts := make([]uint64, 2000)
+	for idx := range parts {
+		parts[idx] = uint64(idx)
+	}
+	for replica := range uint64(8) {
+		cal := cause.Call{Fingerprint: 1<<40 + replica, Parts: parts}
+		trk.AddReport(cause.Report{Replica: replica, At: clk.Now(), Call: cal})
+	}
+	for num := uint64(0); b.Loop(); num++ {
+		trk.AddReport(cause.Report{Replica: 100 + num, At: clk.Now(), Call: cause.Call{Fingerprint: num}})
+		_ = trk.Blocked(cause.Call{Fingerprint: 1})
+	}
+}
--- a/cause/explain.go
+++ b/cause/explain.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Numbers of crashes after which calls are blocked.
@@ -116,34 +119,57 @@
 }
 
 // repeatedFeatures returns the features that are suspects of at least the given number of crashes, those with most
-// weight first. The function returns the features of a call that are considered.
+// weight first. Of several that always occur together it returns one. The function returns the features of a call that
+// are considered.
 func (exp *explanation) repeatedFeatures(featuresOf func(cal *Call) []uint64, minCrashes int) []uint64 {
-	weights := make(map[uint64]int)
-	for feature, count := range exp.countCrashes(featuresOf) {
-		if count >= minCrashes {
-			spn := exp.suspicionOf(feature)
-			weights[feature] = spn.weight()
+	together := make(map[uint64]uint64) // one feature by the hash of the calls that have it
+	for feature, occ := range exp.occurrences(featuresOf) {
+		other, ok := together[occ.calls]
+		if occ.crashes >= minCrashes && (!ok || feature < other) {
+			together[occ.calls] = feature
 		}
 	}
+	weights := make(map[uint64]int)
+	for _, feature := range together {
+		spn := exp.suspicionOf(feature)
+		weights[feature] = spn.weight()
+	}
 	return slices.SortedFunc(maps.Keys(weights), func(one, two uint64) int {
 		return cmp.Or(cmp.Compare(weights[two], weights[one]), cmp.Compare(one, two))
 	})
 }
 
-// countCrashes returns the number of crashes of which each feature is a suspect.
-func (exp *explanation) countCrashes(featuresOf func(cal *Call) []uint64) map[uint64]int {
-	counts, countedIn := make(map[uint64]int), make(map[uint64]int)
+// occurrence is where a feature occurs among the suspects.
+type occurrence struct {
+	crashes   int
+	lastCrash int    // index of the last one
+	calls     uint64 // hash of the calls that have it
+}
+
+// occurrences returns where each feature occurs.
+func (exp *explanation) occurrences(featuresOf func(cal *Call) []uint64) map[uint64]occurrence {
+	found := make(map[uint64]occurrence)
 	for idx, calls := range exp.suspects {
 		for num := range calls {
 			for _, feature := range featuresOf(&calls[num].Call) {
-				if counts[feature] == 0 || countedIn[feature] != idx {
-					counts[feature]++
-					countedIn[feature] = idx
+				occ := found[feature]
+				if occ.crashes == 0 || occ.lastCrash != idx {
+					occ.crashes, occ.lastCrash = occ.crashes+1, idx
 				}
+				occ.calls = hashNext(occ.calls, uint64(idx*maxCalls+num))
+				found[feature] = occ
 			}
 		}
 	}
-	return counts
+	return found
+}
+
+// hashNext returns the hash of a sequence of numbers from that of all but the last one.
+func hashNext(hash, num uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], hash)
+	binary.LittleEndian.PutUint64(buf[8:], num)
+	return xxhash.Sum64(buf[:])
 }
 
 // featureSet returns the features of several calls without duplicates.
