Log only answers that were broken off as such

What callers saw: nothing. The line "replica broke off its answer" was also written for whole answers with an error status, such as 500 or 504, which says something else.

Change: it is written when reading the response failed, taken for a crash or not.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -96,6 +96,7 @@
 	connReleased       bool        // the connection was returned to the pool
 	replyReceived      bool        // the head of a response to the call has been read
 	eventsReceived     int         // other than comments
+	brokenOff          bool        // reading the response has failed
 	firstEventReceived atomic.Bool // of a stream
 	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
 	stall              *stallWatch // nil for a standby attempt
@@ -223,6 +224,7 @@
 
 // failureReason returns the reason why a read from the connection failed with err.
 func (att *attempt) failureReason(err error) string {
+	att.brokenOff = true
 	switch {
 	case att.hdl.ctx.Err() != nil:
 		return att.hdl.interruption()
@@ -261,7 +263,7 @@
 	case att.con.Reused() && !att.replyReceived:
 		// The connection may have been unusable before the call, which says nothing about the replica.
 	default:
-		if out.err != nil {
+		if att.brokenOff {
 			att.logBrokenAnswer(out, false)
 		}
 		rep.RecordFailure()
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -80,8 +80,8 @@
 	return cause.Call{Parts: hdl.causeParts()}
 }
 
-// logBrokenAnswer logs that an attempt failed at its replica, how far the response had come by then, and whether that
-// is taken for a crash of the replica.
+// logBrokenAnswer logs that reading the response of a replica failed, how far it had come by then, and whether that is
+// taken for a crash of the replica.
 func (att *attempt) logBrokenAnswer(out *outcome, isCrash bool) {
 	hdl := att.hdl
 	hdl.opts.Log.Info("relay: replica broke off its answer", "call", hdl.cal.ID,
