Cut responses off on few relays in the test

Beside other load the machine ran out of ports: tests failed to listen, or listened on IPv6, where the rig's routes do not match (404), and the next test's heap exceeded its bound. Each byte, each kind of framing, each route and both kinds of connection are checked as before.

--- a/relay/cuthead_test.go
+++ b/relay/cuthead_test.go
@@ -5,10 +5,9 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"path"
+	"strconv"
 	"testing"
-
-	"github.com/matryer/is"
 )
 
 // cutResponses are whole responses, by how the end of their body is found, and whether the end of the connection is a
@@ -41,35 +40,41 @@
 				if whole.unframed { // From here on, the end of the connection is that of the body.
 					end -= len(whole.body)
 				}
-				for size := range end {
-					checkCutResponse(t, kept, func(req request) string { return text(req)[:size] })
-				}
+				checkCutResponses(t, kept, end, text)
 			})
 		}
 	}
 }
 
-// checkCutResponse sends calls to replicas that close the connection after a text. They answer the path /safe/other.
-func checkCutResponse(t *testing.T, kept bool, text func(req request) string) {
+// cutsPerRelay is the number of cuts after which another relay is used, since calls wait for replicas that fail often.
+const cutsPerRelay = 10
+
+// checkCutResponses sends calls to replicas that close the connection within a text, after each number of bytes below
+// end. The last element of the path of a call is that number; other calls are answered.
+func checkCutResponses(t *testing.T, kept bool, end int, text func(req request) string) {
 	t.Helper()
-	iis := is.New(t)
 	hdl := func(con net.Conn, req request) bool {
-		if strings.HasSuffix(req.URL.Path, "other") {
+		size, err := strconv.Atoi(path.Base(req.URL.Path))
+		if err != nil {
 			return reply(con, req, 200, "other")
 		}
-		_, _ = io.WriteString(con, text(req))
+		_, _ = io.WriteString(con, text(req)[:size])
 		return false
 	}
-	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
-		replicas := []*replica{newReplica(t, hdl), newReplica(t, hdl)}
-		rig := newRig(t, replicas...)
-		for idx := 0; kept && idx < len(replicas); idx++ {
-			rig.addIdleConn(t, fmt.Sprint("i-", idx), replicas[idx])
+	replicas := []*replica{newReplica(t, hdl), newReplica(t, hdl)}
+	var rig *rig
+	for size := range end {
+		if size%cutsPerRelay == 0 {
+			rig = newRig(t, replicas...)
 		}
-		status, body, err := rig.send(t, path)
-		if err == nil && status != http.StatusBadGateway {
-			t.Errorf("%s after %q: status %d with body %q", path, text(request{Request: &http.Request{}}), status, body)
+		for _, route := range []string{"/safe/", "/unsafe/", "/stream/"} {
+			for idx := 0; kept && idx < len(replicas); idx++ {
+				rig.addIdleConn(t, fmt.Sprint("i-", idx), replicas[idx])
+			}
+			status, body, err := rig.send(t, route+strconv.Itoa(size))
+			if err == nil && status != http.StatusBadGateway {
+				t.Errorf("%s cut after %d bytes: status %d with body %q", route, size, status, body)
+			}
 		}
-		iis.True(err != nil || status != http.StatusOK)
 	}
 }
