--- a/peers/crash.go
+++ b/peers/crash.go
@@ -27,7 +27,7 @@
 	minPartsPerReport = 8
 )
 
-// crashReport is a cause.Report.
+// crashReport is a cause.Report, with some of the parts if not all fit into a datagram.
 type crashReport struct {
 	_       struct{} `cbor:",toarray"`
 	Replica uint64
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -222,7 +222,8 @@
 	return strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// failureReason returns the reason why a read from the connection failed with err.
+// failureReason returns the reason why a read from the connection failed with err, and notes that the response was
+// broken off.
 func (att *attempt) failureReason(err error) string {
 	att.brokenOff = true
 	switch {
