--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -53,7 +53,7 @@
 // Views returns a view of each replica of the service that takes calls.
 func (set *ReplicaSet) Views() []View {
 	now := set.clock.Now()
-	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.notices.takesCalls(now) })
+	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.takesCalls(now) })
 }
 
 // CellViews returns a view of each replica that takes calls in the cell of a data centre. It also reports whether the
@@ -65,7 +65,7 @@
 	now := set.clock.Now()
 	list = set.viewsIf(func(cell string, rep *Replica) bool {
 		hasMore = hasMore || cell != own
-		return cell == own && rep.notices.takesCalls(now)
+		return cell == own && rep.takesCalls(now)
 	})
 	return list, hasMore
 }
@@ -82,7 +82,7 @@
 	set.mu.Unlock()
 	now := set.clock.Now()
 	return set.viewsIf(func(cell string, rep *Replica) bool {
-		return (cell == own || chosen[rep]) && rep.notices.takesCalls(now)
+		return (cell == own || chosen[rep]) && rep.takesCalls(now)
 	})
 }
 
@@ -92,7 +92,7 @@
 	var known, unknown []*Replica
 	for _, rep := range set.replicas {
 		switch cell := set.cellLocked(rep.reg.DataCentre); {
-		case cell == own || rep.reg.Draining || !rep.notices.takesCalls(now):
+		case cell == own || rep.reg.Draining || !rep.takesCalls(now):
 		case cell == commonCell || rep.summary.fresh(now):
 			known = append(known, rep)
 		default:
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -69,6 +69,10 @@
 	return rep.removed || rep.reg.Draining || rep.notices.leaving()
 }
 
+// takesCalls tells whether the replica may get new calls, apart from whether its registration says that it drains. The
+// caller holds the lock.
+func (rep *Replica) takesCalls(now time.Time) bool { return rep.notices.takesCalls(now) }
+
 // HadLongPrefill reports whether within the given time a prompt or a part of one was known at the replica whose prefill
 // takes long, so that the events of streams there may be late.
 func (rep *Replica) HadLongPrefill(within time.Duration) bool {
--- a/fleet/shortage.go
+++ b/fleet/shortage.go
@@ -19,7 +19,7 @@
 		ntc := rep.notices
 		switch {
 		case rep.reg.Draining:
-		case ntc.takesCalls(now):
+		case rep.takesCalls(now):
 			return Shortage{}, false
 		case ntc.leaving():
 			sho.Leaving++
