--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -140,6 +140,7 @@
 	att.onEnd(att.tasks.end)
 	mem, err := hdl.opts.Reserver.reserve(hdl.ctx, plc)
 	if err != nil {
+		att.excludeFailedHelpers(err)
 		return &outcome{notSent: true, reason: reasonNoMemory, err: err}
 	}
 	att.onEnd(func() { mem.release(hdl.ctx) })
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -32,6 +32,7 @@
 	attempts       int
 	possibleRuns   int        // attempts that may have run
 	triedReplicas  []string   // IDs of the replicas of all attempts
+	faultyHelpers  []string   // IDs of the helper replicas that have failed an attempt
 	fallback       *fullReply // a replica's complete error response, sent if no retry succeeds
 	headSent       bool       // status and headers of the response have been sent
 	eventsSent     int        // events sent to the client
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -160,7 +160,11 @@
 		go func() {
 			callCtx, cancel := rsr.clock.WithTimeout(ctx, replicaAPITimeout)
 			defer cancel()
-			errs <- do(callCtx, rsv)
+			err := do(callCtx, rsv)
+			if err != nil {
+				err = &replicaError{replica: rsv.Replica, err: err}
+			}
+			errs <- err
 		}()
 	}
 	var joined error
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -60,7 +60,7 @@
 ) (place.Placement, bool) {
 	req := hdl.placementRequest(left)
 	if hdl.triedOnceOnEach(views) {
-		req.ExcludeReplicas = nil // All are equal again.
+		req.ExcludeReplicas = hdl.faultyHelpers // All others are equal again.
 	}
 	srv := hdl.set.Service(hdl.service)
 	if srv == nil || srv.Engine == nil {
@@ -84,7 +84,8 @@
 	req := place.Request{
 		Now: hdl.opts.Clock.Now(), PromptTokens: prm.Tokens, OutputTokens: hdl.expectedOutputTokens(),
 		GapTarget: hdl.rte.GapTarget, TimeLeft: left,
-		DataCentre: hdl.opts.DataCentre, ExcludeReplicas: hdl.triedReplicas, Jitter: rand.Float64,
+		DataCentre: hdl.opts.DataCentre, Jitter: rand.Float64,
+		ExcludeReplicas: slices.Concat(hdl.triedReplicas, hdl.faultyHelpers),
 	}
 	if hdl.opts.LoadUnknown != nil {
 		req.LoadUnknown = hdl.opts.LoadUnknown()
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -16,6 +16,7 @@
 	switch {
 	case rep.NotExecuted:
 		att.releaseConn(res, err)
+		att.recordFaultyReplica()
 		return outcome{reason: reasonNotRun}
 	case err != nil:
 		return outcome{
--- a/relay/standby.go
+++ b/relay/standby.go
@@ -87,6 +87,7 @@
 	}
 	switch defect := att.replyDefect(att.reply); {
 	case att.reply.NotExecuted:
+		att.recordFaultyReplica()
 		return &outcome{reason: reasonNotRun}
 	case att.events == nil:
 		return &outcome{
