Count a broken connection as a crash only if the replica is gone

Replicas that run calls and reset the connections instead of answering made harmless calls suspects: two resets of a call blocked it for a minute.

When a connection breaks, the pool now connects to the replica again in the background, once for all calls that wait for the result. A replica that refuses, does not answer in 300 ms, or closes the new connection within 30 ms has crashed, and the call is reported to package cause with the time of the break. Otherwise only the answer was lost: an ordinary failure of the replica, counted as answer-lost. The retry does not wait. A call of which one more crash may block it waits for the result (400 ms at most), so that it is blocked after as many crashes as before.

Tests of crashing replicas used replicas that close a connection and go on listening, which is now a lost answer. They use the replicas that end (newMortalReplica) instead, with the same checks; addIdleConn waits until such a replica is back.

Tested: go test -race ./cause ./pool ./relay at a load average of 31. All hold but TestEndlessResponses and TestRollingReplacement, which depend on time and hold without -race.

--- a/cause/answer.go
+++ b/cause/answer.go
@@ -36,7 +36,8 @@
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
 	now := trk.opts.Clock.Now()
-	if trk.suspected[cal.Fingerprint] { // Other calls are not likely to come again.
+	// Other calls are not likely to come again.
+	if trk.suspected[cal.Fingerprint] || trk.undecided[cal.Fingerprint] != nil {
 		trk.applyOwnAnswer(Answer{Feature: cal.Fingerprint, At: now, Complete: complete})
 	}
 	for _, part := range cal.Parts {
--- a/cause/cause.go
+++ b/cause/cause.go
@@ -81,10 +81,12 @@
 
 // Tracker holds the recent crashes and the calls that explain them. It is safe for concurrent use.
 type Tracker struct {
-	opts   Options
-	active atomic.Bool // there are crashes
+	opts         Options
+	active       atomic.Bool  // there are crashes
+	numUndecided atomic.Int64 // broken connections of which it is not known whether their replicas have crashed
 
 	mu         sync.Mutex
+	undecided  map[uint64]*undecided // by the features of their calls
 	crashes    []*crash
 	suspected  map[uint64]bool     // features of the calls in crashes, and some that no longer are
 	answers    map[uint64]evidence // how calls with a feature were last answered
@@ -104,17 +106,23 @@
 	}
 	return &Tracker{
 		opts: opts, suspected: make(map[uint64]bool), answers: make(map[uint64]evidence),
-		unsent: make(map[uint64]struct{}),
+		unsent: make(map[uint64]struct{}), undecided: make(map[uint64]*undecided),
 	}
 }
 
-// Active reports whether there are crashes. If not, no call is blocked.
-func (trk *Tracker) Active() bool { return trk.active.Load() }
+// Active reports whether there are crashes, or may be. If not, no call is blocked.
+func (trk *Tracker) Active() bool { return trk.active.Load() || trk.numUndecided.Load() > 0 }
 
 // RecordCrash records that a replica broke the connection of a call before it had answered it completely. The answer
 // had advanced if it had gone beyond its beginning.
 func (trk *Tracker) RecordCrash(replica string, cal Call, advanced bool) {
-	rpt := Report{Replica: xxhash.Sum64String(replica), At: trk.opts.Clock.Now(), Call: cal, Advanced: advanced}
+	trk.recordCrash(Report{
+		Replica: xxhash.Sum64String(replica), At: trk.opts.Clock.Now(), Call: cal, Advanced: advanced,
+	})
+}
+
+// recordCrash records a crash that this process has observed, and informs the others.
+func (trk *Tracker) recordCrash(rpt Report) {
 	trk.mu.Lock()
 	trk.addReport(rpt)
 	rpt.Call = trk.withoutAnswered(rpt)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -50,12 +50,13 @@
 	clock  *timer.Service
 	dialer net.Dialer
 	mu     sync.Mutex
-	idle   map[string][]*Conn // by replica ID, oldest first
+	idle   map[string][]*Conn           // by replica ID, oldest first
+	checks map[string][]func(err error) // in progress, by replica ID: what awaits their results
 }
 
 // New returns an empty Pool.
 func New(clk *timer.Service) *Pool {
-	pol := &Pool{clock: clk, idle: make(map[string][]*Conn)}
+	pol := &Pool{clock: clk, idle: make(map[string][]*Conn), checks: make(map[string][]func(error))}
 	pol.dialer = Dialer(dialTimeout)
 	return pol
 }
@@ -159,21 +160,27 @@
 	if con.reader.Buffered() > 0 {
 		return false
 	}
+	open, drained := con.peek()
+	return open && drained
+}
+
+// peek reports whether the connection is open, and whether no bytes have been received on it that were not read.
+func (con *Conn) peek() (open, drained bool) {
 	sys, ok := con.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	drained := false
 	var one [1]byte
 	err = raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		drained = errors.Is(err, unix.EAGAIN) // A closed connection reads 0 bytes without an error.
+		num, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		drained = errors.Is(err, unix.EAGAIN)
+		open = drained || num > 0 // A closed connection reads 0 bytes without an error.
 	})
-	return err == nil && drained
+	return err == nil && open, err == nil && drained
 }
 
 // Ended reports whether the replica has closed the connection, or reading from it has failed.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,11 +28,14 @@
 }
 
 // errorText returns the text of the error, or an empty string.
-func (out *outcome) errorText() string {
-	if out.err == nil {
+func (out *outcome) errorText() string { return errorText(out.err) }
+
+// errorText returns the text of an error, or an empty string if it is nil.
+func errorText(err error) string {
+	if err == nil {
 		return ""
 	}
-	return out.err.Error()
+	return err.Error()
 }
 
 // sendAttempt sends the call once, to the replicas of a placement, and forwards the response.
@@ -248,8 +251,8 @@
 	return reasonStreamBroken
 }
 
-// recordReplicaHealth updates the failure rate of the primary replica with the outcome, and records a crash if there
-// was one.
+// recordReplicaHealth updates the failure rate of the primary replica with the outcome, and has it checked whether the
+// replica has crashed if it broke the connection.
 func (att *attempt) recordReplicaHealth(out *outcome) {
 	rep := att.placement.Primary.Replica
 	switch {
@@ -259,13 +262,12 @@
 		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
 		// The client or this process ended the call, which says nothing about the replica.
 	case out.reason == reasonStreamBroken:
-		att.logBrokenAnswer(out, !rep.Leaving())
-		att.recordCrash()
+		att.recordBreak(out)
 	case att.con.Reused() && !att.replyReceived:
 		// The connection may have been unusable before the call, which says nothing about the replica.
 	default:
 		if att.brokenOff {
-			att.logBrokenAnswer(out, false)
+			att.logBrokenAnswer(out)
 		}
 		rep.RecordFailure()
 	}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -46,6 +46,7 @@
 		return false
 	}
 	cal := hdl.causeCall()
+	hdl.opts.Crashes.AwaitDecision(hdl.ctx, cal)
 	if !hdl.opts.Crashes.Blocked(cal) {
 		return false
 	}
@@ -79,32 +80,3 @@
 	}
 	return cause.Call{Parts: hdl.causeParts()}
 }
-
-// logBrokenAnswer logs that reading the response of a replica failed, how far it had come by then, and whether that is
-// taken for a crash of the replica.
-func (att *attempt) logBrokenAnswer(out *outcome, isCrash bool) {
-	hdl := att.hdl
-	hdl.opts.Log.Info("relay: replica broke off its answer", "call", hdl.cal.ID,
-		"replica", att.placement.Primary.ID, "crash", isCrash, "outcome", out.reason, "error", out.errorText(),
-		"reused", att.con.Reused(), "head", att.replyReceived, "events", att.eventsReceived,
-		"resumed", att.rest.active, "body-bytes", len(hdl.cal.Body),
-		"parts", strings.Join(hdl.cal.Prompt.Parts, ","),
-		"fingerprint", strconv.FormatUint(hdl.causeCall().Fingerprint, 16))
-}
-
-// recordCrash records that the replica closed the connection before it had answered the call completely.
-func (att *attempt) recordCrash() {
-	hdl, rep := att.hdl, att.placement.Primary.Replica
-	switch {
-	case att.replyReceived:
-		rep.RecordFailure()
-	case !att.con.Reused(): // A used connection may also be closed because it was idle.
-		rep.RecordUnreachable()
-	}
-	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
-	cal := hdl.causeCall()
-	hdl.opts.Metrics.CountEvent("answer-broken-off")
-	if !leaving {
-		hdl.opts.Crashes.RecordCrash(att.placement.Primary.ID, cal, att.eventsReceived > beginningEvents)
-	}
-}
