Play lost responses in the soak

A call whose answers the replicas always reset comes again through random fronts, in calm parts too. While there are no faults, no front may refuse it as one that crashes replicas.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -43,6 +43,11 @@
 				Status: 200, Mismatch: "of another call",
 			}})
 		},
+		invariantLost: func(chk *checker) {
+			chk.checkLost(&lostCall{since: at(0), ended: sec(1), outcome: plsim.Outcome{
+				Status: 503, Body: `{"error":"crashes-replicas"}`,
+			}})
+		},
 		invariantCrashes: func(chk *checker) {
 			for second := range 10 {
 				chk.recordCrash(plsim.Run{Path: "/safe/deadly-1", At: sec(second)})
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -12,6 +12,7 @@
 // replica that drains, one that says that it leaves, one that asks for a pause, and the planned restart of a front.
 func (sok *Soak) runPlannedPhase() {
 	time.Sleep(settleTime + 2*time.Second) // Checks also cover the time shortly before a change.
+	sok.calmPhases.Add(1)
 	sok.publishConfig()
 	sok.drainReplica()
 	sok.leaveReplica()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -47,6 +47,7 @@
 	fronts        []*front
 	started       time.Time
 	configVersion int          // last one published
+	calmPhases    atomic.Int64 // started so far
 	faultPhases   atomic.Int64 // started so far
 	lying         atomic.Bool  // a replica falsely says that it leaves
 	mu            sync.Mutex
@@ -99,6 +100,7 @@
 		clients.Go(func() { sok.runClient(clientCtx, num) })
 	}
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
+	clients.Go(func() { sok.runLostClient(clientCtx) })
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
 		sok.runPlannedPhase()
 		sok.runRestorePhase()
@@ -241,7 +243,7 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
-		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantNoExit,
+		invariantRecovery, invariantCrashes, invariantLost, invariantLeaving, invariantPause, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
