--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -122,7 +122,6 @@
 	reportedRatio float64
 	reportedAt    time.Time
 	queriedAt     time.Time
-	checkedAt     time.Time // when ShouldCheck last returned true
 }
 
 // Weights and limits of observations.
@@ -142,8 +141,6 @@
 	ratioTimeout = 4 * time.Second
 	// queryInterval limits how often a replica is queried for its latency ratio, since each query is charged for.
 	queryInterval = 2 * time.Second
-	// checkInterval limits how often a replica that is said to be at fault is checked.
-	checkInterval = time.Second
 )
 
 func (hea *health) decay(now time.Time) {
@@ -208,19 +205,6 @@
 	return true
 }
 
-// ShouldCheck tells whether it is time to check whether the replica accepts connections, and records that it is
-// checked.
-func (rep *Replica) ShouldCheck() bool {
-	rep.set.mu.Lock()
-	defer rep.set.mu.Unlock()
-	now := rep.set.clock.Now()
-	if now.Sub(rep.health.checkedAt) < checkInterval {
-		return false
-	}
-	rep.health.checkedAt = now
-	return true
-}
-
 // SetReportedLatencyRatio records the latency ratio that the replica reports.
 func (rep *Replica) SetReportedLatencyRatio(ratio float64) {
 	rep.set.mu.Lock()
--- a/relay/faulty.go
+++ b/relay/faulty.go
@@ -1,18 +1,11 @@
 package relay
 
 import (
-	"context"
 	"errors"
-	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
-	"github.com/tarragonwheel/tarragonwheel/pool"
 )
 
-// faultyCheckTimeout is the time within which a replica that is said to be at fault must accept a connection. One that
-// has ended refuses it within a round trip.
-const faultyCheckTimeout = 300 * time.Millisecond
-
 // replicaError is the failure of an operation at one of several replicas.
 type replicaError struct {
 	replica string // ID
@@ -73,21 +66,11 @@
 	hdl.opts.Log.Info("relay: helper replica failed an attempt", "call", hdl.cal.ID, "replica", reg.ID,
 		"reason", reason)
 	rep.RecordFailure()
-	go hdl.relay.checkFaulty(context.WithoutCancel(hdl.ctx), rep)
-}
-
-// checkFaulty finds out whether a replica that is said to be at fault has ended, unless that was done lately.
-func (rly *Relay) checkFaulty(ctx context.Context, rep *fleet.Replica) {
-	if !rep.ShouldCheck() {
-		return
-	}
-	ctx, cancel := rly.opts.Clock.WithTimeout(ctx, faultyCheckTimeout)
-	defer cancel()
-	reg := rep.Registration()
-	err := rly.opts.Pool.Check(ctx, reg.ID, reg.Address)
-	rly.opts.Log.Info("relay: replica at fault checked", "replica", reg.ID,
-		"ended", errors.Is(err, pool.ErrReplicaEnded), "answers", err == nil)
-	if err != nil {
-		rep.RecordUnreachable()
-	}
+	log := hdl.opts.Log
+	hdl.opts.Pool.CheckAlive(reg.ID, reg.Address, func(err error) {
+		log.Info("relay: helper replica checked", "replica", reg.ID, "ended", err != nil)
+		if err != nil {
+			rep.RecordUnreachable()
+		}
+	})
 }
