Announce the placement of a long prompt before it is sent

Ruled out: lack of memory, slow replicas, and wrong predictions for a single prompt.

With the setting claim-time, a front announces the tasks of a prompt with half a second of prefill or more at once, and sends the prompt after that time if no other front has claimed a replica for a shorter prefill meanwhile. Otherwise it places the prompt again, with the other's tasks in view. Nothing is agreed on if datagrams are lost: both then go on as before.

--- a/config/keys_front.go
+++ b/config/keys_front.go
@@ -38,6 +38,10 @@
 		section: "front", name: "config-time", defaultValue: "2s",
 		help: "time within which a new configuration must be active",
 	}, 100*time.Millisecond, time.Minute)
+	FrontClaimTime = durationKey(definition{
+		section: "front", name: "claim-time", defaultValue: "0s",
+		help: "time for which a long prompt's placement is announced to other fronts before it is sent; 0 for none",
+	}, 0, time.Second)
 	FrontRetryRatio = floatKey(definition{
 		section: "front", name: "repeat-ratio", defaultValue: "0.2",
 		help: "retries that all fronts together may send to a service for each call",
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -27,6 +27,7 @@
 	StartedAt    time.Time
 	PrefillLeft  time.Duration // in a View, the predicted time until its prefill ends; 0 if it has ended
 	receivedAt   time.Time     // when this task of another process was last received; zero for own tasks
+	learnedAt    time.Time     // when this task of another process was first received; zero for own tasks
 	summarized   bool          // it stands for several tasks that are known only as a Summary
 }
 
@@ -34,6 +35,7 @@
 type LocalTask struct {
 	replica  *Replica
 	task     *Task
+	urgent   bool
 	onChange func(chg TaskChange)
 }
 
@@ -43,11 +45,21 @@
 	Cell    string // of the replica; empty for the common cell
 	Task    Task
 	Ended   bool
+	Urgent  bool // the other processes must learn of it at once
 }
 
 // StartTask registers a new task at the replica. The function onChange, if not nil, is called when the task starts,
 // changes or ends.
 func (rep *Replica) StartTask(tsk Task, onChange func(chg TaskChange)) *LocalTask {
+	return rep.startTask(tsk, false, onChange)
+}
+
+// ClaimTask is StartTask for a task of which the other processes must learn at once.
+func (rep *Replica) ClaimTask(tsk Task, onChange func(chg TaskChange)) *LocalTask {
+	return rep.startTask(tsk, true, onChange)
+}
+
+func (rep *Replica) startTask(tsk Task, urgent bool, onChange func(chg TaskChange)) *LocalTask {
 	set := rep.set
 	set.mu.Lock()
 	set.lastTaskID++
@@ -56,7 +68,7 @@
 	rep.localTasks[tsk.ID] = &tsk
 	set.addDemand(rep, &tsk, tsk.StartedAt)
 	set.mu.Unlock()
-	ltk := &LocalTask{replica: rep, task: &tsk, onChange: onChange}
+	ltk := &LocalTask{replica: rep, task: &tsk, urgent: urgent, onChange: onChange}
 	ltk.notify(tsk, false)
 	return ltk
 }
@@ -65,7 +77,7 @@
 func (ltk *LocalTask) notify(tsk Task, ended bool) {
 	if ltk.onChange != nil {
 		rep := ltk.replica
-		ltk.onChange(TaskChange{Replica: rep.hash, Cell: rep.cell(), Task: tsk, Ended: ended})
+		ltk.onChange(TaskChange{Replica: rep.hash, Cell: rep.cell(), Task: tsk, Ended: ended, Urgent: ltk.urgent})
 	}
 }
 
@@ -171,8 +183,10 @@
 			set.addDemand(rep, &rem.Task, now)
 		}
 		old = &rem.Task
+		old.learnedAt = now
 		tasks[rem.Task.ID] = old
 	default:
+		rem.Task.learnedAt = old.learnedAt
 		*old = rem.Task
 	}
 	old.receivedAt = now
--- a/front/front.go
+++ b/front/front.go
@@ -135,6 +135,7 @@
 		BufferBytes:           int64(config.FrontMemory.Of(frt.startSettings)) * bytesPerMB / bufferShare,
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
+		ClaimTime:             config.FrontClaimTime.Of(frt.startSettings),
 		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -29,6 +29,7 @@
 	minBatchDelay      = 10 * time.Millisecond
 	maxBatchDelay      = 100 * time.Millisecond
 	batchDelayPerPeer  = time.Millisecond
+	urgentBatchDelay   = time.Millisecond // for the tasks of one prompt at several replicas
 	fullUpdateInterval = 2 * time.Second
 	// greetAllRounds is the number of full updates of which one goes to all peers, so that those of other cells do not
 	// remove this process.
@@ -92,6 +93,8 @@
 	transfer       *configTransfer       // that this process has requested; nil for none
 	cellSizes      map[string]cellSize   // by data centre
 	flushScheduled bool                  // sendChanges is going to run
+	// urgentScheduled is set if sendChanges is going to run after urgentBatchDelay.
+	urgentScheduled bool
 
 	crashesScheduled bool // sendCrashes is going to run
 }
--- a/peers/send.go
+++ b/peers/send.go
@@ -16,6 +16,10 @@
 	exc.pending = append(exc.pending, fleet.RemoteTask{
 		Replica: chg.Replica, Cell: chg.Cell, Task: chg.Task, Ended: chg.Ended, ProgressOnly: !isStart,
 	})
+	if chg.Urgent && !exc.urgentScheduled {
+		exc.urgentScheduled = true
+		exc.opts.Clock.After(urgentBatchDelay, exc.sendChanges)
+	}
 	exc.scheduleChanges()
 }
 
@@ -43,7 +47,7 @@
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
 	changes, leaving := exc.pending, exc.leaving
-	exc.pending, exc.leaving, exc.flushScheduled = nil, nil, false
+	exc.pending, exc.leaving, exc.flushScheduled, exc.urgentScheduled = nil, nil, false, false
 	to := exc.audiences(func(per *peer) bool { return exc.isLive(per) || !exc.isNear(per) })
 	exc.mu.Unlock()
 	changes = latestChanges(changes)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -139,7 +139,10 @@
 	if plc.Primary.Replica.Paused() { // It has asked for the pause since the call was placed.
 		return &outcome{notSent: true, reason: reasonReplicasPause}
 	}
-	att.tasks = hdl.startTasks(plc, att.task)
+	att.tasks = hdl.takeClaim()
+	if att.tasks == nil {
+		att.tasks = hdl.startTasks(plc, att.task, false)
+	}
 	att.onEnd(att.tasks.end)
 	mem, err := hdl.opts.Reserver.reserve(hdl.ctx, plc)
 	if err != nil {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -29,6 +29,8 @@
 
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
+	claims         int             // for which the call has waited
+	claimed        attemptTasks    // for the next attempt; nil if there are none
 	attempts       int
 	possibleRuns   int        // attempts that may have run
 	triedReplicas  []string   // IDs of the replicas of all attempts
@@ -191,6 +193,7 @@
 		if !hdl.mayGoOn() {
 			return
 		}
+		viewedAt := hdl.opts.Clock.Now()
 		plc, reason := hdl.choosePlacement()
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
@@ -203,8 +206,12 @@
 			return
 		}
 		hdl.placement, hdl.placedAt = plc, hdl.opts.Clock.Now()
+		if !hdl.claim(&plc, viewedAt) {
+			continue
+		}
 		hdl.logPlacement(&plc)
 		out := hdl.runAttempts(&plc)
+		hdl.takeClaim().end() // Not taken if the attempt was not begun.
 		switch {
 		case out.reason == reasonClientLeft:
 			hdl.abort(reasonClientLeft)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,6 +63,8 @@
 	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
 	// before; nil for none.
 	OnReplicaLeaving func(ntc fleet.LeavingNotice)
+	// ClaimTime is how long the placement of a long prompt is announced before the prompt is sent; 0 for not at all.
+	ClaimTime time.Duration
 	// OnTaskChange is called when a task of a call starts, changes or ends.
 	OnTaskChange func(chg fleet.TaskChange)
 }
