Send no requests to evacuated data centres

Operators take a data centre out of service with a record evacuate/NAME in their topic and return it by deleting the record. Nothing read these records.

The new package evac holds the evacuated data centres with the position up to which the topic is known, takes the state of a peer that has read more, and keeps a data centre evacuated for 2 s after the first listing of a new era that lacks its record. The fleet leaves the replicas there out of all views, of the last resort and of queries for reports, and counts them in a shortage. The relay checks each attempt again before it reserves memory and before it sends the call, and refuses a call with the reason "evacuated" if no other replica is left. Fronts exchange the state under message key 20: in full updates, and at once when one has read a change in the store. A front serves only once it knows the state, and reads the topic again before it sends calls after it was stopped for more than 3 s.

The followers of topics pass on their position, which changes the signature of OnList in the tests of package follow.

Tested with go test -race ./evac ./fleet ./platform, and go test ./front ./follow ./peers.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,8 @@
 	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
 	former   formerNotices
+	// evacuated holds the data centres whose replicas get no requests. It is replaced, and not changed.
+	evacuated map[string]bool
 }
 
 // reregisterGrace is the time in which replicas may register again whose registration expired during a store outage, or
@@ -62,6 +64,7 @@
 	set := flt.replicaSets[service]
 	if set == nil {
 		set = newReplicaSet(flt.clock)
+		set.setEvacuated(flt.evacuated)
 		flt.replicaSets[service] = set
 	}
 	return set
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -85,5 +85,7 @@
 // although the replica has said that it leaves.
 func (set *ReplicaSet) LastResortViews(evi Evidence) []View {
 	now := set.clock.Now()
-	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.notices.mayServe(evi, now) })
+	return set.viewsIf(func(_ string, rep *Replica) bool {
+		return !rep.evacuatedLocked() && rep.notices.mayServe(evi, now)
+	})
 }
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -17,7 +17,8 @@
 	lastTaskID uint32     // ID of the last task that was started
 	// By data centre:
 	demand        map[string]*prefillDemand
-	perDataCentre map[string]int // number of replicas
+	perDataCentre map[string]int  // number of replicas
+	evacuated     map[string]bool // those whose replicas get no requests; not changed, but replaced
 }
 
 func newReplicaSet(clk *timer.Service) *ReplicaSet {
@@ -71,7 +72,9 @@
 
 // takesCalls tells whether the replica may get new calls, apart from whether its registration says that it drains. The
 // caller holds the lock.
-func (rep *Replica) takesCalls(now time.Time) bool { return rep.notices.takesCalls(now) }
+func (rep *Replica) takesCalls(now time.Time) bool {
+	return !rep.evacuatedLocked() && rep.notices.takesCalls(now)
+}
 
 // HadLongPrefill reports whether within the given time a prompt or a part of one was known at the replica whose prefill
 // takes long, so that the events of streams there may be late.
--- a/fleet/shortage.go
+++ b/fleet/shortage.go
@@ -4,7 +4,8 @@
 
 // Shortage describes why no replica of a service takes calls.
 type Shortage struct {
-	Leaving   int             // replicas that have said that they leave
+	Evacuated int             // replicas in evacuated data centres
+	Leaving   int             // other replicas that have said that they leave
 	NoticeAge time.Duration   // since the first of the notices that count
 	Pauses    []time.Duration // remaining pauses of the other replicas
 }
@@ -21,6 +22,8 @@
 		case rep.reg.Draining:
 		case rep.takesCalls(now):
 			return Shortage{}, false
+		case rep.evacuatedLocked():
+			sho.Evacuated++
 		case ntc.leaving():
 			sho.Leaving++
 			sho.NoticeAge = max(sho.NoticeAge, now.Sub(earliest(ntc.leavingAt, ntc.peerAt)))
@@ -29,7 +32,7 @@
 			sho.NoticeAge = max(sho.NoticeAge, now.Sub(ntc.pausedAt))
 		}
 	}
-	return sho, sho.Leaving+len(sho.Pauses) > 0
+	return sho, sho.Evacuated+sho.Leaving+len(sho.Pauses) > 0
 }
 
 // earliest returns the earlier of two times, of which one may be zero for none.
--- a/follow/digest_test.go
+++ b/follow/digest_test.go
@@ -56,7 +56,7 @@
 			Matters: func(rec follow.Record) bool { return string(rec.Value) != "heartbeat" },
 			Paused:  shr.paused.Load,
 		},
-		OnList:   func([]follow.Record) { shr.seen <- "listing" },
+		OnList:   func([]follow.Record, follow.Position) { shr.seen <- "listing" },
 		OnChange: func(rec follow.Record) { shr.seen <- rec.Key },
 	})
 	is.New(t).Equal(<-shr.seen, "listing")
@@ -166,7 +166,8 @@
 	flw = follow.Start(grp, follow.Options{
 		Name: "test", Clock: timer.New(), Log: logr.Discard(), Source: src.source(),
 		LongPollTimeout: func() time.Duration { return time.Minute }, ResponseTimeout: time.Minute,
-		OnList: func([]follow.Record) { seen <- "listing" }, OnChange: func(rec follow.Record) { seen <- rec.Key },
+		OnList:   func([]follow.Record, follow.Position) { seen <- "listing" },
+		OnChange: func(rec follow.Record) { seen <- rec.Key },
 	})
 	iis.Equal(<-seen, "listing")
 	reads := func() int {
@@ -233,7 +234,7 @@
 			},
 			Paused: func() bool { return false },
 		},
-		OnList: func([]follow.Record) {},
+		OnList: func([]follow.Record, follow.Position) {},
 		OnChange: func(rec follow.Record) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/follow/early_test.go
+++ b/follow/early_test.go
@@ -31,7 +31,7 @@
 			},
 		},
 		Sharing:  &follow.Sharing{Paused: func() bool { return false }},
-		OnList:   func([]follow.Record) { seen <- "listing" },
+		OnList:   func([]follow.Record, follow.Position) { seen <- "listing" },
 		OnChange: func(rec follow.Record) { seen <- rec.Key },
 	})
 	<-listing
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -60,10 +60,12 @@
 	// OnEra, if not nil, is called with the era of each listing, before OnList. If restored is true, the store was
 	// restored from an older copy since the listing before: newer records may be missing, and older ones be back.
 	OnEra func(era int64, restored bool)
-	// OnList is called with the newest record of each key after each listing.
-	OnList func(list []Record)
+	// OnList is called with the newest record of each key after each listing, and the position of the listing.
+	OnList func(list []Record, at Position)
 	// OnChange is called with each record that is read after the listing.
 	OnChange func(rec Record)
+	// OnRead, if not nil, is called after the records of each read, with the position up to which the topic is known.
+	OnRead func(next Position)
 	// Sharing lets several processes read in turn; nil for none.
 	Sharing *Sharing
 	// OnRecovered, if not nil, is called with the length of an outage when the store answers again.
@@ -193,6 +195,9 @@
 	flw.next = next
 	flw.scheduleRead(sentAt)
 	flw.applyAndShare(list, dig)
+	if flw.opts.OnRead != nil {
+		flw.opts.OnRead(next)
+	}
 	return nil
 }
 
@@ -237,7 +242,7 @@
 	if flw.opts.OnEra != nil {
 		flw.opts.OnEra(next.Era, restored)
 	}
-	flw.opts.OnList(list)
+	flw.opts.OnList(list, next)
 	return nil
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -60,7 +60,7 @@
 		Name: "test", Clock: timer.New(), Log: logr.Discard(), Source: src.source(),
 		LongPollTimeout: func() time.Duration { return time.Minute }, ResponseTimeout: time.Minute,
 		OnRecovered: onRecovered,
-		OnList:      func([]follow.Record) { seen <- "listing" },
+		OnList:      func([]follow.Record, follow.Position) { seen <- "listing" },
 		OnChange:    func(rec follow.Record) { seen <- rec.Key },
 	})
 	return seen
--- a/follow/hints_test.go
+++ b/follow/hints_test.go
@@ -25,7 +25,8 @@
 	flw = follow.Start(grp, follow.Options{
 		Name: "test", Clock: timer.New(), Log: logr.Discard(), Source: src.source(), ResponseTimeout: time.Minute,
 		MaxBackoff: func() time.Duration { return time.Hour },
-		OnList:     func([]follow.Record) { seen <- "listing" }, OnChange: func(rec follow.Record) { seen <- rec.Key },
+		OnList:     func([]follow.Record, follow.Position) { seen <- "listing" },
+		OnChange:   func(rec follow.Record) { seen <- rec.Key },
 	})
 	is.New(t).Equal(<-seen, "listing")
 	for range 6 { // The last backoff takes 1.6 s at least.
--- a/follow/position.go
+++ b/follow/position.go
@@ -7,6 +7,11 @@
 	Offset int64
 }
 
+// Before reports whether the position is before another one. Eras rise.
+func (pos Position) Before(other Position) bool {
+	return pos.Era < other.Era || pos.Era == other.Era && pos.Offset < other.Offset
+}
+
 // isOfOtherEra reports whether the position is of another era than an earlier one. A store that does not state its era
 // must have been restored if its topic has become shorter.
 func (pos Position) isOfOtherEra(earlier Position) bool {
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -98,7 +98,7 @@
 		OnEra: func(era int64, restored bool) {
 			seen <- fmt.Sprintf("listing in era %d, restored %v", era, restored)
 		},
-		OnList:   func([]follow.Record) {},
+		OnList:   func([]follow.Record, follow.Position) {},
 		OnChange: func(rec follow.Record) { seen <- rec.Key },
 	})
 	is.New(t).Equal(<-seen, fmt.Sprintf("listing in era %d, restored false", src.position().Era))
@@ -229,7 +229,7 @@
 	t.Cleanup(func() { _ = grp.Stop() })
 	flw := follow.Start(grp, follow.Options{
 		Name: "test", Clock: timer.New(), Log: logr.Discard(), Source: src.source(), ResponseTimeout: time.Minute,
-		OnList:   func([]follow.Record) { seen <- "listing" },
+		OnList:   func([]follow.Record, follow.Position) { seen <- "listing" },
 		OnChange: func(rec follow.Record) { seen <- rec.Key },
 	})
 	iis.Equal(<-seen, "listing")
--- a/front/follow.go
+++ b/front/follow.go
@@ -31,12 +31,7 @@
 		Name: "configuration", Clock: frt.clock, Log: frt.log, Source: frt.store.OperatorRecords(),
 		LongPollTimeout: frt.configPollTimeout,
 		ResponseTimeout: storeTimeout,
-		OnList: func(list []follow.Record) {
-			for _, rec := range list {
-				frt.applyOperatorRecord(rec)
-			}
-		},
-		OnChange:    frt.applyOperatorRecord,
+		OnList:          frt.applyOperatorRecords, OnChange: frt.applyOperatorRecord, OnRead: frt.evacuations.Read,
 		OnEra:       func(era int64, _ bool) { frt.storeEra.set(era) },
 		MaxBackoff:  frt.storeBackoff,
 		OnRecovered: func(time.Duration) { frt.tellStoreAnswers() },
@@ -148,7 +143,7 @@
 }
 
 // replaceRegistrations records the full list of registrations. Replicas that are not on it have been removed.
-func (frt *Front) replaceRegistrations(list []follow.Record) {
+func (frt *Front) replaceRegistrations(list []follow.Record, _ follow.Position) {
 	regs := make([]fleet.Registration, 0, len(list))
 	var unreadable []string
 	for _, rec := range list {
--- a/front/front.go
+++ b/front/front.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/config"
+	"github.com/tarragonwheel/tarragonwheel/evac"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -62,6 +63,8 @@
 	pool            *pool.Pool
 	store           *platform.Store
 	crashes         *cause.Tracker
+	evacuations     *evac.Tracker
+	freeze          freezeWatch
 	peers           *peers.Exchange // nil if no address for the exchange is configured
 	following       chan struct{}   // closed when the followers have been set
 	configFollower  *follow.Follower
@@ -96,6 +99,7 @@
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
 	frt.crashes = cause.New(cause.Options{Clock: clk, Log: log, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
+	frt.evacuations = evac.New(evac.Options{Clock: clk, Log: log, OnChange: frt.setEvacuated})
 	if err := frt.startPeers(); err != nil {
 		return nil, err
 	}
@@ -107,6 +111,8 @@
 	grp.Go("sweep", func(ctx context.Context) error {
 		for clk.Sleep(ctx, sweepInterval) == nil {
 			frt.fleet.RemoveExpired()
+			frt.evacuations.RemoveExpired()
+			frt.hasMissedRecords() // Also notices a stop while there are no calls.
 			frt.clientServer.closeExpired(frt.idleTimeout())
 		}
 		return nil
@@ -138,6 +144,7 @@
 		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
+		AwaitState:            frt.awaitState,
 	}
 }
 
@@ -170,17 +177,19 @@
 	return 0
 }
 
-// activeRules returns the active configuration, or nil until both the configuration and the replicas are known.
+// activeRules returns the active configuration, or nil until the configuration, the replicas and the evacuated data
+// centres are known.
 func (frt *Front) activeRules() *rules.Set {
-	if !frt.replicasKnown.Load() {
+	if !frt.replicasKnown.Load() || !frt.evacuations.Known() {
 		return nil
 	}
 	return frt.rules.Load()
 }
 
-// Ready reports whether the front can serve clients: configuration and replicas are known, and it is not draining.
+// Ready reports whether the front can serve clients: configuration, replicas and evacuated data centres are known, and
+// it is not draining.
 func (frt *Front) Ready() bool {
-	return !frt.draining.Load() && frt.rules.Load() != nil && frt.replicasKnown.Load()
+	return !frt.draining.Load() && frt.activeRules() != nil
 }
 
 // Address returns the address on which the front serves clients.
--- a/front/peers.go
+++ b/front/peers.go
@@ -41,6 +41,7 @@
 		ConfigRecord: frt.activeConfigRecord, OnConfigRecord: frt.applyPeerConfig,
 		OnUnregistered: frt.listPeersSoon, OnDigest: frt.applyDigest,
 		StoreEra: frt.storeEra.get, OnStoreEra: frt.listAgain, OnStoreAnswers: frt.retryStore,
+		Evacuations: frt.evacuations.State, OnEvacuations: frt.evacuations.Merge,
 	})
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
@@ -81,7 +82,7 @@
 		Name: "peers", Clock: frt.clock, Log: frt.log, Source: frt.store.PeerAddresses(),
 		ReadInterval: peerListInterval, ResponseTimeout: storeTimeout, OnChange: addPeer,
 		OnEra: func(era int64, _ bool) { frt.storeEra.set(era) },
-		OnList: func(list []follow.Record) {
+		OnList: func(list []follow.Record, _ follow.Position) {
 			for _, rec := range list {
 				addPeer(rec)
 			}
--- a/front/rules.go
+++ b/front/rules.go
@@ -63,8 +63,8 @@
 	})
 }
 
-// applyOperatorRecord applies a record of the operator in the store, if it is a configuration.
-func (frt *Front) applyOperatorRecord(rec follow.Record) {
+// applyConfigRecord applies a record of the operator in the store, if it is a configuration.
+func (frt *Front) applyConfigRecord(rec follow.Record) {
 	if !platform.IsConfig(rec.Key) || rec.Value == nil {
 		return
 	}
--- a/peers/message.go
+++ b/peers/message.go
@@ -32,6 +32,7 @@
 	ConfigPart    *configPart      `cbor:"17,keyasint,omitempty"`
 	LateCrashes   []crashReport    `cbor:"18,keyasint,omitempty"` // of calls whose answers had advanced
 	Progressing   []answer         `cbor:"19,keyasint,omitempty"` // answers that are not complete
+	Evacuations   *evacuationState `cbor:"20,keyasint,omitempty"`
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/cause"
+	"github.com/tarragonwheel/tarragonwheel/evac"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/group"
@@ -76,6 +77,10 @@
 	KnownCrashes func() []cause.Report
 	// OnAnswers is called with answers of suspected calls that a peer has seen; nil for none.
 	OnAnswers func(list []cause.Answer)
+	// Evacuations returns the evacuated data centres, and false if they are not known yet; nil for none.
+	Evacuations func() (evac.State, bool)
+	// OnEvacuations is called with the evacuated data centres that a peer knows; nil for none.
+	OnEvacuations func(sta evac.State)
 }
 
 // Exchange sends the load of one process to its peers and receives theirs. It is safe for concurrent use.
@@ -93,7 +98,8 @@
 	cellSizes      map[string]cellSize   // by data centre
 	flushScheduled bool                  // sendChanges is going to run
 
-	crashesScheduled bool // sendCrashes is going to run
+	crashesScheduled   bool // sendCrashes is going to run
+	evacuationsChanged bool // since they were last sent
 }
 
 // peer is another process.
@@ -210,6 +216,7 @@
 		}
 		exc.greetNew(addr, dataCentre, registered)
 	}
+	exc.applyEvacuations(msg, registered) // Before a configuration, with which this process may begin to serve.
 	exc.handleConfig(addr, msg)
 	if exc.opts.OnStoreEra != nil && msg.StoreEra != 0 {
 		exc.opts.OnStoreEra(msg.StoreEra)
--- a/peers/send.go
+++ b/peers/send.go
@@ -43,14 +43,20 @@
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
 	changes, leaving := exc.pending, exc.leaving
-	exc.pending, exc.leaving, exc.flushScheduled = nil, nil, false
+	evacuationsChanged, far := exc.evacuationsChanged, exc.farReceivers()
+	exc.pending, exc.leaving, exc.flushScheduled, exc.evacuationsChanged = nil, nil, false, false
 	to := exc.audiences(func(per *peer) bool { return exc.isLive(per) || !exc.isNear(per) })
 	exc.mu.Unlock()
 	changes = latestChanges(changes)
 	msg := message{Leaving: toLeavingNotices(leaving, exc.opts.Clock.Now())}
+	if evacuationsChanged {
+		msg.Evacuations = exc.evacuations()
+		exc.sendTasks(far, message{Evacuations: msg.Evacuations}, nil)
+	}
 	for dataCentre, addrs := range to {
 		tasks := exc.tasksFor(dataCentre, changes)
-		if len(tasks) > 0 || (len(msg.Leaving) > 0 && exc.isNearDataCentre(dataCentre)) {
+		hasNews := len(msg.Leaving) > 0 || msg.Evacuations != nil
+		if len(tasks) > 0 || (hasNews && exc.isNearDataCentre(dataCentre)) {
 			exc.sendTasks(addrs, msg, tasks)
 		}
 	}
@@ -95,7 +101,9 @@
 
 // greeting returns a message that introduces this process.
 func (exc *Exchange) greeting() message {
-	return message{Name: exc.opts.Name, DataCentre: exc.opts.DataCentre, StoreEra: exc.storeEra()}
+	return message{
+		Name: exc.opts.Name, DataCentre: exc.opts.DataCentre, StoreEra: exc.storeEra(), Evacuations: exc.evacuations(),
+	}
 }
 
 // sendTasks sends a message with the given tasks, in as many datagrams as needed.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -136,6 +136,9 @@
 	if plc.Primary.Replica.Paused() { // It has asked for the pause since the call was placed.
 		return &outcome{notSent: true, reason: reasonReplicasPause}
 	}
+	if att.isEvacuated() { // Since the call was placed.
+		return &outcome{notSent: true, reason: reasonEvacuated}
+	}
 	att.tasks = hdl.startTasks(plc, att.task)
 	att.onEnd(att.tasks.end)
 	mem, err := hdl.opts.Reserver.reserve(hdl.ctx, plc)
@@ -151,6 +154,10 @@
 		}
 		return &outcome{notSent: true, reason: reasonUnreachable, err: err}
 	}
+	if att.isEvacuated() { // Since the reservations were made.
+		_ = con.Close() // Nothing was sent on it.
+		return &outcome{notSent: true, reason: reasonEvacuated}
+	}
 	att.con = con
 	stop := context.AfterFunc(att.ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
 	att.onEnd(func() { stop() })
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -61,7 +61,7 @@
 }
 
 // placeAtLastResort places the call on replicas that have said that they leave, if all other replicas of the service
-// leave or pause as well. If the call cannot be placed, it returns the reason.
+// leave, pause or are evacuated as well. If the call cannot be placed, it returns the reason.
 func (hdl *callHandler) placeAtLastResort(left time.Duration) (place.Placement, string) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
 	sho, isShort := reps.Shortage()
@@ -73,7 +73,7 @@
 	})
 	plc, ok := hdl.placeOn(reps, views, left)
 	hdl.opts.Log.Info("relay: no replica takes calls", "call", hdl.cal.ID, "service", hdl.service,
-		"leaving", sho.Leaving, "paused", len(sho.Pauses), "notice-age", sho.NoticeAge,
+		"evacuated", sho.Evacuated, "leaving", sho.Leaving, "paused", len(sho.Pauses), "notice-age", sho.NoticeAge,
 		"at-last-resort", len(views), "placed", ok, "replica", plc.Primary.ID)
 	switch {
 	case ok:
@@ -81,8 +81,10 @@
 		return plc, ""
 	case len(sho.Pauses) > 0:
 		return place.Placement{}, reasonReplicasPause
+	case sho.Leaving > 0:
+		return place.Placement{}, reasonReplicasLeave
 	}
-	return place.Placement{}, reasonReplicasLeave
+	return place.Placement{}, reasonEvacuated
 }
 
 // evidence returns what decides whether a replica that has said that it leaves may get the call.
--- a/relay/overdue.go
+++ b/relay/overdue.go
@@ -50,6 +50,9 @@
 // queryLatencyRatio queries the latency ratio of a replica and records it. Nothing changes if the replica does not
 // respond.
 func (rsr *Reserver) queryLatencyRatio(ctx context.Context, rep *fleet.Replica) {
+	if !rep.TakesQueries() {
+		return
+	}
 	callCtx, cancel := rsr.clock.WithTimeout(ctx, replicaAPITimeout)
 	defer cancel()
 	reg := rep.Registration()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -60,6 +60,8 @@
 	DrainTime time.Duration
 	// RegistrationsAge returns how old the known registrations of replicas may be; nil if that is not known.
 	RegistrationsAge func() time.Duration
+	// AwaitState blocks while the process may have missed an evacuation because it was stopped; nil for never.
+	AwaitState func(ctx context.Context)
 	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
 	// before; nil for none.
 	OnReplicaLeaving func(ntc fleet.LeavingNotice)
--- a/relay/run.go
+++ b/relay/run.go
@@ -28,6 +28,9 @@
 func (att *attempt) queryRun(silent time.Duration) runState {
 	hdl, rep := att.hdl, att.placement.Primary.Replica
 	hdl.opts.Metrics.CountEvent("stream-examined")
+	if !rep.TakesQueries() {
+		return runUnknown
+	}
 	ctx, cancel := hdl.opts.Clock.WithTimeout(context.WithoutCancel(att.ctx), replicaAPITimeout)
 	defer cancel()
 	rpt, err := hdl.opts.Reserver.api.Report(ctx, rep.Registration().Address)
