--- a/front/restore_test.go
+++ b/front/restore_test.go
@@ -40,14 +40,21 @@
 func newRestoreRig(t *testing.T) *restoreRig {
 	t.Helper()
 	rig := &restoreRig{store: plsim.NewStore()}
-	rig.replica = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		rig.calls.Add(1)
+	rig.replica = startCountingReplica(t, &rig.calls)
+	return rig
+}
+
+// startCountingReplica starts a replica that counts the calls that it gets.
+func startCountingReplica(t *testing.T, calls *atomic.Int64) *httptest.Server {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		calls.Add(1)
 		rw.Header().Set("Tarragonwheel-Request-Id", req.Header.Get("Tarragonwheel-Request-Id"))
 		rw.Header().Set("Tarragonwheel-Replica-Signature", "sig")
 		_, _ = io.WriteString(rw, "answer")
 	}))
-	t.Cleanup(rig.replica.Close)
-	return rig
+	t.Cleanup(srv.Close)
+	return srv
 }
 
 // putConfig writes a configuration whose only route leads to a service.
@@ -59,7 +66,7 @@
 
 // putReplica writes the registration of the replica.
 func (rig *restoreRig) putReplica(draining bool, sequence int) {
-	rig.store.PutReplica("i-1", "s", host(rig.replica), draining, sequence, 1)
+	rig.store.PutReplica("i-1", "s", host(rig.replica), "z", draining, sequence, 1)
 }
 
 // waitForStatus waits until calls through the front get a status, and fails the test after a few seconds.
