--- a/evac/evac_test.go
+++ b/evac/evac_test.go
@@ -203,3 +203,13 @@
 	trk.List([]string{"a", "b"}, at(1, 3))
 	iis.True(trk.evacuated("a", "b"))
 }
+
+// BenchmarkMerge measures what a full update of a peer costs while two data centres are evacuated.
+func BenchmarkMerge(b *testing.B) {
+	trk := newTracked()
+	trk.List([]string{"data-centre-1", "data-centre-2"}, at(1, 5))
+	sta, _ := trk.State()
+	for b.Loop() {
+		trk.Merge(sta)
+	}
+}
--- a/fleet/evacuate_test.go
+++ b/fleet/evacuate_test.go
@@ -95,3 +95,20 @@
 	tsk.End()
 	iis.True(!rep.TakesQueries())
 }
+
+// BenchmarkCellViews measures what a call costs in a cell of the target's size, of which a data centre is evacuated or
+// none.
+func BenchmarkCellViews(b *testing.B) {
+	for name, evacuated := range map[string][]string{"none": nil, "another": {"b"}, "own": {"a"}} {
+		b.Run(name, func(b *testing.B) {
+			flt, _, _ := newFleet()
+			registerIn(flt, "a", 1714)
+			registerIn(flt, "b", 1714)
+			flt.SetEvacuated(evacuated)
+			set := flt.ReplicaSet("s")
+			for b.Loop() {
+				set.CellViews("a")
+			}
+		})
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,7 @@
 	invariantCrashes     = "a call that crashes replicas is refused"
 	invariantLeaving     = "a replica that says that it leaves gets no new calls"
 	invariantPause       = "a replica that asks for a pause gets two calls at most"
+	invariantEvacuated   = "replicas in an evacuated data centre get no calls"
 )
 
 // slack is added to time limits, because a busy machine may delay what this process observes.
@@ -64,6 +65,8 @@
 	removedSince  map[string]time.Time // when the registration was removed, by ID of a replica that did not drain
 	publishTimes  []time.Time          // of each configuration version, the first at index 0
 	faults        []interval
+	evacuations   []evacuation
+	restoreGaps   []interval             // from each restore amid faults until lost records were written again
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
 	checkCounts   map[string]int         // by invariant
 	violations    []string
@@ -143,6 +146,7 @@
 	chk.verifyConfigOrder()
 	chk.verifyCrashes()
 	chk.verifyNotices()
+	chk.verifyEvacuations()
 	chk.verifyLeaving(invariantDrain, chk.drainingSince)
 	chk.verifyLeaving(invariantRemoved, chk.removedSince)
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -64,6 +64,14 @@
 				chk.recordCall(call{id: id})
 			}
 		},
+		invariantEvacuated: func(chk *checker) {
+			chk.evacuations = []evacuation{{dataCentre: "y", interval: interval{at(0), at(time.Minute)}}}
+			for _, replica := range []string{"i-1-y", "i-2-z"} {
+				chk.observer().OnArrival(plsim.Arrival{Replica: replica, At: at(evacuationTime + time.Second)})
+			}
+			chk.observer().OnArrival(plsim.Arrival{Replica: "i-1-y", At: at(time.Second)}) // in time
+			chk.observer().OnArrival(plsim.Arrival{Replica: "i-1-y", At: at(2 * time.Minute)})
+		},
 		invariantDrain: func(chk *checker) {
 			chk.drainingSince["i"] = at(0)
 			chk.observer().OnArrival(plsim.Arrival{Replica: "i", At: at(drainTime + time.Second)})
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -55,7 +55,7 @@
 	sok.live = slices.DeleteFunc(sok.live, func(rep *replica) bool { return rep.id == run.Replica })
 	sok.mu.Unlock()
 	time.AfterFunc(replicaStartTime, func() {
-		if err := sok.addReplica(run.Service); err != nil {
+		if err := sok.addReplica(run.Service, dataCentreOf(run.Replica)); err != nil {
 			sok.recordUnexpected(err)
 		}
 	})
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -8,11 +8,13 @@
 	"github.com/tarragonwheel/tarragonwheel/platform/plsim"
 )
 
-// runPlannedPhase waits until the last faults have settled and then makes planned changes only: a new configuration, a
-// replica that drains, one that says that it leaves, one that asks for a pause, and the planned restart of a front.
+// runPlannedPhase waits until the last faults have settled and then makes planned changes only: a new configuration, an
+// evacuation, a replica that drains, one that says that it leaves, one that asks for a pause, and the planned restart
+// of a front.
 func (sok *Soak) runPlannedPhase() {
 	time.Sleep(settleTime + 2*time.Second) // Checks also cover the time shortly before a change.
 	sok.publishConfig()
+	sok.evacuate()
 	sok.drainReplica()
 	sok.leaveReplica()
 	sok.pauseReplica(pauses[sok.rnd.IntN(len(pauses))], plannedPauseTime)
@@ -23,7 +25,8 @@
 // drainReplica registers a replica as draining, and removes and stops it later. The replica itself says nothing of it.
 func (sok *Soak) drainReplica() {
 	rep := sok.replaceReplica()
-	sok.store.PutReplica(rep.id, rep.service, rep.route.Address(), true, 2, time.Now().UnixMilli())
+	sok.store.PutReplica(
+		rep.id, rep.service, rep.route.Address(), dataCentreOf(rep.id), true, 2, time.Now().UnixMilli())
 	sok.chk.mu.Lock()
 	sok.chk.drainingSince[rep.id] = time.Now()
 	sok.chk.mu.Unlock()
@@ -74,7 +77,7 @@
 func (sok *Soak) injectFault(remaining time.Duration) {
 	frt := sok.fronts[sok.rnd.IntN(len(sok.fronts))]
 	dur := min(time.Duration(200+sok.rnd.IntN(2000))*time.Millisecond, max(remaining, 0))
-	switch sok.rnd.IntN(17) {
+	switch sok.rnd.IntN(18) {
 	case 0, 1:
 		sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[sok.rnd.IntN(2)]
 		go sok.restart(frt, sig)
@@ -109,6 +112,8 @@
 		sok.pauseReplica(pauses[sok.rnd.IntN(len(pauses))], dur)
 	case 16:
 		sok.disturbAfterNotice(frt, dur)
+	default:
+		sok.evacuate()
 	}
 }
 
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -15,6 +15,7 @@
 	copied := time.Now().Add(-time.Duration(sok.rnd.Int64N(int64(maxCopyAge))))
 	sok.store.SetDown(true)
 	time.AfterFunc(dur, func() {
+		sok.chk.recordRestore()
 		sok.store.Restore(copied)
 		sok.store.SetDown(false)
 		time.AfterFunc(rewriteDelay, func() {
@@ -48,3 +49,11 @@
 	sok.chk.mu.Unlock()
 	time.AfterFunc(2*drainTime, rep.server.Stop)
 }
+
+// recordRestore records that the store is restored now.
+func (chk *checker) recordRestore() {
+	now := time.Now()
+	chk.mu.Lock()
+	defer chk.mu.Unlock()
+	chk.restoreGaps = append(chk.restoreGaps, interval{now, now.Add(rewriteDelay)})
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,7 @@
 	configVersion int          // last one published
 	faultPhases   atomic.Int64 // started so far
 	lying         atomic.Bool  // a replica falsely says that it leaves
+	evacuating    atomic.Bool  // a data centre is evacuated
 	mu            sync.Mutex
 	replicaCount  int        // replicas started so far, numbers their IDs; guarded by mu
 	live          []*replica // guarded by mu
@@ -70,7 +71,7 @@
 
 // Size of the fleet, and durations of calls and phases. A round of the soak has a planned phase and a fault phase.
 const (
-	replicasPerService = 2
+	replicasPerService = 2 // one in each data centre
 	callTimeout        = 4 * time.Second
 	serviceTime        = 20 * time.Millisecond // that a replica works on a call without a stream
 	plannedPhaseTime   = 5 * time.Second       // planned changes only, no faults
@@ -106,6 +107,7 @@
 	}
 	stopClients()
 	clients.Wait()
+	sok.awaitReturn()
 	sok.checkRecovery(ctx)
 	sok.chk.verifyAll()
 	return sok.report()
@@ -128,7 +130,7 @@
 	}
 	sok.publishConfig()
 	for num := range serviceCount * replicasPerService {
-		if err := sok.addReplica(serviceOf(num)); err != nil {
+		if err := sok.addReplica(serviceOf(num), dataCentres[num/serviceCount]); err != nil {
 			return err
 		}
 	}
@@ -167,10 +169,10 @@
 }
 
 // addReplica starts a replica behind a proxy route and registers it.
-func (sok *Soak) addReplica(srv string) error {
+func (sok *Soak) addReplica(srv, dataCentre string) error {
 	sok.mu.Lock()
 	sok.replicaCount++
-	id := fmt.Sprint("i-", sok.replicaCount)
+	id := fmt.Sprint("i-", sok.replicaCount, "-", dataCentre)
 	sok.mu.Unlock()
 	obs := sok.chk.observer()
 	obs.OnCrash = sok.replaceCrashed
@@ -182,7 +184,7 @@
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
-	sok.store.PutReplica(id, srv, rte.Address(), false, 1, time.Now().UnixMilli())
+	sok.store.PutReplica(id, srv, rte.Address(), dataCentre, false, 1, time.Now().UnixMilli())
 	sok.mu.Lock()
 	defer sok.mu.Unlock()
 	sok.live = append(sok.live, &replica{id: id, service: srv, server: srr, route: rte})
@@ -196,7 +198,7 @@
 	rep := sok.live[idx]
 	sok.live = append(sok.live[:idx:idx], sok.live[idx+1:]...)
 	sok.mu.Unlock()
-	if err := sok.addReplica(rep.service); err != nil {
+	if err := sok.addReplica(rep.service, dataCentreOf(rep.id)); err != nil {
 		sok.recordUnexpected(err)
 	}
 	return rep
@@ -241,7 +243,8 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
-		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantNoExit,
+		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantEvacuated,
+		invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
