--- a/relay/claim.go
+++ b/relay/claim.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// minClaimPrefill is the prefill time from which a prompt is claimed before it is sent: it occupies its replicas for
-	// longer than the latency target of short calls.
+	// minClaimPrefill is the prefill time from which a prompt is claimed before it is sent: it occupies its replicas
+	// for longer than the latency target of short calls.
 	minClaimPrefill = 500 * time.Millisecond
 	// maxClaims bounds the claims of a call, so that it does not yield again and again.
 	maxClaims = 4
 )
 
-// claim announces the tasks of a long prompt, waits until claims of other processes for the same replicas have arrived,
-// and returns whether the call keeps its placement, which was chosen from views of the given time. If not, the call must
-// be placed again, with the others' tasks in view.
+// claim announces the tasks of a long prompt and waits until claims of other processes for the same replicas have
+// arrived. It returns whether the call keeps its placement, which was chosen from views of the given time. If not, the
+// call must be placed again, with the others' tasks in view.
 func (hdl *callHandler) claim(plc *place.Placement, viewedAt time.Time) bool {
 	wait := hdl.opts.ClaimTime
 	if wait <= 0 || hdl.claims >= maxClaims || hdl.totalPrefill(plc) < minClaimPrefill {
--- a/relay/faulty_test.go
+++ b/relay/faulty_test.go
@@ -29,8 +29,8 @@
 	return &replica{addr: lis.Addr().String()}
 }
 
-// newSplitRig starts a relay for prompts that no replica can hold alone.
-func newSplitRig(t *testing.T, reserve func(rsv relay.Reservation) error, replicas ...*replica) *rig {
+// newHelperRig starts a relay for prompts that no replica can hold alone.
+func newHelperRig(t *testing.T, reserve func(rsv relay.Reservation) error, replicas ...*replica) *rig {
 	t.Helper()
 	rig := newRig(t, replicas...)
 	rig.opts.Reserver = relay.NewReserver(timer.New(), logr.Discard(), relay.ReplicaAPI{
@@ -67,7 +67,7 @@
 		return stream(con, req, 1, 3, true)
 	}
 	accept := func(relay.Reservation) error { return nil }
-	rig := newSplitRig(t, accept, ended, newReplica(t, serve), newReplica(t, serve), newReplica(t, serve))
+	rig := newHelperRig(t, accept, ended, newReplica(t, serve), newReplica(t, serve), newReplica(t, serve))
 	for range 5 {
 		res := rig.sendSplitPrompt(t)
 		_ = res.Body.Close()
@@ -94,7 +94,7 @@
 		failed[rsv.Replica]++
 		return errors.New("memory is not free")
 	}
-	rig := newSplitRig(t, reserve,
+	rig := newHelperRig(t, reserve,
 		newReplica(t, serve), newReplica(t, serve), newReplica(t, serve), newReplica(t, serve))
 	for range 3 {
 		mu.Lock()
