Send calls only to replicas in the regions that route and account allow

The configuration of a deployment may restrict the calls of a route or of an account to regions (AllowedRegions), and the settings of a front list the region of each data centre (regions in [front], rendered from Zones). Fronts ignored both, so that a restricted call could reach any replica.

A data centre without a known region is never allowed. Each placement uses the newest configuration, also that of a stream that has begun with an older one.

Tested: rules, config, fleet, platform, front, peers and relay.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -56,6 +56,11 @@
 		"not an IP":       {strings.Replace(validEntry, "127.0.0.1", "host", 1), `"host" is not an IP address`},
 		"not a duration":  {validEntry + "[entry]\ntime-limit = 30\n", "[entry] time-limit: \"30\" is not a duration"},
 		"out of range":    {validEntry + "[entry]\nmax-body = 1\n", "not a whole number from 1024"},
+		"no region":       {validEntry + "[front]\nregions = dc-1:r,dc-2\n", `[front] regions: "dc-2" is not DATA`},
+		"empty region":    {validEntry + "[front]\nregions = dc-1:\n", `"dc-1:" is not DATA-CENTRE:REGION`},
+		"empty pair":      {validEntry + "[front]\nregions = dc-1:r,\n", `"" is not DATA-CENTRE:REGION`},
+		"two regions":     {validEntry + "[front]\nregions = dc-1:r:s\n", `"dc-1:r:s" is not DATA-CENTRE:REGION`},
+		"same twice":      {validEntry + "[front]\nregions = dc-1:r,dc-1:s\n", `"dc-1" is given twice`},
 		"not a number":    {validEntry + "[agent]\nshort-bias = NaN\n", "is not a number"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,6 +88,22 @@
 	is.Equal(config.EntryTimeLimit.Of(set), 120*time.Second)
 }
 
+// TestRegions guards against regions that are lost or confused, and against an error for a deployment without any,
+// whose template renders an empty value.
+func TestRegions(t *testing.T) {
+	for text, want := range map[string]map[string]string{
+		"":                                     {},
+		"[front]\nregions = \n":                {},
+		"[front]\nregions = dc-1:r\n":          {"dc-1": "r"},
+		"[front]\nregions = dc-1:r, dc-2:s \n": {"dc-1": "r", "dc-2": "s"},
+	} {
+		is := is.New(t)
+		set, err := config.Parse(validEntry+text, "entry")
+		is.NoErr(err)
+		is.Equal(config.FrontRegions.Of(set), want)
+	}
+}
+
 // TestBadSecretsAreRefusedWithoutShowingThem guards against bearer keys that appear in an error message, that are too
 // short, or that belong to two accounts.
 func TestBadSecretsAreRefusedWithoutShowingThem(t *testing.T) {
--- a/config/keys_front.go
+++ b/config/keys_front.go
@@ -50,4 +50,8 @@
 		section: "front", name: "repeat-window", defaultValue: "10s",
 		help: "time over which retries are counted",
 	}, time.Second, time.Hour)
+	FrontRegions = pairsKey(definition{
+		section: "front", name: "regions", allowed: "DATA-CENTRE:REGION, separated by commas",
+		help: "region of each data centre; one that is missing is in no region that a route or account allows",
+	})
 )
--- a/config/types.go
+++ b/config/types.go
@@ -74,6 +74,28 @@
 	})
 }
 
+// pairsKey registers a key whose values are pairs of different names, such as "a:x,b:y".
+func pairsKey(def definition) Key[map[string]string] {
+	return declare(def, func(text string) (map[string]string, error) {
+		pairs := make(map[string]string)
+		if text == "" {
+			return pairs, nil
+		}
+		for _, part := range strings.Split(text, ",") {
+			name, val, found := strings.Cut(part, ":")
+			name, val = strings.TrimSpace(name), strings.TrimSpace(val)
+			if !found || name == "" || val == "" || strings.Contains(val, ":") {
+				return nil, trace.BadParameter("%q is not %s", part, def.allowed)
+			}
+			if _, ok := pairs[name]; ok {
+				return nil, trace.BadParameter("%q is given twice", name)
+			}
+			pairs[name] = val
+		}
+		return pairs, nil
+	})
+}
+
 func checkAddress(text string) error {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil {
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -56,14 +56,17 @@
 	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.takesCalls(now) })
 }
 
-// CellViews returns a view of each replica that takes calls in the cell of a data centre. It also reports whether the
-// service has replicas in other cells.
-func (set *ReplicaSet) CellViews(dataCentre string) (list []View, hasMore bool) {
+// CellViews returns a view of each replica that takes calls in the cell of a data centre and in one of the allowed data
+// centres. It also reports whether the service has replicas in other cells that are in allowed ones.
+func (set *ReplicaSet) CellViews(dataCentre string, allowed DataCentres) (list []View, hasMore bool) {
 	set.mu.Lock()
 	own := set.cellLocked(dataCentre)
 	set.mu.Unlock()
 	now := set.clock.Now()
 	list = set.viewsIf(func(cell string, rep *Replica) bool {
+		if !allowed.has(rep.reg.DataCentre) {
+			return false
+		}
 		hasMore = hasMore || cell != own
 		return cell == own && rep.takesCalls(now)
 	})
@@ -71,27 +74,29 @@
 }
 
 // WiderViews returns a view of each replica that takes calls in the cell of a data centre and of some in other cells,
-// chosen at random.
+// chosen at random, all of them in allowed data centres.
 // The processes of a cell know those only by summaries. If they all considered all of them, they would choose the same
 // few in the time between two summaries. Replicas elsewhere whose load is not known are left out, unless there are no
 // others.
-func (set *ReplicaSet) WiderViews(dataCentre string) []View {
+func (set *ReplicaSet) WiderViews(dataCentre string, allowed DataCentres) []View {
 	set.mu.Lock()
 	own := set.cellLocked(dataCentre)
-	chosen := set.sampleElsewhereLocked(own)
+	chosen := set.sampleElsewhereLocked(own, allowed)
 	set.mu.Unlock()
 	now := set.clock.Now()
 	return set.viewsIf(func(cell string, rep *Replica) bool {
-		return (cell == own || chosen[rep]) && rep.takesCalls(now)
+		return (cell == own || chosen[rep]) && allowed.has(rep.reg.DataCentre) && rep.takesCalls(now)
 	})
 }
 
-// sampleElsewhereLocked returns some replicas outside a cell, chosen at random. The caller holds the lock.
-func (set *ReplicaSet) sampleElsewhereLocked(own string) map[*Replica]bool {
+// sampleElsewhereLocked returns some replicas in allowed data centres outside a cell, chosen at random. The caller
+// holds the lock.
+func (set *ReplicaSet) sampleElsewhereLocked(own string, allowed DataCentres) map[*Replica]bool {
 	now := set.clock.Now()
 	var known, unknown []*Replica
 	for _, rep := range set.replicas {
 		switch cell := set.cellLocked(rep.reg.DataCentre); {
+		case !allowed.has(rep.reg.DataCentre):
 		case cell == own || rep.reg.Draining || !rep.takesCalls(now):
 		case cell == commonCell || rep.summary.fresh(now):
 			known = append(known, rep)
--- a/fleet/cell_test.go
+++ b/fleet/cell_test.go
@@ -28,15 +28,15 @@
 	addReplicas(flt, "small", 10)
 	addReplicas(flt, "tiny", 4)
 	set := flt.ReplicaSet("s")
-	list, hasMore := set.CellViews("large")
+	list, hasMore := set.CellViews("large", nil)
 	iis.Equal(len(list), 30)
 	iis.True(hasMore)
 	iis.Equal(list[0].Cell, "large")
-	list, hasMore = set.CellViews("small")
+	list, hasMore = set.CellViews("small", nil)
 	iis.Equal(len(list), 14)
 	iis.True(hasMore)
 	iis.Equal(list[0].Cell, "")
-	list, _ = set.CellViews("unknown")
+	list, _ = set.CellViews("unknown", nil)
 	iis.Equal(len(list), 14)
 	iis.True(flt.IsCell("large"))
 	iis.True(!flt.IsCell("small"))
@@ -110,7 +110,7 @@
 	elsewhere := make(map[string]int)
 	for range 50 {
 		own := 0
-		for _, vie := range flt.ReplicaSet("s").WiderViews("own") {
+		for _, vie := range flt.ReplicaSet("s").WiderViews("own", nil) {
 			if vie.Cell == "own" {
 				own++
 				continue
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -81,9 +81,11 @@
 	return now.Sub(ntc.leavingAt) > doubtDrainTimes*evi.DrainTime && evi.RegistrationsAge < evi.DrainTime
 }
 
-// LastResortViews returns a view of each replica of the service that may serve a call that would be refused otherwise,
-// although the replica has said that it leaves.
-func (set *ReplicaSet) LastResortViews(evi Evidence) []View {
+// LastResortViews returns a view of each replica of the service in allowed data centres that may serve a call that
+// would be refused otherwise, although the replica has said that it leaves.
+func (set *ReplicaSet) LastResortViews(evi Evidence, allowed DataCentres) []View {
 	now := set.clock.Now()
-	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.notices.mayServe(evi, now) })
+	return set.viewsIf(func(_ string, rep *Replica) bool {
+		return allowed.has(rep.reg.DataCentre) && rep.notices.mayServe(evi, now)
+	})
 }
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -102,7 +102,7 @@
 			man.Advance(tst.after)
 			views := flt.ReplicaSet("s").LastResortViews(fleet.Evidence{
 				ArrivedAt: fleetStart.Add(tst.after - tst.waited), DrainTime: drainTime, RegistrationsAge: tst.regsAge,
-			})
+			}, nil)
 			iis.Equal(len(views), tst.want)
 		})
 	}
@@ -121,7 +121,7 @@
 	iis.True(!isNew)
 	iis.Equal(len(flt.ReplicaSet("s").LastResortViews(fleet.Evidence{
 		ArrivedAt: fleetStart.Add(drainTime), DrainTime: drainTime, RegistrationsAge: math.MaxInt64,
-	})), 0)
+	}, nil)), 0)
 }
 
 // TestPauseOnlyGrows guards against calls within a pause that a replica has asked for, because it has asked for a
@@ -137,7 +137,8 @@
 	man.Advance(3*time.Second - time.Millisecond)
 	iis.Equal(usableReplicas(flt), 0)
 	iis.True(rep.Paused())
-	iis.Equal(len(flt.ReplicaSet("s").LastResortViews(fleet.Evidence{ArrivedAt: fleetStart, DrainTime: drainTime})), 0)
+	evi := fleet.Evidence{ArrivedAt: fleetStart, DrainTime: drainTime}
+	iis.Equal(len(flt.ReplicaSet("s").LastResortViews(evi, nil)), 0)
 	man.Advance(time.Millisecond)
 	iis.Equal(usableReplicas(flt), 1)
 }
@@ -147,7 +148,7 @@
 func TestShortage(t *testing.T) {
 	iis := is.New(t)
 	flt, man, _ := newFleet()
-	_, isShort := flt.ReplicaSet("s").Shortage()
+	_, isShort := flt.ReplicaSet("s").Shortage(nil)
 	iis.True(!isShort) // There is no replica.
 	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
 		flt.UpdateRegistration(registration(id, 1, 1))
@@ -158,11 +159,11 @@
 			vie.Replica.RecordPause(pauses[vie.ID])
 		}
 	}
-	_, isShort = flt.ReplicaSet("s").Shortage()
+	_, isShort = flt.ReplicaSet("s").Shortage(nil)
 	iis.True(!isShort) // One replica takes calls.
 	man.Advance(time.Second)
 	onlyReplica(t, flt).RecordLeaving()
-	sho, isShort := flt.ReplicaSet("s").Shortage()
+	sho, isShort := flt.ReplicaSet("s").Shortage(nil)
 	iis.True(isShort)
 	iis.Equal(sho.Leaving, 1)
 	iis.Equal(len(sho.Pauses), 3)
@@ -196,7 +197,7 @@
 	man.Advance(time.Hour)
 	views := flt.ReplicaSet("s").LastResortViews(fleet.Evidence{
 		ArrivedAt: fleetStart.Add(time.Hour), DrainTime: drainTime, RegistrationsAge: math.MaxInt64,
-	})
+	}, nil)
 	iis.Equal(len(views), 1)
 	isNew, isNewToPeers := rep.RecordLeaving()
 	iis.True(isNew)
--- a/fleet/shortage.go
+++ b/fleet/shortage.go
@@ -9,8 +9,9 @@
 	Pauses    []time.Duration // remaining pauses of the other replicas
 }
 
-// Shortage returns why no replica of the service takes calls. It returns false if one does, or if there is none.
-func (set *ReplicaSet) Shortage() (Shortage, bool) {
+// Shortage returns why no replica of the service in allowed data centres takes calls. It returns false if one does, or
+// if there is none.
+func (set *ReplicaSet) Shortage(allowed DataCentres) (Shortage, bool) {
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	var sho Shortage
@@ -18,7 +19,7 @@
 	for _, rep := range set.replicas {
 		ntc := rep.notices
 		switch {
-		case rep.reg.Draining:
+		case rep.reg.Draining || !allowed.has(rep.reg.DataCentre):
 		case rep.takesCalls(now):
 			return Shortage{}, false
 		case ntc.leaving():
--- a/front/front.go
+++ b/front/front.go
@@ -132,6 +132,7 @@
 		LoadUnknown:           frt.loadUnknown,
 		Policy:                place.PolicyFor(config.FrontPlacement.Of(frt.startSettings)),
 		DataCentre:            config.ProcessDataCentre.Of(frt.startSettings),
+		Regions:               frt.regions,
 		BufferBytes:           int64(config.FrontMemory.Of(frt.startSettings)) * bytesPerMB / bufferShare,
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
--- a/front/reload.go
+++ b/front/reload.go
@@ -15,8 +15,9 @@
 const reloadInterval = 2 * time.Second
 
 // WatchSettings starts to reload the settings file whenever its content has changed. It checks the file every
-// reloadInterval, and at once on a signal. Only the grace time and the retry limits take effect without a restart;
-// addresses, the name of the process and all other settings keep the values from its start.
+// reloadInterval, and at once on a signal. Only the grace time, the retry limits and the regions of data centres
+// take effect without a restart; addresses, the name of the process and all other settings keep the values from its
+// start.
 func (frt *Front) WatchSettings(file string, signals <-chan os.Signal) {
 	last, err := os.ReadFile(file) //nolint:gosec // The path is the process's own argument.
 	if err != nil {
@@ -76,3 +77,6 @@
 		Window: config.FrontRetryWindow.Of(set),
 	}
 }
+
+// regions returns the region of each data centre in the current settings.
+func (frt *Front) regions() map[string]string { return config.FrontRegions.Of(frt.settings.Load()) }
--- a/peers/cell_test.go
+++ b/peers/cell_test.go
@@ -27,7 +27,7 @@
 
 // replicaIn returns the first replica in a data centre and its view.
 func (prc *process) replicaIn(dataCentre string) (*fleet.Replica, fleet.View) {
-	list, _ := prc.flt.ReplicaSet("s").CellViews(dataCentre)
+	list, _ := prc.flt.ReplicaSet("s").CellViews(dataCentre, nil)
 	return list[0].Replica, list[0]
 }
 
@@ -80,7 +80,7 @@
 	}
 	iis.NoErr(one.exc.AddPeer(other.addr))
 	known := func() (num int) {
-		list, _ := other.flt.ReplicaSet("s").CellViews("a")
+		list, _ := other.flt.ReplicaSet("s").CellViews("a", nil)
 		for _, vie := range list {
 			if vie.SummaryAge > 0 {
 				num++
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -253,7 +253,7 @@
 		hdl.sendError(http.StatusServiceUnavailable, reason,
 			withJitter(minOverloadRetryAfter, overloadRetryAfterJitter))
 	case hdl.possibleRuns == 0:
-		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.replicaRetryAfter())
+		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.replicaRetryAfter(reason))
 	case reason == reasonTimeLimit:
 		hdl.sendError(http.StatusGatewayTimeout, reason, 0)
 	default:
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -62,13 +62,13 @@
 
 // placeAtLastResort places the call on replicas that have said that they leave, if all other replicas of the service
 // leave or pause as well. If the call cannot be placed, it returns the reason.
-func (hdl *callHandler) placeAtLastResort(left time.Duration) (place.Placement, string) {
+func (hdl *callHandler) placeAtLastResort(left time.Duration, allowed fleet.DataCentres) (place.Placement, string) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
-	sho, isShort := reps.Shortage()
+	sho, isShort := reps.Shortage(allowed)
 	if !isShort {
-		return place.Placement{}, reasonNoReplica
+		return place.Placement{}, hdl.noReplicaReason(reps, allowed)
 	}
-	views := slices.DeleteFunc(reps.LastResortViews(hdl.evidence()), func(vie fleet.View) bool {
+	views := slices.DeleteFunc(reps.LastResortViews(hdl.evidence(), allowed), func(vie fleet.View) bool {
 		return slices.Contains(hdl.triedReplicas, vie.ID)
 	})
 	plc, ok := hdl.placeOn(reps, views, left)
@@ -98,8 +98,11 @@
 
 // replicaRetryAfter returns the Retry-After time of a call that no replica has taken. If all replicas have asked for a
 // pause, it is the time until one of them takes calls again.
-func (hdl *callHandler) replicaRetryAfter() time.Duration {
-	sho, isShort := hdl.opts.Fleet.ReplicaSet(hdl.service).Shortage()
+func (hdl *callHandler) replicaRetryAfter(reason string) time.Duration {
+	if reason == reasonNoReplicaInRegion { // Replicas take seconds to start.
+		return withJitter(minOutageRetryAfter, outageRetryAfterJitter)
+	}
+	sho, isShort := hdl.opts.Fleet.ReplicaSet(hdl.service).Shortage(hdl.allowedDataCentres())
 	if !isShort {
 		return randomRetryAfter()
 	}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -27,23 +27,24 @@
 	if hdl.crashesReplicas() {
 		return place.Placement{}, reasonCrashesReplicas
 	}
-	plc, ok := hdl.placeInCells(left)
+	allowed := hdl.allowedDataCentres()
+	plc, ok := hdl.placeInCells(left, allowed)
 	if !ok {
-		return hdl.placeAtLastResort(left)
+		return hdl.placeAtLastResort(left, allowed)
 	}
 	return plc, ""
 }
 
-// placeInCells places the call in the cell of this process. If that cell cannot serve it well, all replicas are
-// considered.
-func (hdl *callHandler) placeInCells(left time.Duration) (place.Placement, bool) {
+// placeInCells places the call in the cell of this process. If that cell cannot serve it well, all replicas in allowed
+// data centres are considered.
+func (hdl *callHandler) placeInCells(left time.Duration, allowed fleet.DataCentres) (place.Placement, bool) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
-	views, hasMore := reps.CellViews(hdl.opts.DataCentre)
+	views, hasMore := reps.CellViews(hdl.opts.DataCentre, allowed)
 	plc, ok := hdl.placeOn(reps, views, left)
 	if !hasMore || (ok && !plc.ShouldLookElsewhere()) {
 		return plc, ok
 	}
-	wide, wideOK := hdl.placeOn(reps, reps.WiderViews(hdl.opts.DataCentre), left)
+	wide, wideOK := hdl.placeOn(reps, reps.WiderViews(hdl.opts.DataCentre, allowed), left)
 	if !wideOK || (ok && plc.Penalty <= wide.Penalty) {
 		return plc, ok
 	}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -15,6 +15,7 @@
 	reasonBodyTooLarge      = "body-too-large"
 	reasonBodyIncomplete    = "body-incomplete"
 	reasonNoReplica         = "no-replica"
+	reasonNoReplicaInRegion = "no-replica-in-region"
 	reasonOverload          = "overload"
 	reasonReplicasPause     = "replicas-pause"
 	reasonReplicasLeave     = "replicas-leave"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,8 @@
 	BudgetSharers func() int                // number of processes that share the retry budget
 	Policy        place.Policy              // places calls on engines
 	DataCentre    string                    // of this process
+	// Regions returns the region of each data centre, as far as they are known; nil if none is.
+	Regions func() map[string]string
 	// BufferBytes bounds the bodies and events of all calls together that are held in memory; 0 for a default.
 	BufferBytes int64
 	// ReservationUseTimeout is the time within which a call must use the KV memory reserved for it; else the attempt is
--- a/review/standin/front.go
+++ b/review/standin/front.go
@@ -51,6 +51,7 @@
 		"{{Limits.MemoryMb}}", "284", "{{Bounds.GraceS}}", "8", "{{Bounds.IdleMaxMs}}", "9000",
 		"{{Bounds.DrainMs}}", "2000", "{{Bounds.ConfigApplyMs}}", "2000", "{{Bounds.RetryBudgetRatio}}", "0.2",
 		"{{Bounds.BudgetExtra}}", "102", "{{Bounds.BudgetWindowS}}", "10",
+		"{{#Zones}}{{@}}:{{.}}{{,}}{{/Zones}}", zone+":west",
 	).Replace(string(template))
 	settings := filepath.Join(dir, name+".ini")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -40,6 +40,7 @@
 	Anonymous         bool          // calls need no API key
 	Resumable         bool          // a stream can be continued by another replica
 	Targets           []Target
+	AllowedRegions    []string // regions whose replicas may get the calls; empty for all
 }
 
 // IsStream reports whether responses are streams of events.
@@ -86,8 +87,9 @@
 
 // Account is a client account.
 type Account struct {
-	Name string
-	Keys []string
+	Name           string
+	Keys           []string
+	AllowedRegions []string // regions whose replicas may get the account's calls; empty for all
 }
 
 // Limits bound the size of requests, the time to send their headers, and how long connections of clients may be idle.
@@ -114,6 +116,7 @@
 	routes         map[string][]*Route      // by host, longest prefix first
 	services       map[string]*Service      // by name
 	accounts       map[string]string        // account name by API key
+	regions        map[string][]string      // allowed regions by API key, of accounts that restrict them
 	noAccounts     bool                     // no account is configured, so no call needs a key
 	latencyTargets map[string]time.Duration // shortest of the streaming routes, by service name
 }
@@ -125,6 +128,7 @@
 		routes:         make(map[string][]*Route),
 		services:       make(map[string]*Service),
 		accounts:       make(map[string]string),
+		regions:        make(map[string][]string),
 		latencyTargets: make(map[string]time.Duration),
 	}
 	for idx := range spc.Routes {
@@ -139,6 +143,9 @@
 	for _, acc := range spc.Accounts {
 		for _, key := range acc.Keys {
 			set.accounts[key] = acc.Name
+			if delete(set.regions, key); len(acc.AllowedRegions) > 0 {
+				set.regions[key] = acc.AllowedRegions
+			}
 		}
 	}
 	return set
