Test that wider placements and samples keep to allowed regions

Two mutations of the filter passed the tests: a sample of other cells drawn from all replicas, and a wider placement that considers all of them. The tests had no allowed replica in another cell, or none beside others whose load is known.

--- a/relay/region_test.go
+++ b/relay/region_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -158,6 +159,37 @@
 	}
 }
 
+// TestWiderPlacementStaysInAllowedRegions guards against a call that is placed in another cell outside the allowed
+// regions, because the replicas in the own cell cannot serve it.
+func TestWiderPlacementStaysInAllowedRegions(t *testing.T) {
+	for name, allowed := range map[string][]string{"restricted": {"north"}, "not restricted": nil} {
+		t.Run(name, func(t *testing.T) {
+			iis := is.New(t)
+			north, south := newReplica(t, refuse), newReplica(t, serveOK)
+			rig := newRegionRig(t, north, south, north)
+			for dataCentre, rep := range map[string]*replica{"south-1": south, "north-2": north} {
+				for idx := range 30 { // The data centre becomes a cell of its own.
+					rig.flt.UpdateRegistration(fleet.Registration{
+						ID: fmt.Sprint("i-", dataCentre, idx), Service: "s", Address: rep.addr, DataCentre: dataCentre,
+						Slots: 4, Sequence: 1,
+					})
+				}
+			}
+			rig.opts.Regions = func() map[string]string {
+				return map[string]string{"north-1": "north", "north-2": "north", "south-1": "south"}
+			}
+			rig.opts.DataCentre = "north-1"
+			rig.start(t)
+			rig.rules.Store(restrictedRules(allowed, nil))
+			for range 5 {
+				_, _, err := rig.send(t, "/safe/x")
+				iis.NoErr(err)
+			}
+			iis.Equal(south.calls.Load() > 0, allowed == nil)
+		})
+	}
+}
+
 // TestRetryFollowsChangedRegions guards against a retry in a region that a newer configuration does not allow any more,
 // and against a refusal of one in a region that it has begun to allow.
 func TestRetryFollowsChangedRegions(t *testing.T) {
--- a/rules/region_test.go
+++ b/rules/region_test.go
@@ -23,10 +23,10 @@
 		route, account []string
 		want           map[string]bool // by region; the empty one is unknown
 	}{
-		"neither":        {nil, nil, map[string]bool{"north": true, "south": true, "": true}},
-		"empty lists":    {[]string{}, []string{}, map[string]bool{"north": true, "": true}},
-		"route":          {[]string{"north"}, nil, map[string]bool{"north": true, "south": false, "": false}},
-		"account":        {nil, []string{"south"}, map[string]bool{"north": false, "south": true, "": false}},
+		"neither":     {nil, nil, map[string]bool{"north": true, "south": true, "": true}},
+		"empty lists": {[]string{}, []string{}, map[string]bool{"north": true, "": true}},
+		"route":       {[]string{"north"}, nil, map[string]bool{"north": true, "south": false, "": false}},
+		"account":     {nil, []string{"south"}, map[string]bool{"north": false, "south": true, "": false}},
 		"both": {
 			[]string{"north", "south"}, []string{"south"}, map[string]bool{"north": false, "south": true, "": false},
 		},
