Check a configuration before it is sent

Operators could learn only from the fronts' logs that a configuration was ignored, or from refused calls that an entry of it had no effect.

tarragonwheel config check FILE [--against FILE] prints the findings of a configuration: routes for which fronts would ignore it, entries that never match, limits that contradict each other, weights below 1, keys of several accounts, regions without a common one.

The time limit of calls without a deadline of their own moves to rules, so that the check names the same one as the relay uses.

--- a/cmd/tarragonwheel/main.go
+++ b/cmd/tarragonwheel/main.go
@@ -29,6 +29,7 @@
 	Agent   *agentCommand   `arg:"subcommand:agent" help:"run an agent, which manages one upstream"`
 	Front   *frontCommand   `arg:"subcommand:front" help:"run a front, which serves callers on the users' platform"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file"`
+	Config  *configCommand  `arg:"subcommand:config" help:"commands for configurations of fronts"`
 	Sim     *simCommand     `arg:"subcommand:sim" help:"run a simulator of an external system"`
 	Plan    *planCommand    `arg:"subcommand:plan" help:"show what a declaration would change; changes nothing"`
 	Confirm *confirmCommand `arg:"subcommand:confirm" help:"apply a saved plan"`
--- a/fleet/region_test.go
+++ b/fleet/region_test.go
@@ -18,7 +18,7 @@
 	addReplicas(flt, "own", 30)
 	addReplicas(flt, "other", 90)
 	addReplicas(flt, "small", 2)
-	flt.ApplySummaries(flt.Summaries("other")) // Its replicas are as eligible for the sample as the small data centre's.
+	flt.ApplySummaries(flt.Summaries("other")) // Now its replicas may be in the sample too.
 	set := flt.ReplicaSet("s")
 	allowed := fleet.DataCentres{"small": true}
 	list, hasMore := set.CellViews("own", allowed)
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand"
 	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
 // Reasons why calls are refused, why attempts fail and how calls end, as they appear in error responses, logs and
@@ -37,7 +39,7 @@
 
 // Time limits of calls.
 const (
-	defaultTimeLimit = 60 * time.Second
+	defaultTimeLimit = rules.DefaultTimeLimit
 	// minAttemptTime is the remaining time below which a call is not sent to a replica.
 	minAttemptTime = 15 * time.Millisecond
 	// bodyTimeout bounds the time in which a client must send the body.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,6 +23,21 @@
 	Stream                    // a stream of events; at most once unless the route is resumable
 )
 
+// String returns the name of the kind.
+func (knd Kind) String() string {
+	switch knd {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "non-idempotent"
+	}
+}
+
+// DefaultTimeLimit is the time limit of a call whose client states none.
+const DefaultTimeLimit = 60 * time.Second
+
 // Route states which services get the calls to a host and path prefix, and how the calls are handled.
 type Route struct {
 	Name    string
