Print the changes of a configuration above the findings, with both versions

The versions were not named, and findings scrolled away above a long list of changes. Names of regions may have spaces; only an empty one or one with a colon or comma cannot match.

Tested: check and the subcommand.

--- a/check/check_test.go
+++ b/check/check_test.go
@@ -180,6 +180,10 @@
 			with(`"AllowedRegions":["r"]`), service, `{"Name":"n","ApiKeys":["k"],"AllowedRegions":["q"]}`,
 			"warning: account n: its calls to route chat are always refused",
 		},
+		"two regions in one": {
+			with(`"AllowedRegions":["r,q"]`), service, account,
+			`warning: route chat: allowed region "r,q" never matches`,
+		},
 		"empty region": {
 			with(`"AllowedRegions":[""]`), service, account,
 			`warning: route chat: allowed region "" never matches`,
--- a/check/entry.go
+++ b/check/entry.go
@@ -117,7 +117,7 @@
 
 func (fns *findings) checkRegionNames(place string, regions []string) {
 	for _, region := range regions {
-		if region == "" || strings.ContainsAny(region, ":, ") {
+		if region == "" || strings.ContainsAny(region, ":,") {
 			fns.add(Warning, place, "allowed region %q never matches because it is no name of a region; "+
 				"correct or remove it", region)
 		}
--- a/cmd/tarragonwheel/configcheck.go
+++ b/cmd/tarragonwheel/configcheck.go
@@ -27,25 +27,22 @@
 		return err
 	}
 	found := check.Draft(dft)
-	var changes []check.Change
+	var out strings.Builder
 	if cmd.Against != "" {
 		inForce, err := readDraft(cmd.Against)
 		if err != nil {
 			return err
 		}
 		found = check.Sort(append(found, check.Against(&inForce.Spec, &dft.Spec)...))
-		changes = check.Changes(&inForce.Spec, &dft.Spec)
-	}
-	var out strings.Builder
-	for _, fnd := range found {
-		line(&out, "%s", fnd)
-	}
-	if cmd.Against != "" {
-		line(&out, "%d changes to %s:", len(changes), cmd.Against)
+		changes := check.Changes(&inForce.Spec, &dft.Spec)
+		line(&out, "version %d changes %d entries of version %d", dft.Spec.Version, len(changes), inForce.Spec.Version)
 		for _, chg := range changes {
 			line(&out, "  %s", chg)
 		}
 	}
+	for _, fnd := range found {
+		line(&out, "%s", fnd)
+	}
 	if len(found) == 0 {
 		line(&out, "configuration is valid")
 	}
