--- a/fleet/evacuate_test.go
+++ b/fleet/evacuate_test.go
@@ -41,13 +41,13 @@
 	registerIn(flt, "c", 2)
 	set := flt.ReplicaSet("s")
 	for _, views := range [][]fleet.View{
-		set.Views(), set.WiderViews("a"), set.WiderViews("b"), set.WiderViews("c"),
-		set.LastResortViews(fleet.Evidence{ArrivedAt: fleetStart, DrainTime: drainTime}),
+		set.Views(), set.WiderViews("a", nil), set.WiderViews("b", nil), set.WiderViews("c", nil),
+		set.LastResortViews(fleet.Evidence{ArrivedAt: fleetStart, DrainTime: drainTime}, nil),
 	} {
 		iis.Equal(countIn(views, "a"), 0)
 		iis.True(len(views) > 0)
 	}
-	list, hasMore := set.CellViews("a")
+	list, hasMore := set.CellViews("a", nil)
 	iis.Equal(len(list), 0)
 	iis.True(hasMore) // The call is placed elsewhere.
 	flt.SetEvacuated([]string{"b"})
@@ -66,16 +66,16 @@
 	flt, _, _ := newFleet()
 	registerIn(flt, "a", 3)
 	flt.SetEvacuated([]string{"a"})
-	sho, isShort := flt.ReplicaSet("s").Shortage()
+	sho, isShort := flt.ReplicaSet("s").Shortage(nil)
 	iis.True(isShort)
 	iis.Equal(sho.Evacuated, 3)
 	_, known := sho.CapacityReturnsIn(time.Minute, 0)
 	iis.True(!known) // The operator decides.
 	registerIn(flt, "b", 1)
-	_, isShort = flt.ReplicaSet("s").Shortage()
+	_, isShort = flt.ReplicaSet("s").Shortage(nil)
 	iis.True(!isShort)
 	flt.ReplicaSet("s").Views()[0].Replica.RecordPause(time.Second)
-	sho, isShort = flt.ReplicaSet("s").Shortage()
+	sho, isShort = flt.ReplicaSet("s").Shortage(nil)
 	iis.True(isShort)
 	iis.Equal(sho.Evacuated, 3)
 	iis.Equal(len(sho.Pauses), 1)
@@ -107,7 +107,7 @@
 			flt.SetEvacuated(evacuated)
 			set := flt.ReplicaSet("s")
 			for b.Loop() {
-				set.CellViews("a")
+				set.CellViews("a", nil)
 			}
 		})
 	}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand"
 	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
 // Reasons why calls are refused, why attempts fail and how calls end, as they appear in error responses, logs and
@@ -15,6 +17,7 @@
 	reasonBodyTooLarge      = "body-too-large"
 	reasonBodyIncomplete    = "body-incomplete"
 	reasonNoReplica         = "no-replica"
+	reasonNoReplicaInRegion = "no-replica-in-region"
 	reasonOverload          = "overload"
 	reasonReplicasPause     = "replicas-pause"
 	reasonReplicasLeave     = "replicas-leave"
@@ -37,7 +40,7 @@
 
 // Time limits of calls.
 const (
-	defaultTimeLimit = 60 * time.Second
+	defaultTimeLimit = rules.DefaultTimeLimit
 	// minAttemptTime is the remaining time below which a call is not sent to a replica.
 	minAttemptTime = 15 * time.Millisecond
 	// bodyTimeout bounds the time in which a client must send the body.
