Weigh refusals by the recent work of client accounts

While replicas are busy, all accounts paid the same price for prefill time, so that one account could take the capacity of all others. Calls of an account above its share must also be predicted to begin in an accordingly shorter part of their time. Idle replicas have no price, so that nothing changes there.

The Retry-After of overload refusals follows the predicted time until the mean backlog is below the busy level. The priorities of routes and accounts are decoded, counted and logged.

Tested: go test ./place ./share ./platform ./rules ./metric, go test -race ./relay.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -27,6 +27,8 @@
 	registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
+	refused    *prometheus.CounterVec // by reason and CallLabels
+	deferred   *prometheus.CounterVec // by CallLabels
 	retries    *prometheus.CounterVec
 	drops      *prometheus.CounterVec
 	events     *prometheus.CounterVec
@@ -41,6 +43,10 @@
 	set := &Set{registry: reg}
 	set.requests = newCounter(reg, "requests_total", "Requests by how they ended.", "outcome")
 	set.refusals = newCounter(reg, "refusals_total", "Refused requests by reason code.", "reason")
+	set.refused = newCounter(reg, "call_refusals_total", "Refused calls by reason code and kind of call.",
+		append([]string{"reason"}, callLabelNames...)...)
+	set.deferred = newCounter(reg, "call_deferrals_total", "Waits of calls for a better placement by kind of call.",
+		callLabelNames...)
 	set.retries = newCounter(reg, "retries_total", "Retried attempts by reason code.", "reason")
 	set.drops = newCounter(reg, "dropped_frames_total", "Frames dropped by reason.", "reason")
 	set.events = newCounter(reg, "events_total", "Other events by kind.", "kind")
@@ -67,9 +73,9 @@
 	return vec
 }
 
-func newCounter(reg *prometheus.Registry, name, help, label string) *prometheus.CounterVec {
+func newCounter(reg *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
 	opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
-	vec := prometheus.NewCounterVec(opts, []string{label})
+	vec := prometheus.NewCounterVec(opts, labels)
 	reg.MustRegister(vec)
 	return vec
 }
--- a/place/decision.go
+++ b/place/decision.go
@@ -18,6 +18,8 @@
 	iterationTimes []time.Duration // of each view, if it prefills nothing
 	forShortCalls  []bool          // whether each view is set aside for short calls
 	cells          map[string]*cell
+	backlog        time.Duration // mean prefill backlog of the replicas
+	busyFor        time.Duration // predicted time until backlog is below busyBacklog
 }
 
 // cell holds what is derived from the replicas of one cell.
--- a/place/overload.go
+++ b/place/overload.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/fleet"
+)
 
 // The value that a second of prefill costs later calls grows with the mean prefill backlog of the replicas, from 0 at
 // idleBacklog to busyCostPerS at busyBacklog.
@@ -21,16 +25,43 @@
 func (dec *decision) netValue(pln *Placement) float64 {
 	earned := dec.value * (1 - latePenalty*missProbability(pln.FirstEvent, dec.req.LatencyTarget))
 	prefill := dec.eng.PrefillTime(dec.req.PromptTokens)
-	return earned - pln.interference - dec.prefillCostPerS()*prefill.Seconds()
+	return earned - pln.interference - dec.price()*prefill.Seconds()
 }
 
-// prefillCostPerS returns the value that a second of prefill costs calls that come later.
-func (dec *decision) prefillCostPerS() float64 {
-	var backlog time.Duration
-	for idx := range dec.views {
-		backlog += dec.views[idx].PrefillBacklog
+// price returns the value that a second of prefill costs the call.
+func (dec *decision) price() float64 { return dec.req.priceFactor() * costPerS(dec.backlog) }
+
+// priceFactor returns the factor by which the call pays more than the value that a second of prefill costs later calls.
+func (req *Request) priceFactor() float64 {
+	if req.PriceFactor <= 0 {
+		return 1
 	}
-	backlog /= time.Duration(len(dec.views))
+	return req.PriceFactor
+}
+
+// costPerS returns the value that a second of prefill costs calls that come later, with the given mean prefill backlog.
+func costPerS(backlog time.Duration) float64 {
 	load := float64(backlog-idleBacklog) / float64(busyBacklog-idleBacklog)
 	return busyCostPerS * min(max(load, 0), 1)
 }
+
+// predictBacklog sets the mean prefill backlog and predicts how long it stays above the busy level. Each replica
+// prefills for a second per second, less the long prompts that arrive meanwhile.
+func (dec *decision) predictBacklog(loads fleet.PrefillLoads) {
+	for idx := range dec.views {
+		dec.backlog += dec.views[idx].PrefillBacklog
+	}
+	dec.backlog /= time.Duration(len(dec.views))
+	arriving := 0.0
+	for name := range dec.cells {
+		arriving += loads[name]
+	}
+	dec.busyFor = scale(max(dec.backlog-busyBacklog, 0), 1/(1-splitLoad(len(dec.views), arriving)))
+}
+
+// mayEarnPrice tells whether the call may be worth its price after it has waited for the given time. The backlog is
+// lower by that time then at best.
+func (dec *decision) mayEarnPrice(wait time.Duration) bool {
+	price := dec.req.priceFactor() * costPerS(dec.backlog-max(wait, 0))
+	return dec.value >= price*dec.eng.PrefillTime(dec.req.PromptTokens).Seconds()
+}
--- a/place/place.go
+++ b/place/place.go
@@ -26,6 +26,9 @@
 	ClientIdleTimeout time.Duration // until the client disconnects unless an event has come; 0 if it waits to the end
 	DataCentre        string        // of this process
 	ExcludeReplicas   []string      // IDs of replicas that have failed this call
+	// PriceFactor is multiplied by the price of prefill time while replicas are busy. It is above 1 if the client
+	// account has more than its share of the recent work, and below 1 if it has less; 0 means 1.
+	PriceFactor float64
 	// LoadUnknown tells that the process has not yet learned the load that other processes put on the replicas.
 	LoadUnknown bool
 	// Jitter returns random numbers in [0, 1) that break ties, so that processes that place calls at the same moment do
@@ -52,6 +55,8 @@
 	Penalty       float64       // what this and other calls lose, in units of call value; the lowest is best
 	NetValue      float64       // value that the call is predicted to earn, less what it costs others
 	Slack         time.Duration // time that a long prompt can wait for a better placement and still be on time
+	Price         float64       // value that a second of prefill costs this call; 0 unless replicas are busy
+	BusyFor       time.Duration // predicted time until the mean prefill backlog is below the busy level
 	// ShortReplicas is the number of replicas that are set aside for short calls.
 	ShortReplicas int
 	interference  float64 // value that other calls on the same engines lose
@@ -76,8 +81,8 @@
 // rest is left for errors of the prediction.
 const idleTimeoutShare = 0.85
 
-// OnEngine places a call on model engines. It returns false if no replica can serve it before the client gives up.
-// OnEngine modifies the slice of views.
+// OnEngine places a call on model engines. It returns false if no replica can serve it before the client gives up, with
+// a Placement that has only Price and BusyFor. OnEngine modifies the slice of views.
 func OnEngine(req Request, eng *cost.Engine, views []fleet.View, loads fleet.PrefillLoads) (Placement, bool) {
 	dec := &decision{req: req, eng: eng, views: withoutExcluded(req, views), value: Value(req.PromptTokens)}
 	if len(dec.views) == 0 {
@@ -86,6 +91,7 @@
 	dec.predictIterationTimes()
 	dec.markShortCallReplicas()
 	dec.predictSplitLoads(loads)
+	dec.predictBacklog(loads)
 	var best Placement
 	least := math.Inf(1)
 	for _, parts := range dec.partCounts() {
@@ -94,8 +100,9 @@
 			best, least = pln, penalty
 		}
 	}
+	best.Price, best.BusyFor = dec.price(), dec.busyFor
 	if math.IsInf(least, 1) {
-		return Placement{}, false
+		return best, false
 	}
 	best.IterationTime = eng.IterationTime(best.Primary.DecodeStreams+1, best.Primary.DecodeTokens+req.PromptTokens)
 	best.Value, best.Penalty, best.Slack = dec.value, least, dec.slack()
@@ -110,6 +117,9 @@
 	if dec.req.ClientIdleTimeout > 0 {
 		limit = min(limit, scale(dec.req.ClientIdleTimeout, idleTimeoutShare))
 	}
+	if dec.price() > 0 { // The rest of the time in the queues is left to accounts that have had less.
+		limit = scale(limit, 1/max(dec.req.priceFactor(), 1))
+	}
 	return limit
 }
 
@@ -131,14 +141,19 @@
 }
 
 // slack returns how long a long prompt can wait and still meet its target, if as many engines as possible prefill it
-// then.
+// then. It is 0 if waiting cannot help.
 func (dec *decision) slack() time.Duration {
 	prefill := dec.eng.PrefillTime(dec.req.PromptTokens)
 	if prefill < fleet.LongPrefill {
 		return 0
 	}
 	parts := min(maxParts, len(dec.views), max(dec.req.PromptTokens/minPartTokens, 1))
-	return scale(dec.req.LatencyTarget, missFromRatio) - prefill/time.Duration(parts) - slackMargin
+	latest := min(scale(dec.req.LatencyTarget, missFromRatio), dec.firstEventLimit())
+	slack := latest - scale(prefill, dec.leastLatencyRatio())/time.Duration(parts) - slackMargin
+	if !dec.mayEarnPrice(slack) {
+		return 0
+	}
+	return slack
 }
 
 // slackMargin is the time to the first event besides prefill, on engines with decoding streams.
--- a/place/predict.go
+++ b/place/predict.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
@@ -137,3 +138,12 @@
 func missIncrease(predicted, delay, target time.Duration) float64 {
 	return missProbability(predicted+delay, target) - missProbability(predicted, target)
 }
+
+// leastLatencyRatio returns the latency ratio of the fastest replica, at least 1.
+func (dec *decision) leastLatencyRatio() float64 {
+	least := math.Inf(1)
+	for idx := range dec.views {
+		least = min(least, dec.views[idx].LatencyRatio)
+	}
+	return max(least, 1)
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -27,6 +27,10 @@
 	deadline time.Time   // by which the client must have its response
 	buffers  callBuffers // for bodies and events
 
+	offer          place.Placement // the latest one that was considered
+	priceFactor    float64         // of the account, for the offer; 0 before the first one
+	deferrals      int             // how often the call has waited for a better placement
+	hasYielded     bool            // the call has waited for one of an account with less recent work
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	attempts       int
@@ -191,7 +195,7 @@
 			return
 		}
 		plc, reason := hdl.choosePlacement()
-		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
+		if reason == "" && hdl.shouldDefer(&plc) && hdl.deferPlacement(&plc) {
 			continue // Choose again, with the configuration and load of that time.
 		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
@@ -203,6 +207,7 @@
 		}
 		hdl.placement, hdl.placedAt = plc, hdl.opts.Clock.Now()
 		hdl.logPlacement(&plc)
+		hdl.countAdmitted(&plc)
 		out := hdl.runAttempts(&plc)
 		switch {
 		case out.reason == reasonClientLeft:
@@ -250,8 +255,7 @@
 	case hdl.possibleRuns == 0 && reason == reasonTimeLimit:
 		hdl.sendError(http.StatusServiceUnavailable, reason, 0)
 	case hdl.possibleRuns == 0 && reason == reasonOverload:
-		hdl.sendError(http.StatusServiceUnavailable, reason,
-			withJitter(minOverloadRetryAfter, overloadRetryAfterJitter))
+		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.overloadRetryAfter())
 	case hdl.possibleRuns == 0:
 		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.replicaRetryAfter())
 	case reason == reasonTimeLimit:
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -97,9 +97,12 @@
 }
 
 // replicaRetryAfter returns the Retry-After time of a call that no replica has taken. If all replicas have asked for a
-// pause, it is the time until one of them takes calls again.
+// pause, it is the time until one of them takes calls again. If they are busy, it follows from the backlog.
 func (hdl *callHandler) replicaRetryAfter() time.Duration {
 	sho, isShort := hdl.opts.Fleet.ReplicaSet(hdl.service).Shortage()
+	if !isShort && hdl.offer.BusyFor > 0 {
+		return hdl.overloadRetryAfter()
+	}
 	if !isShort {
 		return randomRetryAfter()
 	}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -12,9 +12,13 @@
 // deferInterval is the time after which a better placement is sought for a deferred call.
 const deferInterval = 60 * time.Millisecond
 
-// deferPlacement waits until the next attempt to place the call. It returns false if the client disconnects meanwhile.
-func (hdl *callHandler) deferPlacement() bool {
+// deferPlacement waits until the next attempt to place the call, for which there is the given placement now. It returns
+// false if the client disconnects meanwhile.
+func (hdl *callHandler) deferPlacement(plc *place.Placement) bool {
 	hdl.opts.Metrics.CountEvent("long-prompt-deferred")
+	hdl.opts.Metrics.CountDeferral(hdl.labels())
+	hdl.deferrals++
+	defer hdl.relay.waiting.Enter(hdl.waiter(plc))()
 	return hdl.opts.Clock.Sleep(hdl.ctx, deferInterval) == nil
 }
 
@@ -28,6 +32,7 @@
 		return place.Placement{}, reasonCrashesReplicas
 	}
 	plc, ok := hdl.placeInCells(left)
+	hdl.offer = plc
 	if !ok {
 		return hdl.placeAtLastResort(left)
 	}
@@ -85,6 +90,7 @@
 		Now: hdl.opts.Clock.Now(), PromptTokens: prm.Tokens, OutputTokens: hdl.expectedOutputTokens(),
 		GapTarget: hdl.rte.GapTarget, TimeLeft: left,
 		DataCentre: hdl.opts.DataCentre, ExcludeReplicas: hdl.triedReplicas, Jitter: rand.Float64,
+		PriceFactor: hdl.askPriceFactor(),
 	}
 	if hdl.opts.LoadUnknown != nil {
 		req.LoadUnknown = hdl.opts.LoadUnknown()
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -49,12 +49,6 @@
 	retryAfterJitter = 400 * time.Millisecond
 )
 
-// Retry-After times of calls refused because they would take too much from others. Such overload lasts for seconds.
-const (
-	minOverloadRetryAfter    = 2200 * time.Millisecond
-	overloadRetryAfterJitter = 800 * time.Millisecond
-)
-
 // Times that apply while the process has no configuration.
 const (
 	// startupTime is the time after its start by which a process has a configuration, unless the store is unavailable.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/tarragonwheel/tarragonwheel/pool"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/rules"
+	"github.com/tarragonwheel/tarragonwheel/share"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -79,13 +80,15 @@
 	buffers          *buffers
 	mu               sync.Mutex
 	retryBudgets     map[string]*retry.SharedBudget // by service name
+	shares           *share.Ledger                  // work admitted for each client account
+	waiting          share.Queue                    // deferred calls
 }
 
 // New returns a Relay.
 func New(opts Options) *Relay {
 	rly := &Relay{
 		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
-		retryBudgets: make(map[string]*retry.SharedBudget),
+		retryBudgets: make(map[string]*retry.SharedBudget), shares: share.New(opts.Clock),
 	}
 	rly.lifetime, rly.endCalls = context.WithCancel(context.Background())
 	return rly
@@ -146,6 +149,7 @@
 // sendError ends the call with an error response of the relay's own. A retryAfter of 0 sends no Retry-After header.
 func (hdl *callHandler) sendError(status int, reason string, retryAfter time.Duration) {
 	hdl.opts.Metrics.CountRefusal(reason)
+	hdl.opts.Metrics.CountCallRefusal(reason, hdl.labels())
 	hdl.opts.Codec.WriteErrorHeaders(hdl.rw.Header(), hdl.cal.ID, retryAfter)
 	body, err := json.Marshal(errorBody{Error: reason})
 	if err != nil {
@@ -167,5 +171,7 @@
 		"parts", len(plc.Helpers)+1, "predicted-first-event", plc.FirstEvent,
 		"decode-streams", plc.Primary.DecodeStreams, "prefill-backlog", plc.Primary.PrefillBacklog,
 		"failure-rate", plc.Primary.FailureRate, "short-replicas", plc.ShortReplicas,
-		"summary-age", plc.Primary.SummaryAge)
+		"summary-age", plc.Primary.SummaryAge, "account", hdl.account, "priority", hdl.priority(),
+		"price", hdl.offer.Price, "price-factor", hdl.priceFactor, "net-value", hdl.offer.NetValue,
+		"busy-for", hdl.offer.BusyFor, "deferrals", hdl.deferrals)
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -37,18 +37,18 @@
 
 // newStallTimes returns the times for a client idle timeout, 0 for clients that do not disconnect.
 func newStallTimes(idle time.Duration) stallTimes {
-	abandon := share(idle, abandonShare)
+	abandon := partOf(idle, abandonShare)
 	if idle <= 0 {
 		idle, abandon = defaultIdleTimeout, math.MaxInt64
 	}
-	examine := share(idle, examineShare)
+	examine := partOf(idle, examineShare)
 	return stallTimes{
-		examine: examine, giveUp: min(max(examine, soundSilence), share(idle, giveUpShare)), abandon: abandon,
-		recheck: share(idle, recheckShare),
+		examine: examine, giveUp: min(max(examine, soundSilence), partOf(idle, giveUpShare)), abandon: abandon,
+		recheck: partOf(idle, recheckShare),
 	}
 }
 
-func share(dur time.Duration, part float64) time.Duration { return time.Duration(part * float64(dur)) }
+func partOf(dur time.Duration, part float64) time.Duration { return time.Duration(part * float64(dur)) }
 
 // stallWatch watches a stream whose replica sends no events, though perhaps single bytes or comments. A sound replica
 // may be silent for a while and go on, so its run is given up only once the stream of a standby attempt has begun.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,6 +39,7 @@
 	MaxAttempts       int           // largest number of replicas to which one call is sent
 	Anonymous         bool          // calls need no API key
 	Resumable         bool          // a stream can be continued by another replica
+	Priority          int           // of the calls, by which they are counted and logged; 0 is the highest
 	Targets           []Target
 }
 
@@ -86,8 +87,10 @@
 
 // Account is a client account.
 type Account struct {
-	Name string
-	Keys []string
+	Name        string
+	Keys        []string
+	Priority    int  // takes precedence over that of the route
+	HasPriority bool // Priority is set
 }
 
 // Limits bound the size of requests, the time to send their headers, and how long connections of clients may be idle.
@@ -114,6 +117,7 @@
 	routes         map[string][]*Route      // by host, longest prefix first
 	services       map[string]*Service      // by name
 	accounts       map[string]string        // account name by API key
+	priorities     map[string]int           // by name of an account that has a priority
 	noAccounts     bool                     // no account is configured, so no call needs a key
 	latencyTargets map[string]time.Duration // shortest of the streaming routes, by service name
 }
@@ -125,6 +129,7 @@
 		routes:         make(map[string][]*Route),
 		services:       make(map[string]*Service),
 		accounts:       make(map[string]string),
+		priorities:     make(map[string]int),
 		latencyTargets: make(map[string]time.Duration),
 	}
 	for idx := range spc.Routes {
@@ -140,6 +145,9 @@
 		for _, key := range acc.Keys {
 			set.accounts[key] = acc.Name
 		}
+		if acc.HasPriority {
+			set.priorities[acc.Name] = acc.Priority
+		}
 	}
 	return set
 }
@@ -192,6 +200,14 @@
 	return name, ok
 }
 
+// Priority returns the priority of an account's calls to a route. That of the account takes precedence.
+func (set *Set) Priority(rte *Route, account string) int {
+	if num, ok := set.priorities[account]; ok {
+		return num
+	}
+	return rte.Priority
+}
+
 // Service returns a service by name, or nil.
 func (set *Set) Service(name string) *Service { return set.services[name] }
 
