--- a/place/overload.go
+++ b/place/overload.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
@@ -25,7 +26,11 @@
 func (dec *decision) netValue(pln *Placement) float64 {
 	earned := dec.value * (1 - latePenalty*missProbability(pln.FirstEvent, dec.req.LatencyTarget))
 	prefill := dec.eng.PrefillTime(dec.req.PromptTokens)
-	return earned - pln.interference - dec.price()*prefill.Seconds()
+	cost := pln.interference
+	if dec.price() > 0 { // What others lose counts more for an account above its share, as the price does.
+		cost *= dec.req.priceFactor()
+	}
+	return earned - cost - dec.price()*prefill.Seconds()
 }
 
 // price returns the value that a second of prefill costs the call.
@@ -65,3 +70,25 @@
 	price := dec.req.priceFactor() * costPerS(dec.backlog-max(wait, 0))
 	return dec.value >= price*dec.eng.PrefillTime(dec.req.PromptTokens).Seconds()
 }
+
+// shareLimit returns the longest predicted time to the first event with which a placement is accepted on busy replicas,
+// if it is the given time for an account that has no more than its share. For an account with twice its share, the call
+// must certainly be on time and the backlog leave room for two others like it, so that the queues are left to those who
+// have had less.
+func (dec *decision) shareLimit(limit time.Duration) time.Duration {
+	factor := dec.req.priceFactor()
+	least := max(scale(dec.req.LatencyTarget, missFromRatio), limit/leastLimitDivisor)
+	if factor <= 1 || least >= limit {
+		return limit
+	}
+	ratio := float64(least) / float64(limit)
+	excess := math.Log2(factor)
+	return scale(limit, math.Pow(ratio, excess)) - scale(dec.backlog, backlogRoom*excess)
+}
+
+// backlogRoom is the number of mean backlogs that must fit into the time of a call of an account with twice its share. At
+// 1, the simulated flood in package share makes replicas refuse a tenth of the calls of the others, at 2 6%.
+const backlogRoom = 2
+
+// leastLimitDivisor bounds what shareLimit takes from the time of a call that has already missed its latency target.
+const leastLimitDivisor = 8
--- a/place/place.go
+++ b/place/place.go
@@ -117,8 +117,8 @@
 	if dec.req.ClientIdleTimeout > 0 {
 		limit = min(limit, scale(dec.req.ClientIdleTimeout, idleTimeoutShare))
 	}
-	if dec.price() > 0 { // The rest of the time in the queues is left to accounts that have had less.
-		limit = scale(limit, 1/max(dec.req.priceFactor(), 1))
+	if dec.price() > 0 {
+		limit = dec.shareLimit(limit)
 	}
 	return limit
 }
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -84,13 +84,13 @@
 	return len(led.seconds)
 }
 
-// priceFactor returns the price factor of an account with the given work. It grows exponentially with the ratio of the
-// work to the fair share: 1/2 at none, 1 at the fair share, 2 at twice the fair share and above.
+// priceFactor returns the price factor of an account with the given work: the ratio of the work to the fair share,
+// between its bounds. So an account with half its fair share or less pays half, and one with twice that or more twice.
 func priceFactor(own, fair float64) float64 {
 	if fair <= 0 {
 		return 1
 	}
-	return math.Pow(maxFactor, min(own/fair-1, 1))
+	return min(max(own/fair, 1/maxFactor), maxFactor)
 }
 
 // decay lets the prefill time decay and removes accounts without recent work. The caller holds the lock.
