--- a/place/overload.go
+++ b/place/overload.go
@@ -86,8 +86,9 @@
 	return scale(limit, math.Pow(ratio, excess)) - scale(dec.backlog, backlogRoom*excess)
 }
 
-// backlogRoom is the number of mean backlogs that must fit into the time of a call of an account with twice its share. At
-// 1, the simulated flood in package share makes replicas refuse a tenth of the calls of the others, at 2 6%.
+// backlogRoom is the number of mean backlogs that must fit into the time of a call of an account with twice its share.
+// With 1, a tenth of the calls of others are refused beside the simulated flood in the tests of package share, with 2
+// 6%. Higher ones also refuse calls of equal accounts, whose recent work differs by chance.
 const backlogRoom = 2
 
 // leastLimitDivisor bounds what shareLimit takes from the time of a call that has already missed its latency target.
--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -87,3 +87,64 @@
 	_, ok = place.OnEngine(req, engine(), full(), nil)
 	iis.True(!ok)
 }
+
+// TestPriceFactorAppliesToBusyReplicasOnly guards against accounts that are treated alike on busy replicas, whatever
+// they have had, or unlike on idle ones. Load: a prompt of 250,000 tokens for 18 replicas with a backlog of 0.9 s or
+// none.
+func TestPriceFactorAppliesToBusyReplicasOnly(t *testing.T) {
+	iis := is.New(t)
+	place250k := func(backlog time.Duration, factor float64) (place.Placement, bool) {
+		list := views(18)
+		for idx := range list {
+			list[idx].PrefillBacklog = backlog
+		}
+		req := longRequest(250000)
+		req.PriceFactor = factor
+		return place.OnEngine(req, engine(), list, nil)
+	}
+	idle, _ := place250k(0, 0)
+	for _, factor := range []float64{0.5, 1, 2} {
+		pln, ok := place250k(0, factor)
+		iis.True(ok)
+		iis.Equal(pln, idle)
+	}
+	below, ok := place250k(900*time.Millisecond, 0.5)
+	iis.True(ok)
+	equal, ok := place250k(900*time.Millisecond, 1)
+	iis.True(ok)
+	iis.Equal(below.Primary.ID, equal.Primary.ID) // The factor does not change the placement.
+	iis.Equal(2*below.Price, equal.Price)
+	iis.True(below.NetValue > equal.NetValue)
+	above, ok := place250k(900*time.Millisecond, 2)
+	iis.True(!ok || above.CausesOverload())
+	iis.Equal(above.Price, 2*equal.Price)
+}
+
+// TestHopelessPromptIsNotDeferred guards against a prompt that waits for a better placement until its target is missed,
+// although it would not be worth its price even if no other prompt arrived. Load: streams on all replicas, and a backlog
+// of 8 s that is not over before the target of 3 s.
+func TestHopelessPromptIsNotDeferred(t *testing.T) {
+	iis := is.New(t)
+	list := views(20)
+	for idx := range list {
+		addDecodeStreams(&list[idx], 8)
+		list[idx].PrefillBacklog = 8 * time.Second
+	}
+	pln, ok := place.OnEngine(longRequest(340000), engine(), list, nil)
+	iis.True(!ok || (!pln.ShouldDefer() && pln.CausesOverload()))
+	iis.True(pln.BusyFor >= 7*time.Second)
+}
+
+// TestDeferralEndsBeforeClientDisconnects guards against a prompt that is deferred for longer than its client waits for
+// an event. Load: streams on all replicas, and a client that disconnects after 600 ms.
+func TestDeferralEndsBeforeClientDisconnects(t *testing.T) {
+	iis := is.New(t)
+	list := views(20)
+	for idx := range list {
+		addDecodeStreams(&list[idx], 8)
+	}
+	req := longRequest(300000)
+	req.ClientIdleTimeout = 600 * time.Millisecond
+	pln, _ := place.OnEngine(req, engine(), list, nil)
+	iis.True(!pln.ShouldDefer())
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -59,3 +59,14 @@
 	}
 	iis.True(counts["t"] > 120 && counts["t"] < 280) // a tenth, with ample room for random deviation
 }
+
+// TestPriorityOfAccountTakesPrecedence guards against an account whose own priority is ignored, or that has none and
+// gets the highest instead of that of the route.
+func TestPriorityOfAccountTakesPrecedence(t *testing.T) {
+	iis := is.New(t)
+	set := rules.New(rules.Spec{Accounts: []rules.Account{{Name: "own", HasPriority: true}, {Name: "none"}}})
+	rte := &rules.Route{Priority: 3}
+	iis.Equal(set.Priority(rte, "own"), 0)
+	iis.Equal(set.Priority(rte, "none"), 3)
+	iis.Equal(set.Priority(rte, ""), 3)
+}
