Check that deferral ends before the client disconnects

The test passed without the limit that it guards, because the prompt could not be placed at all. Tested: it fails without the limit and passes with it.

--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -121,8 +121,8 @@
 }
 
 // TestHopelessPromptIsNotDeferred guards against a prompt that waits for a better placement until its target is missed,
-// although it would not be worth its price even if no other prompt arrived. Load: streams on all replicas, and a backlog
-// of 8 s that is not over before the target of 3 s.
+// although it would not be worth its price even if no other prompt arrived. Load: streams on all replicas, and a
+// backlog of 8 s that is not over before the target of 3 s.
 func TestHopelessPromptIsNotDeferred(t *testing.T) {
 	iis := is.New(t)
 	list := views(20)
@@ -136,7 +136,7 @@
 }
 
 // TestDeferralEndsBeforeClientDisconnects guards against a prompt that is deferred for longer than its client waits for
-// an event. Load: streams on all replicas, and a client that disconnects after 600 ms.
+// an event. Load: streams on all replicas, and a client that disconnects after 900 ms.
 func TestDeferralEndsBeforeClientDisconnects(t *testing.T) {
 	iis := is.New(t)
 	list := views(20)
@@ -144,7 +144,8 @@
 		addDecodeStreams(&list[idx], 8)
 	}
 	req := longRequest(300000)
-	req.ClientIdleTimeout = 600 * time.Millisecond
-	pln, _ := place.OnEngine(req, engine(), list, nil)
+	req.ClientIdleTimeout = 900 * time.Millisecond
+	pln, ok := place.OnEngine(req, engine(), list, nil)
+	iis.True(ok)
 	iis.True(!pln.ShouldDefer())
 }
