--- a/soak/check.go
+++ b/soak/check.go
@@ -25,6 +25,7 @@
 	invariantNoExit      = "no front exits unless it is stopped"
 	invariantCrashes     = "a call that crashes replicas is refused"
 	invariantLeaving     = "a replica that says that it leaves gets no new calls"
+	invariantFlood       = "an account within its share is served beside one that floods"
 	invariantPause       = "a replica that asks for a pause gets two calls at most"
 )
 
@@ -40,6 +41,7 @@
 // call is a client's call and its outcome.
 type call struct {
 	id, path          string
+	account           string // of calls to the shared service
 	front             int
 	run               int // number of the front's process run that got the call
 	sent              time.Time
@@ -67,6 +69,7 @@
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
 	checkCounts   map[string]int         // by invariant
 	violations    []string
+	floodText     string // what became of the calls to the shared service
 }
 
 func newChecker() *checker {
@@ -143,6 +146,7 @@
 	chk.verifyConfigOrder()
 	chk.verifyCrashes()
 	chk.verifyNotices()
+	chk.verifyFlood()
 	chk.verifyLeaving(invariantDrain, chk.drainingSince)
 	chk.verifyLeaving(invariantRemoved, chk.removedSince)
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -64,6 +64,21 @@
 				chk.recordCall(call{id: id})
 			}
 		},
+		invariantFlood: func(chk *checker) {
+			for num := range 40 {
+				account, status := plsim.AccountFlood, 200
+				if num%2 == 0 {
+					account = plsim.AccountModest
+				}
+				if num%3 == 0 {
+					status = 503
+				}
+				chk.recordCall(call{
+					id: "c", path: plsim.SharedPath, account: account,
+					outcome: plsim.Outcome{Status: status, Complete: true},
+				})
+			}
+		},
 		invariantDrain: func(chk *checker) {
 			chk.drainingSince["i"] = at(0)
 			chk.observer().OnArrival(plsim.Arrival{Replica: "i", At: at(drainTime + time.Second)})
--- a/soak/client.go
+++ b/soak/client.go
@@ -42,13 +42,19 @@
 	lim, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	cal.outcome = plsim.Call(lim, cli, frt.address, path, id, callTimeout)
-	cal.ended = time.Now()
 	if disconnectAfter > 0 && lim.Err() != nil {
 		cal.disconnectedAt = cal.sent.Add(disconnectAfter)
 	}
+	sok.recordEnd(&cal)
+	return cal
+}
+
+// recordEnd records a call that has just ended.
+func (sok *Soak) recordEnd(cal *call) {
+	cal.ended = time.Now()
 	sok.mu.Lock()
-	cal.duringPlannedStop = cal.sent.Before(frt.plannedStopAt.Add(graceTime)) && cal.ended.After(frt.plannedStopAt)
+	stop := sok.fronts[cal.front].plannedStopAt
 	sok.mu.Unlock()
-	sok.chk.recordCall(cal)
-	return cal
+	cal.duringPlannedStop = cal.sent.Before(stop.Add(graceTime)) && cal.ended.After(stop)
+	sok.chk.recordCall(*cal)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,8 +50,9 @@
 	faultPhases   atomic.Int64 // started so far
 	lying         atomic.Bool  // a replica falsely says that it leaves
 	mu            sync.Mutex
-	replicaCount  int        // replicas started so far, numbers their IDs; guarded by mu
-	live          []*replica // guarded by mu
+	replicaCount  int              // replicas started so far, numbers their IDs; guarded by mu
+	live          []*replica       // guarded by mu
+	shared        []*plsim.Replica // of the service that accounts share
 }
 
 // front is a front process and the proxy route through which it reaches the store.
@@ -99,6 +100,10 @@
 		clients.Go(func() { sok.runClient(clientCtx, num) })
 	}
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
+	clients.Go(func() { sok.runAccount(clientCtx, plsim.AccountModest, 0, modestInterval) })
+	for num := range floodClients {
+		clients.Go(func() { sok.runAccount(clientCtx, plsim.AccountFlood, num, floodPause) })
+	}
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
 		sok.runPlannedPhase()
 		sok.runRestorePhase()
@@ -132,6 +137,9 @@
 			return err
 		}
 	}
+	if err := sok.startShared(); err != nil {
+		return err
+	}
 	for _, frt := range sok.fronts {
 		if err := frt.start(sok.recordUnexpected); err != nil {
 			return err
@@ -154,12 +162,12 @@
 	route := func(name, kind, srv string) plsim.Route {
 		return plsim.Route{
 			Name: name, Host: "soak.example", PathPrefix: "/" + name + "/", Kind: kind, Service: srv, MaxAttempts: 3,
-			TimeoutMs: int(callTimeout.Milliseconds()), Resumable: kind == "streaming",
+			TimeoutMs: int(callTimeout.Milliseconds()), Resumable: kind == "streaming", Anonymous: true,
 		}
 	}
 	sok.store.PutConfig(sok.configVersion, []plsim.Route{
 		route("unsafe", "unsafe", "s0"), route("safe", "safe", "s1"), route("stream", "streaming", "s2"),
-		route("moved", "safe", serviceOf(sok.configVersion)),
+		route("moved", "safe", serviceOf(sok.configVersion)), plsim.SharedRoute(callTimeout),
 	})
 	sok.chk.mu.Lock()
 	defer sok.chk.mu.Unlock()
@@ -229,6 +237,9 @@
 	for _, rep := range sok.live {
 		rep.server.Stop()
 	}
+	for _, rep := range sok.shared {
+		rep.Stop()
+	}
 }
 
 // report writes how often each invariant was checked and the violations. It returns ErrViolated if there are any.
@@ -241,7 +252,7 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
-		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantNoExit,
+		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantFlood, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
@@ -249,6 +260,9 @@
 		}
 		_, _ = fmt.Fprintf(sok.opts.Out, "  %s: %s\n", name, text)
 	}
+	if chk.floodText != "" {
+		_, _ = fmt.Fprintln(sok.opts.Out, "  "+chk.floodText)
+	}
 	for _, text := range chk.violations {
 		_, _ = fmt.Fprintln(sok.opts.Out, "BROKEN", text)
 	}
