--- a/front/front.go
+++ b/front/front.go
@@ -143,6 +143,7 @@
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
 		ClaimTime:             config.FrontClaimTime.Of(frt.startSettings),
+		ShareAccounts:         config.FrontShareAccounts.Of(frt.startSettings),
 		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -27,6 +27,10 @@
 	deadline time.Time   // by which the client must have its response
 	buffers  callBuffers // for bodies and events
 
+	offer          place.Placement // the latest one that was considered
+	priceFactor    float64         // of the account, for the offer; 0 before the first one
+	deferrals      int             // how often the call has waited for a better placement
+	hasYielded     bool            // the call has waited for one of an account with less recent work
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	claims         int             // for which the call has waited
@@ -195,7 +199,7 @@
 		}
 		viewedAt := hdl.opts.Clock.Now()
 		plc, reason := hdl.choosePlacement()
-		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
+		if reason == "" && hdl.shouldDefer(&plc) && hdl.deferPlacement(&plc) {
 			continue // Choose again, with the configuration and load of that time.
 		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
@@ -210,6 +214,7 @@
 			continue
 		}
 		hdl.logPlacement(&plc)
+		hdl.countAdmitted(&plc)
 		out := hdl.runAttempts(&plc)
 		hdl.takeClaim().end() // Not taken if the attempt was not begun.
 		switch {
@@ -258,8 +263,7 @@
 	case hdl.possibleRuns == 0 && reason == reasonTimeLimit:
 		hdl.sendError(http.StatusServiceUnavailable, reason, 0)
 	case hdl.possibleRuns == 0 && reason == reasonOverload:
-		hdl.sendError(http.StatusServiceUnavailable, reason,
-			withJitter(minOverloadRetryAfter, overloadRetryAfterJitter))
+		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.overloadRetryAfter())
 	case hdl.possibleRuns == 0:
 		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.replicaRetryAfter(reason))
 	case reason == reasonTimeLimit:
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -99,12 +99,15 @@
 }
 
 // replicaRetryAfter returns the Retry-After time of a call that no replica has taken. If all replicas have asked for a
-// pause, it is the time until one of them takes calls again.
+// pause, it is the time until one of them takes calls again. If they are busy, it follows from the backlog.
 func (hdl *callHandler) replicaRetryAfter(reason string) time.Duration {
 	if reason == reasonNoReplicaInRegion { // Replicas take seconds to start.
 		return withJitter(minOutageRetryAfter, outageRetryAfterJitter)
 	}
 	sho, isShort := hdl.opts.Fleet.ReplicaSet(hdl.service).Shortage(hdl.allowedDataCentres())
+	if !isShort && hdl.offer.BusyFor > 0 {
+		return hdl.overloadRetryAfter()
+	}
 	if !isShort {
 		return randomRetryAfter()
 	}
