Start cold and recovered replicas slowly

Cause: a replica that has just started or recovered got as many calls as any other, or was avoided for too long.

Change: package pace deals the calls a second of a cold replica out to the fronts by rendezvous hashing, counts them in a sliding window, and limits the calls in flight by the responses until the replica takes as many as any other. The fleet asks it for each view, the relay takes from it right before a call is sent, and the exchange of the fronts knows which fronts share the limit. It takes effect for services with ColdPerS above 0 only.

Tested: the tests of fleet, relay, peers, front, place, platform and rules pass.

--- a/call/call.go
+++ b/call/call.go
@@ -84,6 +84,8 @@
 type Notice struct {
 	Leaving bool          // it is about to leave and wants no new calls
 	Pause   time.Duration // for which it wants no calls from this process; 0 for none
+	// ColdLeft is how long it stays cold, so that it can handle few calls a second; 0 for one that is not.
+	ColdLeft time.Duration
 }
 
 // IsZero tells whether the replica says nothing of its state.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -30,6 +31,9 @@
 	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
 	former   formerNotices
+	pace     PaceOptions
+	warmUps  map[string]pace.WarmUp // by service
+	listed   bool                   // the registrations have been listed once
 }
 
 // reregisterGrace is the time in which replicas may register again whose registration expired during a store outage, or
@@ -62,6 +66,7 @@
 	set := flt.replicaSets[service]
 	if set == nil {
 		set = newReplicaSet(flt.clock)
+		set.log, set.pace, set.warmUp = flt.log, &flt.pace, flt.warmUps[service]
 		flt.replicaSets[service] = set
 	}
 	return set
@@ -120,6 +125,7 @@
 		flt.log.Info("fleet: replica drains", "replica", reg.ID, "sequence", reg.Sequence)
 	}
 	old.setRegistration(reg)
+	old.recordWarmUp(reg.WarmUpLeft)
 }
 
 // IsHeartbeat reports whether a registration says no more than that the replica is still there.
@@ -130,6 +136,9 @@
 	if _, isExpired := flt.expired[reg.ID]; old == nil || isExpired {
 		return false
 	}
+	if old.isColdAgain(&reg) {
+		return false
+	}
 	known := old.Registration()
 	reg.Sequence, reg.WarmUpLeft = known.Sequence, known.WarmUpLeft
 	return reg == known
@@ -146,14 +155,18 @@
 // add registers a replica and applies the updates of tasks that arrived before its registration. The caller holds the
 // lock.
 func (flt *Fleet) add(reg Registration) {
+	inc, now := incarnationOf(&reg), flt.clock.Now()
+	_, wasKnown := flt.former[inc]
 	rep := &Replica{
-		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now(),
-		notices: flt.former.take(incarnationOf(&reg)),
+		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: now, registrationAt: now,
+		notices: flt.former.take(inc),
 	}
 	rep.set = flt.replicaSetLocked(reg.Service)
 	flt.byID[reg.ID] = rep
 	flt.byHash[rep.hash] = rep
 	rep.set.add(rep)
+	left, reason := flt.coldAtStart(rep, wasKnown)
+	rep.markColdFor(left, reason)
 	for _, one := range flt.pending.take(rep.hash, rep.registeredAt) {
 		rep.applyRemoteTask(one.peer, one.task, one.receivedAt)
 	}
@@ -208,6 +221,9 @@
 			flt.Unregister(id)
 		}
 	}
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	flt.listed = true
 }
 
 // expectRegistration removes a replica after the grace period unless it registers again.
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -1,14 +1,19 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/pace"
+)
 
 // notices holds what an incarnation of a replica has said of its state in its responses. The lock of the replica's set
 // guards it.
 type notices struct {
-	leavingAt   time.Time // when a response to this process first said that it leaves; zero if none has
-	peerAt      time.Time // when a response to another process said so; zero if none is known
-	pausedAt    time.Time // when the response came that set pausedUntil
-	pausedUntil time.Time // until then it wants no calls of this process
+	leavingAt   time.Time       // when a response to this process first said that it leaves; zero if none has
+	peerAt      time.Time       // when a response to another process said so; zero if none is known
+	pausedAt    time.Time       // when the response came that set pausedUntil
+	pausedUntil time.Time       // until then it wants no calls of this process
+	slowStart   *pace.SlowStart // nil if it is in none
 }
 
 // takesCalls tells whether the replica wants new calls, as far as it has said.
@@ -85,5 +90,7 @@
 // although the replica has said that it leaves.
 func (set *ReplicaSet) LastResortViews(evi Evidence) []View {
 	now := set.clock.Now()
-	return set.viewsIf(func(_ string, rep *Replica) bool { return rep.notices.mayServe(evi, now) })
+	return set.viewsIf(func(_ string, rep *Replica) bool {
+		return rep.notices.mayServe(evi, now) && rep.isPaced(now)
+	})
 }
--- /dev/null
+++ b/fleet/paced.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/pace"
+)
+
+// isPaced reports whether the replica's slow start allows another call now. The caller holds the lock.
+func (rep *Replica) isPaced(now time.Time) bool {
+	slo := rep.notices.slowStart
+	if slo == nil {
+		return true
+	}
+	if !slo.MayTake(now, rep.set.pace.fronts()) {
+		return false
+	}
+	return !slo.LimitsCalls(now) || slo.HasRoom(rep.callsInFlight(now))
+}
+
+// callsInFlight returns the number of tasks of all processes at the replica, and how many of them have had their first
+// event. The caller holds the lock.
+func (rep *Replica) callsInFlight(now time.Time) (calls, answered int) {
+	rep.removeStaleTasks(now)
+	count := func(tasks map[uint32]*Task) {
+		calls += len(tasks)
+		for _, tsk := range tasks {
+			if tsk.Phase == Decode {
+				answered++
+			}
+		}
+	}
+	count(rep.localTasks)
+	for _, tasks := range rep.remoteTasks {
+		count(tasks)
+	}
+	return calls, answered
+}
+
+// TakeCall is called right before a call is sent, whose task has been started. It returns false if the replica is in a
+// slow start that allows no call now. Otherwise the call counts, and TakeCall returns the number of calls in flight at
+// the replica, including this one, or 0 if it is in no slow start.
+func (rep *Replica) TakeCall() (calls int, ok bool) {
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	slo, now := rep.notices.slowStart, rep.set.clock.Now()
+	if slo == nil {
+		return 0, true
+	}
+	calls, answered := rep.callsInFlight(now)
+	if !slo.MayTake(now, rep.set.pace.fronts()) ||
+		(slo.LimitsCalls(now) && !slo.HasRoom(calls-1, answered)) { // Its own task is one of them.
+		rep.set.pace.count("slow-start-call-denied")
+		return 0, false
+	}
+	slo.Take(now)
+	return calls, true
+}
+
+// Sent is a call that was sent to a replica, as its slow start takes it into account.
+type Sent struct {
+	At    time.Time
+	Calls int // in flight at the replica then, including this one; 0 for one in no slow start
+}
+
+// RecordFirstEvent records that a call had its first event or its response, and whether that was on time.
+func (rep *Replica) RecordFirstEvent(snt Sent, onTime bool) {
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	slo, now := rep.notices.slowStart, rep.set.clock.Now()
+	if slo == nil {
+		return
+	}
+	rep.recordResponds(now)
+	switch {
+	case snt.Calls == 0: // It was sent before the slow start began.
+	case !onTime:
+		rep.lowerLimit(now, snt)
+	default:
+		slo.OnTime(now, snt.Calls)
+	}
+	if busiest := rep.set.busiestOther(rep); slo.Over(now, rep.reg.Slots, busiest) {
+		rep.notices.slowStart = nil
+		rep.set.pace.count("slow-start-over")
+		rep.set.log.Info("fleet: slow start of a replica is over", "replica", rep.reg.ID, "limit", slo.Limit(),
+			"slots", rep.reg.Slots, "busiest", busiest)
+	}
+}
+
+// busiestOther returns the number of tasks at the busiest other replica. The caller holds the lock.
+func (set *ReplicaSet) busiestOther(rep *Replica) int {
+	busiest := 0
+	for _, other := range set.replicas {
+		if other == rep {
+			continue
+		}
+		num := len(other.localTasks)
+		for _, tasks := range other.remoteTasks {
+			num += len(tasks)
+		}
+		busiest = max(busiest, num)
+	}
+	return busiest
+}
+
+// RecordLateOrFailed records that a call was late, refused or failed, which lowers the limit of a slow start.
+func (rep *Replica) RecordLateOrFailed(snt Sent) {
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	if rep.notices.slowStart != nil && snt.Calls > 0 {
+		rep.lowerLimit(rep.set.clock.Now(), snt)
+	}
+}
+
+// lowerLimit lowers the calls that may be in flight. The caller holds the lock.
+func (rep *Replica) lowerLimit(now time.Time, snt Sent) {
+	if slo := rep.notices.slowStart; slo.Late(now, snt.At, snt.Calls) {
+		rep.set.pace.count("slow-start-lowered")
+		rep.set.log.Info("fleet: replica in slow start was late or failed", "replica", rep.reg.ID,
+			"calls", snt.Calls, "sent-ago", now.Sub(snt.At), "limit", slo.Limit())
+	}
+}
+
+// RecordNoConnection records that no connection could be made to the replica. It may have ended, and be cold when it
+// responds again.
+func (rep *Replica) RecordNoConnection() {
+	rep.RecordUnreachable()
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	rep.markFailing()
+}
+
+// failingRate is the failure rate from which a replica counts as failing altogether: four failures without a success.
+const failingRate = 0.8
+
+// markFailing records that the replica does not respond, or that hardly any call there succeeds. The caller holds the
+// lock.
+func (rep *Replica) markFailing() {
+	set, slo := rep.set, rep.notices.slowStart
+	if !set.warmUp.Applies() {
+		return
+	}
+	if slo == nil {
+		slo = pace.NewSlowStart(set.warmUp, uint64(rep.hash), set.clock.Now())
+		rep.notices.slowStart = slo
+	}
+	if slo.MarkFailing() {
+		set.pace.count("replica-failing")
+		set.log.Info("fleet: replica does not respond, its next calls are limited", "replica", rep.reg.ID,
+			"quota", slo.Quota(set.pace.fronts()))
+	}
+}
+
+// recordResponds records that the replica has answered a call. The caller holds the lock.
+func (rep *Replica) recordResponds(now time.Time) {
+	if slo := rep.notices.slowStart; slo != nil && slo.Responds(now) {
+		rep.set.pace.count("replica-responds-again")
+		rep.set.log.Info("fleet: replica responds again, it may be cold", "replica", rep.reg.ID,
+			"for", slo.ColdLeft(now))
+	}
+}
+
+// AboveLimit reports whether a cold replica has got more calls of all fronts within the last second than it can handle,
+// so that it may have ended because of that.
+func (rep *Replica) AboveLimit() bool {
+	rep.set.mu.Lock()
+	defer rep.set.mu.Unlock()
+	slo, now := rep.notices.slowStart, rep.set.clock.Now()
+	if slo == nil {
+		return false
+	}
+	others := 0
+	for _, tasks := range rep.remoteTasks {
+		for _, tsk := range tasks {
+			if now.Sub(tsk.StartedAt) < time.Second {
+				others++
+			}
+		}
+	}
+	return slo.AboveLimit(now, others)
+}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -6,15 +6,21 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 // ReplicaSet holds the replicas of one service. It is safe for concurrent use.
 type ReplicaSet struct {
 	clock      *timer.Service
+	log        logr.Logger
+	pace       *PaceOptions
 	mu         sync.Mutex
 	replicas   []*Replica // ordered by hash; all processes have the same order
 	lastTaskID uint32     // ID of the last task that was started
+	warmUp     pace.WarmUp
 	// By data centre:
 	demand        map[string]*prefillDemand
 	perDataCentre map[string]int // number of replicas
@@ -48,15 +54,16 @@
 type Replica struct {
 	hash         uint32
 	set          *ReplicaSet
-	registeredAt time.Time // when this process learned of its registration
+	registeredAt time.Time // when this process learned of its first registration
 	// The fields below are guarded by the lock of the set.
-	reg         Registration
-	localTasks  map[uint32]*Task            // of this process, by ID
-	remoteTasks map[string]map[uint32]*Task // of other processes, by peer and task ID
-	health      health
-	notices     *notices
-	summary     Summary // of its load, if processes of another cell use it; zero if none was received
-	removed     bool    // it is not registered any more
+	reg            Registration
+	registrationAt time.Time                   // when this process learned of reg
+	localTasks     map[uint32]*Task            // of this process, by ID
+	remoteTasks    map[string]map[uint32]*Task // of other processes, by peer and task ID
+	health         health
+	notices        *notices
+	summary        Summary // of its load, if processes of another cell use it; zero if none was received
+	removed        bool    // it is not registered any more
 	// longPrefillAt is when a task with a long prefill last ended there or was begun to be decoded.
 	longPrefillAt time.Time
 }
@@ -71,7 +78,9 @@
 
 // takesCalls tells whether the replica may get new calls, apart from whether its registration says that it drains. The
 // caller holds the lock.
-func (rep *Replica) takesCalls(now time.Time) bool { return rep.notices.takesCalls(now) }
+func (rep *Replica) takesCalls(now time.Time) bool {
+	return rep.notices.takesCalls(now) && rep.isPaced(now)
+}
 
 // HadLongPrefill reports whether within the given time a prompt or a part of one was known at the replica whose prefill
 // takes long, so that the events of streams there may be late.
@@ -173,9 +182,15 @@
 func (rep *Replica) recordOutcome(failures, successes float64) {
 	rep.set.mu.Lock()
 	defer rep.set.mu.Unlock()
-	rep.health.decay(rep.set.clock.Now())
+	now := rep.set.clock.Now()
+	rep.health.decay(now)
 	rep.health.failures = min(rep.health.failures+failures, maxObservations)
 	rep.health.successes = min(rep.health.successes+successes, maxObservations)
+	if successes > 0 {
+		rep.recordResponds(now)
+	} else if rep.health.failureRate(now) >= failingRate {
+		rep.markFailing()
+	}
 }
 
 // ObserveLatencyRatio records the ratio of a pause between two events to the predicted pause. The estimate moves by a
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -231,6 +231,7 @@
 	Slots          int
 	Draining       bool
 	WarmUpLeft     time.Duration // remaining warm-up time, during which it is slow
+	SlowStart      bool          // it is in a slow start, and no helper for split prompts
 	FailureRate    float64       // predicted share of calls that fail
 	LatencyRatio   float64       // observed over predicted time, at least 1
 	Tasks          []Task
@@ -250,8 +251,8 @@
 	vie := View{
 		Replica: rep, Position: position, ID: rep.reg.ID, Address: rep.reg.Address, DataCentre: rep.reg.DataCentre,
 		Slots: rep.reg.Slots, FailureRate: rep.health.failureRate(now), LatencyRatio: rep.health.latencyRatio(now),
-		WarmUpLeft: max(rep.reg.WarmUpLeft-now.Sub(rep.registeredAt), 0),
-		Tasks:      make([]Task, 0, len(rep.localTasks)+len(rep.remoteTasks)),
+		WarmUpLeft: rep.warmUpLeft(now), SlowStart: rep.notices.slowStart != nil,
+		Tasks: make([]Task, 0, len(rep.localTasks)+len(rep.remoteTasks)),
 	}
 	rep.removeStaleTasks(now)
 	hasSummary := rep.summary.fresh(now)
--- a/front/drain.go
+++ b/front/drain.go
@@ -39,6 +39,9 @@
 	case <-drainCtx.Done():
 		frt.endCalls(ctx)
 	}
+	if frt.peers != nil {
+		frt.peers.SendStopped()
+	}
 	frt.log.Info("front: drained", "complete", drainCtx.Err() == nil)
 }
 
--- a/front/front.go
+++ b/front/front.go
@@ -95,6 +95,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
+	frt.fleet.SetPace(fleet.PaceOptions{Fronts: frt.sharers, CountEvent: mts.CountEvent})
 	frt.crashes = cause.New(cause.Options{Clock: clk, Log: log, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
 	if err := frt.startPeers(); err != nil {
 		return nil, err
@@ -138,6 +139,7 @@
 		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
+		OnReplicaCold:         frt.sendReplicaCold,
 	}
 }
 
--- a/front/notice.go
+++ b/front/notice.go
@@ -20,6 +20,13 @@
 	}
 }
 
+// sendReplicaCold tells the peers that a replica has said that it is cold.
+func (frt *Front) sendReplicaCold(ntc fleet.ColdNotice) {
+	if frt.peers != nil {
+		frt.peers.QueueCold(ntc)
+	}
+}
+
 // registrationsAge returns how old the known registrations of replicas may be. While the store does not answer, or
 // registrations may still come back after an outage, they may be of any age.
 func (frt *Front) registrationsAge() time.Duration {
--- a/front/peers.go
+++ b/front/peers.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/peers"
 )
 
@@ -85,6 +86,8 @@
 			for _, rec := range list {
 				addPeer(rec)
 			}
+			frt.peers.SetFrontsListed()
+			frt.clock.After(newPeerListDelay/2, frt.listPeersSoon) // Finds those that have started at the same time.
 		},
 	})
 }
@@ -141,6 +144,17 @@
 	return frt.peers != nil && frt.clock.Since(frt.started) < loadKnownAfter
 }
 
+// loneFronts is the set of fronts that a front without an exchange assumes, which cannot learn of others.
+var loneFronts = pace.NewFronts("", nil, minBudgetSharers)
+
+// sharers returns the fronts that share the limits of cold replicas.
+func (frt *Front) sharers() *pace.Fronts {
+	if frt.peers == nil {
+		return loneFronts
+	}
+	return frt.peers.Fronts()
+}
+
 // budgetSharers returns the number of fronts that share the retry budget, and at least minBudgetSharers.
 func (frt *Front) budgetSharers() int {
 	if frt.peers == nil {
--- a/front/rules.go
+++ b/front/rules.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tarragonwheel/tarragonwheel/config"
 	"github.com/tarragonwheel/tarragonwheel/follow"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/platform"
 	"github.com/tarragonwheel/tarragonwheel/rules"
 )
@@ -103,7 +104,19 @@
 		return
 	}
 	frt.configRecord = configRecord{version: spc.Version, value: record}
+	frt.fleet.SetWarmUps(warmUps(&spc))
 	frt.rules.Store(rules.New(spc))
 	frt.log.Info("front: configuration in force", "version", spc.Version, "routes", len(spc.Routes),
 		"services", len(spc.Services), "accounts", len(spc.Accounts), "source", source)
 }
+
+// warmUps returns what a configuration states of just started replicas, by service.
+func warmUps(spc *rules.Spec) map[string]pace.WarmUp {
+	list := make(map[string]pace.WarmUp)
+	for idx := range spc.Services {
+		if srv := &spc.Services[idx]; srv.WarmUp.Applies() {
+			list[srv.Name] = srv.WarmUp
+		}
+	}
+	return list
+}
--- a/peers/address.go
+++ b/peers/address.go
@@ -27,6 +27,7 @@
 	exc.mu.Lock()
 	if per := exc.getOrAddPeer(addr); per != nil {
 		per.registered = true
+		exc.addFront(addr)
 	}
 	exc.mu.Unlock()
 	// The peer answers with its own tasks.
--- a/peers/live.go
+++ b/peers/live.go
@@ -61,6 +61,7 @@
 			delete(exc.peers, addr)
 		}
 	}
+	exc.expireFronts()
 	exc.mu.Unlock()
 	for _, addr := range timedOut {
 		exc.opts.Fleet.RemovePeer(addr)
--- a/peers/message.go
+++ b/peers/message.go
@@ -32,6 +32,8 @@
 	ConfigPart    *configPart      `cbor:"17,keyasint,omitempty"`
 	LateCrashes   []crashReport    `cbor:"18,keyasint,omitempty"` // of calls whose answers had advanced
 	Progressing   []answer         `cbor:"19,keyasint,omitempty"` // answers that are not complete
+	Stopped       bool             `cbor:"21,keyasint,omitempty"` // the sender sends no more calls to replicas
+	Cold          []coldReplica    `cbor:"22,keyasint,omitempty"` // replicas that say that they are cold
 }
 
 // replicaSummary is a fleet.Summary.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -88,10 +89,15 @@
 	peers          map[string]*peer   // by address
 	pending        []fleet.RemoteTask // changes that have not been sent yet
 	crashes        []unsentCrash
-	leaving        []fleet.LeavingNotice // that have not been sent yet
-	transfer       *configTransfer       // that this process has requested; nil for none
-	cellSizes      map[string]cellSize   // by data centre
-	flushScheduled bool                  // sendChanges is going to run
+	leaving        []fleet.LeavingNotice  // that have not been sent yet
+	transfer       *configTransfer        // that this process has requested; nil for none
+	cellSizes      map[string]cellSize    // by data centre
+	flushScheduled bool                   // sendChanges is going to run
+	known          map[string]*knownFront // by address, without this process
+	frontsSettled  bool                   // known has been complete once
+	fronts         atomic.Pointer[pace.Fronts]
+	stopped        atomic.Bool   // this process sends no more calls to replicas
+	cold           []coldReplica // notices that have not been sent yet
 
 	crashesScheduled bool // sendCrashes is going to run
 }
@@ -122,8 +128,9 @@
 	}
 	exc := &Exchange{
 		opts: opts, runID: rand.Uint32(), conn: con, peers: make(map[string]*peer),
-		cellSizes: make(map[string]cellSize),
+		cellSizes: make(map[string]cellSize), known: make(map[string]*knownFront),
 	}
+	exc.updateFronts()
 	context.AfterFunc(grp.Context(), func() { _ = con.Close() }) // Ends receiveMessages.
 	grp.Go("receive", func(ctx context.Context) error {
 		exc.receiveMessages(ctx)
@@ -194,6 +201,7 @@
 		exc.mu.Unlock()
 		return
 	}
+	exc.recordFront(addr, msg)
 	isNew := per.lastReceived.IsZero() || per.runID != msg.RunID
 	per.runID, per.lastReceived = msg.RunID, now
 	if msg.Name != "" {
@@ -231,4 +239,5 @@
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
 	exc.applyCrashes(msg)
 	exc.applyLeaving(msg)
+	exc.applyCold(msg)
 }
--- a/peers/send.go
+++ b/peers/send.go
@@ -42,15 +42,15 @@
 // sendChanges sends the queued changes to the peers that place calls on the replicas concerned.
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
-	changes, leaving := exc.pending, exc.leaving
-	exc.pending, exc.leaving, exc.flushScheduled = nil, nil, false
+	changes, leaving, cold := exc.pending, exc.leaving, exc.cold
+	exc.pending, exc.leaving, exc.cold, exc.flushScheduled = nil, nil, nil, false
 	to := exc.audiences(func(per *peer) bool { return exc.isLive(per) || !exc.isNear(per) })
 	exc.mu.Unlock()
 	changes = latestChanges(changes)
-	msg := message{Leaving: toLeavingNotices(leaving, exc.opts.Clock.Now())}
+	msg := message{Leaving: toLeavingNotices(leaving, exc.opts.Clock.Now()), Cold: cold}
 	for dataCentre, addrs := range to {
 		tasks := exc.tasksFor(dataCentre, changes)
-		if len(tasks) > 0 || (len(msg.Leaving) > 0 && exc.isNearDataCentre(dataCentre)) {
+		if len(tasks) > 0 || (len(msg.Leaving)+len(msg.Cold) > 0 && exc.isNearDataCentre(dataCentre)) {
 			exc.sendTasks(addrs, msg, tasks)
 		}
 	}
@@ -110,7 +110,7 @@
 
 // withSender returns the message with the run of this process and the version of its configuration.
 func (exc *Exchange) withSender(msg message) message {
-	msg.RunID = exc.runID
+	msg.RunID, msg.Stopped = exc.runID, exc.stopped.Load()
 	if exc.opts.ConfigVersion != nil {
 		msg.ConfigVersion = exc.opts.ConfigVersion()
 	}
--- a/place/decision.go
+++ b/place/decision.go
@@ -104,7 +104,7 @@
 	chosen, holds := dec.choosePrimary(prefill, parts)
 	if parts > 1 {
 		for _, cnd := range dec.rankCandidates(prefill, helperPart) {
-			if len(chosen) < parts && cnd.idx != chosen[0].idx {
+			if len(chosen) < parts && cnd.idx != chosen[0].idx && !dec.views[cnd.idx].SlowStart {
 				chosen = append(chosen, cnd)
 			}
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -85,6 +85,7 @@
 	task               fleet.Task
 	tasks              attemptTasks
 	needsNewConn       bool
+	sent               fleet.Sent // for the slow start of the replica
 	message            call.Attempt
 	buffers            *callBuffers // for bodies and events
 	cleanup            []func()     // to be called at the end, the last one first
@@ -147,10 +148,13 @@
 	con, err := hdl.opts.Pool.Get(att.ctx, plc.Primary.ID, plc.Primary.Address, att.needsNewConn)
 	if err != nil {
 		if att.ctx.Err() == nil {
-			plc.Primary.Replica.RecordUnreachable()
+			plc.Primary.Replica.RecordNoConnection()
 		}
 		return &outcome{notSent: true, reason: reasonUnreachable, err: err}
 	}
+	if out := att.takeCall(con); out != nil {
+		return out
+	}
 	att.con = con
 	stop := context.AfterFunc(att.ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
 	att.onEnd(func() { stop() })
@@ -257,7 +261,10 @@
 		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
 	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
 		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
-		// The client or this process ended the call, which says nothing about the replica.
+		// The client or this process ended the call, which says nothing about the replica but that it is late.
+		if out.reason == reasonTimeLimit && !att.replyReceived {
+			rep.RecordLateOrFailed(att.sent)
+		}
 	case out.reason == reasonStreamBroken:
 		att.logBrokenAnswer(out, !rep.Leaving())
 		att.recordCrash()
@@ -268,6 +275,7 @@
 			att.logBrokenAnswer(out, false)
 		}
 		rep.RecordFailure()
+		rep.RecordLateOrFailed(att.sent)
 	}
 }
 
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -104,7 +104,7 @@
 	leaving := rep.Leaving() // A replica that stops closes its connections, so that is not a crash.
 	cal := hdl.causeCall()
 	hdl.opts.Metrics.CountEvent("answer-broken-off")
-	if !leaving {
+	if !leaving && !att.crashedAboveLimit() {
 		hdl.opts.Crashes.RecordCrash(att.placement.Primary.ID, cal, att.eventsReceived > beginningEvents)
 	}
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -30,6 +30,7 @@
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	attempts       int
+	warmUpWaits    int
 	possibleRuns   int        // attempts that may have run
 	triedReplicas  []string   // IDs of the replicas of all attempts
 	fallback       *fullReply // a replica's complete error response, sent if no retry succeeds
@@ -194,6 +195,9 @@
 		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
 			continue // Choose again, with the configuration and load of that time.
 		}
+		if reason == reasonReplicasWarmingUp && hdl.awaitWarmUp() {
+			continue
+		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
 			reason = reasonOverload
 		}
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -42,6 +42,9 @@
 		rly.opts.Log.Info("relay: replica asks for a pause", "replica", reg.ID, "service", reg.Service,
 			"pause", ntc.Pause)
 	}
+	if ntc.ColdLeft > 0 && rep.RecordCold(ntc.ColdLeft) && rly.opts.OnReplicaCold != nil {
+		rly.opts.OnReplicaCold(rep.ColdNotice(ntc.ColdLeft))
+	}
 }
 
 // recordLeaving records that a replica leaves, closes the idle connections to it and informs the peers.
@@ -61,7 +64,7 @@
 }
 
 // placeAtLastResort places the call on replicas that have said that they leave, if all other replicas of the service
-// leave or pause as well. If the call cannot be placed, it returns the reason.
+// leave, pause or are in a slow start that allows no call now. If the call cannot be placed, it returns the reason.
 func (hdl *callHandler) placeAtLastResort(left time.Duration) (place.Placement, string) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
 	sho, isShort := reps.Shortage()
@@ -73,12 +76,14 @@
 	})
 	plc, ok := hdl.placeOn(reps, views, left)
 	hdl.opts.Log.Info("relay: no replica takes calls", "call", hdl.cal.ID, "service", hdl.service,
-		"leaving", sho.Leaving, "paused", len(sho.Pauses), "notice-age", sho.NoticeAge,
+		"leaving", sho.Leaving, "paused", len(sho.Pauses), "warming-up", len(sho.WarmingUp), "notice-age", sho.NoticeAge,
 		"at-last-resort", len(views), "placed", ok, "replica", plc.Primary.ID)
 	switch {
 	case ok:
 		hdl.opts.Metrics.CountEvent("placed-at-last-resort")
 		return plc, ""
+	case len(sho.WarmingUp) > 0:
+		return place.Placement{}, reasonReplicasWarmingUp
 	case len(sho.Pauses) > 0:
 		return place.Placement{}, reasonReplicasPause
 	}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -18,6 +18,7 @@
 	reasonOverload          = "overload"
 	reasonReplicasPause     = "replicas-pause"
 	reasonReplicasLeave     = "replicas-leave"
+	reasonReplicasWarmingUp = "replicas-warming-up"
 	reasonNotRun            = "not-run"
 	reasonNoMemory          = "no-memory"
 	reasonUnreachable       = "unreachable"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,6 +63,8 @@
 	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
 	// before; nil for none.
 	OnReplicaLeaving func(ntc fleet.LeavingNotice)
+	// OnReplicaCold is called when a replica has told this process that it is cold, if that is new; nil for none.
+	OnReplicaCold func(ntc fleet.ColdNotice)
 	// OnTaskChange is called when a task of a call starts, changes or ends.
 	OnTaskChange func(chg fleet.TaskChange)
 }
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -33,6 +33,7 @@
 	if defect := att.replyDefect(rep); defect != "" {
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
+	att.recordPace()
 	rpl := &fullReply{reply: rep, body: body}
 	hdl := att.hdl
 	if hdl.headSent { // Part of a stream has been sent, so another response cannot follow.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -168,6 +168,7 @@
 func (att *attempt) recordFirstEvent() {
 	if !att.firstEventReceived.Swap(true) {
 		att.tasks.markDecoding()
+		att.recordPace()
 	}
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 )
 
 // Kind states how the calls of a route may be retried.
@@ -82,6 +83,7 @@
 	HealthPath     string
 	MaxConnections int          // limit of one replica for the connections of all processes
 	Engine         *cost.Engine // nil if the replicas are not LLM engines
+	WarmUp         pace.WarmUp  // of replicas that have just started
 }
 
 // Account is a client account.
