--- a/fleet/paced.go
+++ b/fleet/paced.go
@@ -144,7 +144,7 @@
 		slo = pace.NewSlowStart(set.warmUp, uint64(rep.hash), set.clock.Now())
 		rep.notices.slowStart = slo
 	}
-	if slo.MarkFailing() {
+	if slo.MarkFailing(set.clock.Now()) {
 		set.pace.count("replica-failing")
 		set.log.Info("fleet: replica does not respond, its next calls are limited", "replica", rep.reg.ID,
 			"quota", slo.Quota(set.pace.fronts()))
--- a/fleet/shortage.go
+++ b/fleet/shortage.go
@@ -46,8 +46,8 @@
 	return one
 }
 
-// minWarmUpWait is the shortest time until a slow start allows the next call. That of a replica that waits for responses
-// is not known.
+// minWarmUpWait is the shortest time until a slow start allows the next call. That of a replica that waits for
+// responses is not known.
 const minWarmUpWait = 5 * time.Millisecond
 
 // NextWarmUpCall returns the time until the slow start of a replica allows the next call of this process. It returns
@@ -60,8 +60,8 @@
 }
 
 // CapacityReturnsIn returns when a caller that waits for the given time at most should come again. That is when the
-// pause of a replica ends, or its slow start allows a call, that is chosen with a random number in [0, 1), so that callers return as the replicas do. It
-// returns false if no such time is known.
+// pause of a replica ends, or its slow start allows a call, that is chosen with a random number in [0, 1), so that
+// callers return as the replicas do. It returns false if no such time is known.
 func (sho *Shortage) CapacityReturnsIn(limit time.Duration, rnd float64) (time.Duration, bool) {
 	var list []time.Duration
 	var first time.Duration
--- a/pace/fronts.go
+++ b/pace/fronts.go
@@ -1,8 +1,8 @@
 // Package pace decides how fast a replica that is cold, newly started or recovered gets calls: how many calls a second
 // each front may send there, and how many may be in flight until the replica takes as many as any other.
 //
-// The package has no state of its own beside the values that it returns, no clock and no lock. Callers pass the time and
-// guard concurrent use.
+// The package has no state of its own beside the values that it returns, no clock and no lock. Callers pass the time
+// and guard concurrent use.
 package pace
 
 import (
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -15,7 +15,8 @@
 	replica   uint64 // hash of its ID
 	coldUntil time.Time
 	// failing is set while the replica does not respond. It may be cold when it responds again.
-	failing bool
+	failing      bool
+	failingUntil time.Time // until then it may have responded to others; a front without a quota cannot find out
 	window  window
 	ramp    ramp
 	fronts  *Fronts // for which the quota holds
@@ -28,7 +29,7 @@
 }
 
 // Cold reports whether the rate of calls to the replica is limited.
-func (slo *SlowStart) Cold(now time.Time) bool { return slo.failing || now.Before(slo.coldUntil) }
+func (slo *SlowStart) Cold(now time.Time) bool { return now.Before(slo.coldUntil) || now.Before(slo.failingUntil) }
 
 // ColdLeft returns the rest of the cold time, as far as it is known.
 func (slo *SlowStart) ColdLeft(now time.Time) time.Duration { return max(slo.coldUntil.Sub(now), 0) }
@@ -49,10 +50,11 @@
 	return true
 }
 
-// MarkFailing records that the replica does not respond. It returns whether this is new.
-func (slo *SlowStart) MarkFailing() bool {
+// MarkFailing records that the replica does not respond now. The rate of calls is limited for as long as it would be
+// cold if it responded to other fronts from now on. MarkFailing returns whether the replica has responded before.
+func (slo *SlowStart) MarkFailing(now time.Time) bool {
 	isNew := !slo.failing
-	slo.failing = true
+	slo.failing, slo.failingUntil = true, now.Add(slo.warmUp.Time)
 	return isNew
 }
 
@@ -62,7 +64,7 @@
 	if !slo.failing {
 		return false
 	}
-	slo.failing = false
+	slo.failing, slo.failingUntil = false, time.Time{}
 	slo.MarkCold(now, slo.warmUp.Time)
 	return true
 }
@@ -102,10 +104,7 @@
 	if !slo.Cold(now) {
 		return 0
 	}
-	left := slo.ColdLeft(now)
-	if slo.failing { // It is cold for that long when it responds.
-		left = max(left, slo.warmUp.Time)
-	}
+	left := max(slo.ColdLeft(now), slo.failingUntil.Sub(now))
 	if quota := slo.Quota(frs); quota > 0 {
 		return min(slo.window.freeIn(now, quota), left)
 	}
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -76,7 +76,8 @@
 	})
 	plc, ok := hdl.placeOn(reps, views, left)
 	hdl.opts.Log.Info("relay: no replica takes calls", "call", hdl.cal.ID, "service", hdl.service,
-		"leaving", sho.Leaving, "paused", len(sho.Pauses), "warming-up", len(sho.WarmingUp), "notice-age", sho.NoticeAge,
+		"leaving", sho.Leaving, "paused", len(sho.Pauses), "warming-up", len(sho.WarmingUp),
+		"notice-age", sho.NoticeAge,
 		"at-last-resort", len(views), "placed", ok, "replica", plc.Primary.ID)
 	switch {
 	case ok:
