Let replicas of the soak start cold and crash above their limit

Cause: nothing but simulations checked the slow start.

Change: the replicas of one service start cold, say so, and crash when more calls than a limit arrive within a second. A new fault lets one turn cold and floods the fronts with calls. A cold replica must not crash so while no fault keeps the fronts from knowing.

--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,7 @@
 	invariantCrashes     = "a call that crashes replicas is refused"
 	invariantLeaving     = "a replica that says that it leaves gets no new calls"
 	invariantPause       = "a replica that asks for a pause gets two calls at most"
+	invariantCold        = "a cold replica gets no more calls than it bears"
 )
 
 // slack is added to time limits, because a busy machine may delay what this process observes.
@@ -65,6 +66,8 @@
 	publishTimes  []time.Time          // of each configuration version, the first at index 0
 	faults        []interval
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
+	overruns      []plsim.Overrun        // crashes of cold replicas that got too many calls
+	floods        []time.Time            // when a replica turned cold, and more calls than it bears were sent
 	checkCounts   map[string]int         // by invariant
 	violations    []string
 }
@@ -97,7 +100,7 @@
 			defer chk.mu.Unlock()
 			chk.runEnds[run.ID] = at
 		},
-		OnCrash: chk.recordCrash,
+		OnCrash: chk.recordCrash, OnOverrun: chk.recordOverrun,
 	}
 }
 
@@ -143,6 +146,7 @@
 	chk.verifyConfigOrder()
 	chk.verifyCrashes()
 	chk.verifyNotices()
+	chk.verifyOverruns()
 	chk.verifyLeaving(invariantDrain, chk.drainingSince)
 	chk.verifyLeaving(invariantRemoved, chk.removedSince)
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -94,6 +94,10 @@
 				id: "c", path: "/safe/x", duringPlannedStop: true, outcome: plsim.Outcome{Err: errors.New("reset")},
 			})
 		},
+		invariantCold: func(chk *checker) {
+			chk.recordFlood()
+			chk.observer().OnOverrun(plsim.Overrun{Replica: "i", Calls: 12, At: time.Now().Add(coldNotice + slack)})
+		},
 		invariantNoExit: func(chk *checker) { (&Soak{chk: chk}).recordUnexpected(errors.New("exit 2")) },
 	} {
 		t.Run(invariant, func(t *testing.T) {
--- /dev/null
+++ b/soak/cold.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/platform/plsim"
+)
+
+// The replicas of one service start cold, and crash above a limit of calls within a second. The limit is derived from
+// the rate in the configuration as on the platform.
+const (
+	coldService   = "s1"
+	coldPerSecond = 4
+	coldLimit     = coldPerSecond*3/2 + 5
+	coldTime      = 3 * time.Second
+	// coldNotice is the time within which all fronts know that a replica has turned cold: they read the registrations
+	// twice within the drain time.
+	coldNotice = 1100 * time.Millisecond
+)
+
+// A flood of calls is more than cold replicas can bear.
+const (
+	floodCalls    = 120
+	floodInterval = 15 * time.Millisecond
+)
+
+// coldOf returns the cold time and rate of a service in the configuration.
+func coldOf(srv string) (seconds, perSecond float64) {
+	if srv != coldService {
+		return 0, 0
+	}
+	return coldTime.Seconds(), coldPerSecond
+}
+
+// floodColdReplica makes a replica turn cold, and sends the fronts more calls than it can bear once they may know.
+func (sok *Soak) floodColdReplica(ctx context.Context) {
+	sok.mu.Lock()
+	idx := slices.IndexFunc(sok.live, func(rep *replica) bool { return rep.service == coldService })
+	if idx < 0 {
+		sok.mu.Unlock()
+		return
+	}
+	rep := sok.live[idx]
+	seed := sok.rnd.Uint64()
+	sok.mu.Unlock()
+	rep.server.SetCold(coldTime, coldLimit)
+	sok.store.PutColdReplica(rep.id, rep.service, rep.route.Address(), rep.startedMs, coldTime)
+	go sok.flood(ctx, rand.New(rand.NewPCG(seed, 2)))
+}
+
+// flood sends calls to the service with cold replicas through random fronts.
+func (sok *Soak) flood(ctx context.Context, rnd *rand.Rand) {
+	time.Sleep(coldNotice)
+	cli := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	prefix := fmt.Sprint("f", rnd.Uint32(), "-")
+	var calls sync.WaitGroup
+	for num := range floodCalls {
+		frt := rnd.IntN(len(sok.fronts))
+		calls.Go(func() { sok.sendCall(ctx, cli, frt, "/safe/x", fmt.Sprint(prefix, num), 0) })
+		time.Sleep(floodInterval)
+	}
+	calls.Wait()
+}
+
+// replaceOverrun records the crash of a cold replica that got too many calls and starts another one after some time.
+func (sok *Soak) replaceOverrun(ovr plsim.Overrun) {
+	sok.chk.recordOverrun(ovr)
+	sok.chk.recordFault(replicaStartTime)
+	sok.replaceEnded(ovr.Replica, ovr.Service)
+}
+
+// recordOverrun records the crash of a cold replica that got too many calls.
+func (chk *checker) recordOverrun(ovr plsim.Overrun) {
+	chk.mu.Lock()
+	defer chk.mu.Unlock()
+	chk.overruns = append(chk.overruns, ovr)
+}
+
+// recordFlood records that a replica turns cold now in a phase without faults.
+func (chk *checker) recordFlood() {
+	now := time.Now()
+	chk.mu.Lock()
+	defer chk.mu.Unlock()
+	chk.floods = append(chk.floods, now)
+}
+
+// verifyOverruns checks that cold replicas got no more calls than they bear when no fault has kept the fronts from
+// knowing that they are cold. The caller holds mu.
+func (chk *checker) verifyOverruns() {
+	for _, at := range chk.floods {
+		from, until := at.Add(-time.Second), at.Add(coldTime)
+		if !chk.faultFree(from, at.Add(coldNotice)) {
+			continue
+		}
+		held, text := true, ""
+		for _, ovr := range chk.overruns {
+			if ovr.At.After(at.Add(coldNotice)) && ovr.At.Before(until) {
+				held, text = false, fmt.Sprintf("%s got %d calls in a second", ovr.Replica, ovr.Calls)
+			}
+		}
+		chk.recordCheck(invariantCold, held, "%s", text)
+	}
+}
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -51,15 +51,20 @@
 func (sok *Soak) replaceCrashed(run plsim.Run) {
 	sok.chk.recordFault(replicaStartTime)
 	sok.chk.recordCrash(run)
+	sok.replaceEnded(run.Replica, run.Service)
+}
+
+// replaceEnded starts another replica for one that has crashed, after some time.
+func (sok *Soak) replaceEnded(id, srv string) {
 	sok.mu.Lock()
-	sok.live = slices.DeleteFunc(sok.live, func(rep *replica) bool { return rep.id == run.Replica })
+	sok.live = slices.DeleteFunc(sok.live, func(rep *replica) bool { return rep.id == id })
 	sok.mu.Unlock()
 	time.AfterFunc(replicaStartTime, func() {
-		if err := sok.addReplica(run.Service); err != nil {
+		if err := sok.addReplica(srv); err != nil {
 			sok.recordUnexpected(err)
 		}
 	})
-	time.AfterFunc(registrationTTL, func() { sok.store.RemoveReplica(run.Replica) })
+	time.AfterFunc(registrationTTL, func() { sok.store.RemoveReplica(id) })
 }
 
 // recordCrash records the crash of a replica under a call.
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"syscall"
 	"time"
 
@@ -10,8 +11,11 @@
 
 // runPlannedPhase waits until the last faults have settled and then makes planned changes only: a new configuration, a
 // replica that drains, one that says that it leaves, one that asks for a pause, and the planned restart of a front.
-func (sok *Soak) runPlannedPhase() {
+func (sok *Soak) runPlannedPhase(ctx context.Context) {
 	time.Sleep(settleTime + 2*time.Second) // Checks also cover the time shortly before a change.
+	sok.chk.recordFlood()
+	sok.floodColdReplica(ctx)
+	time.Sleep(coldTime)
 	sok.publishConfig()
 	sok.drainReplica()
 	sok.leaveReplica()
@@ -61,20 +65,20 @@
 }
 
 // runFaultPhase injects faults in quick succession, so that they overlap.
-func (sok *Soak) runFaultPhase() {
+func (sok *Soak) runFaultPhase(ctx context.Context) {
 	sok.chk.recordFault(faultPhaseTime)
 	sok.faultPhases.Add(1)
 	for end := time.Now().Add(faultPhaseTime); time.Now().Before(end); {
-		sok.injectFault(time.Until(end))
+		sok.injectFault(ctx, time.Until(end))
 		time.Sleep(time.Duration(100+sok.rnd.IntN(900)) * time.Millisecond)
 	}
 }
 
 // injectFault injects one random fault, which ends no later than the phase, of which the given time remains.
-func (sok *Soak) injectFault(remaining time.Duration) {
+func (sok *Soak) injectFault(ctx context.Context, remaining time.Duration) {
 	frt := sok.fronts[sok.rnd.IntN(len(sok.fronts))]
 	dur := min(time.Duration(200+sok.rnd.IntN(2000))*time.Millisecond, max(remaining, 0))
-	switch sok.rnd.IntN(17) {
+	switch sok.rnd.IntN(18) {
 	case 0, 1:
 		sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[sok.rnd.IntN(2)]
 		go sok.restart(frt, sig)
@@ -109,6 +113,8 @@
 		sok.pauseReplica(pauses[sok.rnd.IntN(len(pauses))], dur)
 	case 16:
 		sok.disturbAfterNotice(frt, dur)
+	case 17:
+		sok.floodColdReplica(ctx)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,6 +66,7 @@
 	id, service string
 	server      *plsim.Replica
 	route       *fault.Route
+	startedMs   int64 // Unix time in milliseconds
 }
 
 // Size of the fleet, and durations of calls and phases. A round of the soak has a planned phase and a fault phase.
@@ -100,9 +101,9 @@
 	}
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
-		sok.runPlannedPhase()
+		sok.runPlannedPhase(clientCtx)
 		sok.runRestorePhase()
-		sok.runFaultPhase()
+		sok.runFaultPhase(clientCtx)
 	}
 	stopClients()
 	clients.Wait()
@@ -152,7 +153,9 @@
 func (sok *Soak) publishConfig() {
 	sok.configVersion++
 	route := func(name, kind, srv string) plsim.Route {
+		coldS, coldPerS := coldOf(srv)
 		return plsim.Route{
+			ColdS: coldS, ColdPerS: coldPerS,
 			Name: name, Host: "soak.example", PathPrefix: "/" + name + "/", Kind: kind, Service: srv, MaxAttempts: 3,
 			TimeoutMs: int(callTimeout.Milliseconds()), Resumable: kind == "streaming",
 		}
@@ -173,7 +176,7 @@
 	id := fmt.Sprint("i-", sok.replicaCount)
 	sok.mu.Unlock()
 	obs := sok.chk.observer()
-	obs.OnCrash = sok.replaceCrashed
+	obs.OnCrash, obs.OnOverrun = sok.replaceCrashed, sok.replaceOverrun
 	srr, err := plsim.StartReplica(id, srv, serviceTime, obs)
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
@@ -182,10 +185,16 @@
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
-	sok.store.PutReplica(id, srv, rte.Address(), false, 1, time.Now().UnixMilli())
+	rep := &replica{id: id, service: srv, server: srr, route: rte, startedMs: time.Now().UnixMilli()}
+	left := time.Duration(0)
+	if srv == coldService {
+		left = coldTime
+		srr.SetCold(left, coldLimit)
+	}
+	sok.store.PutColdReplica(id, srv, rte.Address(), rep.startedMs, left)
 	sok.mu.Lock()
 	defer sok.mu.Unlock()
-	sok.live = append(sok.live, &replica{id: id, service: srv, server: srr, route: rte})
+	sok.live = append(sok.live, rep)
 	return nil
 }
 
@@ -241,7 +250,7 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
-		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantNoExit,
+		invariantRecovery, invariantCrashes, invariantLeaving, invariantPause, invariantCold, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
