Let the ramp follow the first events of all fronts

Cause: with 45 fronts, each sees few responses.

Change: a first event of another front raises or lowers the limit by the prediction that its task carries.

Tested: go test ./pace ./fleet.

--- a/fleet/paced.go
+++ b/fleet/paced.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/pace"
+)
 
 // isPaced reports whether the replica's slow start allows another call now. The caller holds the lock.
 func (rep *Replica) isPaced(now time.Time) bool {
@@ -11,29 +15,26 @@
 	if !slo.MayTake(now, rep.set.pace.fronts()) {
 		return false
 	}
-	return !slo.LimitsCalls(now) || slo.HasRoom(rep.callsInFlight(now))
+	return !slo.LimitsCalls(now) || slo.HasRoom(now, rep.callsInFlight(now))
 }
 
-// callsInFlight returns the number of tasks of all processes at the replica, and how many of them have had their first
-// event. The caller holds the lock.
-func (rep *Replica) callsInFlight(now time.Time) (calls, answered int) {
+// callsInFlight returns the number of tasks of all processes at the replica. The caller holds the lock.
+func (rep *Replica) callsInFlight(now time.Time) int {
 	rep.removeStaleTasks(now)
-	count := func(tasks map[uint32]*Task) {
-		calls += len(tasks)
-		for _, tsk := range tasks {
-			if tsk.Phase == Decode {
-				answered++
-			}
-		}
+	calls := rep.numTasks()
+	if rep.summary.fresh(now) { // It is in another cell, whose tasks are not known one by one.
+		calls = max(calls, rep.summary.Calls)
 	}
-	count(rep.localTasks)
+	return calls
+}
+
+// numTasks returns the number of known tasks at the replica. The caller holds the lock.
+func (rep *Replica) numTasks() int {
+	num := len(rep.localTasks)
 	for _, tasks := range rep.remoteTasks {
-		count(tasks)
+		num += len(tasks)
 	}
-	if rep.summary.fresh(now) { // It is in another cell, whose tasks are not known one by one.
-		calls, answered = max(calls, rep.summary.Calls), max(answered, rep.summary.DecodeStreams)
-	}
-	return calls, answered
+	return num
 }
 
 // TakeCall is called right before a call is sent, whose task has been started. It returns false if the replica is in a
@@ -46,9 +47,9 @@
 	if slo == nil {
 		return 0, true
 	}
-	calls, answered := rep.callsInFlight(now)
+	calls = rep.callsInFlight(now)
 	if !slo.MayTake(now, rep.set.pace.fronts()) ||
-		(slo.LimitsCalls(now) && !slo.HasRoom(calls-1, answered)) { // Its own task is one of them.
+		(slo.LimitsCalls(now) && !slo.HasRoom(now, calls-1)) { // Its own task is one of them.
 		rep.set.pace.count("slow-start-call-denied")
 		return 0, false
 	}
@@ -71,17 +72,33 @@
 		return
 	}
 	rep.recordResponds(now)
-	switch {
-	case snt.Calls == 0: // It was sent before the slow start began.
-	case !onTime:
+	if snt.Calls > 0 { // Otherwise it was sent before the slow start began.
+		rep.recordPace(now, snt, onTime)
+	}
+}
+
+// recordPeerFirstEvent records that a call of another process has had its first event. The caller holds the lock.
+func (rep *Replica) recordPeerFirstEvent(tsk *Task, now time.Time) {
+	if rep.notices.slowStart == nil || tsk.ExpectedAt.IsZero() || tsk.IsPart {
+		return
+	}
+	onTime := pace.IsOnTime(now.Sub(tsk.StartedAt), tsk.ExpectedAt.Sub(tsk.StartedAt))
+	rep.recordPace(now, Sent{At: tsk.StartedAt, Calls: rep.callsInFlight(now)}, onTime)
+}
+
+// recordPace raises or lowers the limit of a slow start, and ends it if the replica takes as many calls as any other.
+// The caller holds the lock.
+func (rep *Replica) recordPace(now time.Time, snt Sent, onTime bool) {
+	slo := rep.notices.slowStart
+	if !onTime {
 		rep.lowerLimit(now, snt)
-	default:
-		slo.OnTime(now, snt.Calls)
+		return
 	}
+	slo.OnTime(now, snt.Calls)
 	if busiest := rep.set.busiestOther(rep); slo.Over(now, rep.reg.Slots, busiest) {
 		rep.notices.slowStart = nil
 		rep.set.pace.count("slow-start-over")
-		rep.set.log.Info("fleet: slow start of a replica is over", "replica", rep.reg.ID, "limit", slo.Limit(),
+		rep.set.log.Info("fleet: slow start of a replica is over", "replica", rep.reg.ID, "limit", slo.Limit(now),
 			"slots", rep.reg.Slots, "busiest", busiest)
 	}
 }
@@ -90,14 +107,9 @@
 func (set *ReplicaSet) busiestOther(rep *Replica) int {
 	busiest := 0
 	for _, other := range set.replicas {
-		if other == rep {
-			continue
-		}
-		num := len(other.localTasks)
-		for _, tasks := range other.remoteTasks {
-			num += len(tasks)
+		if other != rep {
+			busiest = max(busiest, other.numTasks())
 		}
-		busiest = max(busiest, num)
 	}
 	return busiest
 }
@@ -116,7 +128,7 @@
 	if slo := rep.notices.slowStart; slo.Late(now, snt.At, snt.Calls) {
 		rep.set.pace.count("slow-start-lowered")
 		rep.set.log.Info("fleet: replica in slow start was late or failed", "replica", rep.reg.ID,
-			"calls", snt.Calls, "sent-ago", now.Sub(snt.At), "limit", slo.Limit())
+			"calls", snt.Calls, "sent-ago", now.Sub(snt.At), "limit", slo.Limit(now))
 	}
 }
 
--- a/fleet/task.go
+++ b/fleet/task.go
@@ -161,6 +161,9 @@
 		delete(tasks, rem.Task.ID)
 		return
 	}
+	if old != nil && old.Phase == Prefill && rem.Task.Phase == Decode {
+		rep.recordPeerFirstEvent(old, now)
+	}
 	switch {
 	case rem.ProgressOnly && old == nil:
 		return // The update with its start was lost or is late; the process sends the whole task again.
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -48,7 +48,7 @@
 	if left <= before+coldTolerance {
 		return false
 	}
-	slo.ramp = newRamp(slo.warmUp, now)
+	slo.ramp = newRamp(slo.warmUp, until)
 	return true
 }
 
@@ -90,9 +90,8 @@
 	return !slo.Cold(now) || !slo.ramp.loweredAt.IsZero()
 }
 
-// HasRoom reports whether another call may be sent beside those that are in flight there from all fronts, of which some
-// have had their first event.
-func (slo *SlowStart) HasRoom(calls, answered int) bool { return slo.ramp.hasRoom(calls, answered) }
+// HasRoom reports whether another call may be sent beside those that are in flight there from all fronts.
+func (slo *SlowStart) HasRoom(now time.Time, calls int) bool { return slo.ramp.hasRoom(now, calls) }
 
 // Take records that a call is sent now. Calls are also counted when the replica is not cold, since it may become cold
 // within a second.
@@ -119,22 +118,20 @@
 	return slo.Cold(now) && float64(slo.window.count(now)+others) > slo.warmUp.PerSecond
 }
 
-// OnTime records that a call had its first event on time that was sent beside others. The number includes the call.
+// OnTime records that a call of any front had its first event on time that was sent beside others. The number includes
+// the call.
 func (slo *SlowStart) OnTime(now time.Time, calls int) { slo.ramp.raise(now, calls) }
 
-// Late records that a call was late, refused or failed. It returns whether the limit of calls in flight was lowered.
+// Late records that a call of any front was late, refused or failed. It returns whether the limit of calls in flight was lowered.
 func (slo *SlowStart) Late(now, sentAt time.Time, calls int) bool {
 	return slo.ramp.lower(now, sentAt, calls)
 }
 
 // Limit returns the calls that may be in flight, as far as the responses to this front show.
-func (slo *SlowStart) Limit() int { return slo.ramp.limit }
+func (slo *SlowStart) Limit(now time.Time) int { return slo.ramp.limitAt(now) }
 
 // Over reports whether the replica takes as many calls as any other: as many as it has slots, and as are in flight at
 // the busiest one.
 func (slo *SlowStart) Over(now time.Time, slots, busiest int) bool {
-	if slo.Cold(now) {
-		return false
-	}
-	return slo.ramp.limit >= max(slots, busiest) || now.Sub(slo.ramp.changedAt) > rampTimeout
+	return !slo.Cold(now) && slo.ramp.limitAt(now) >= max(slots, busiest)
 }
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/pool"
 )
 
@@ -53,12 +54,12 @@
 	}
 }
 
-// isOnTime reports whether the first event of a stream comes within its predicted time and the margin from which split
-// prompts are overdue, or another response within the latency target of the route.
+// isOnTime reports whether the first event of a stream comes about when it was predicted, or another response within
+// the latency target of the route.
 func (att *attempt) isOnTime() bool {
 	took, rte := att.hdl.opts.Clock.Since(att.sent.At), att.hdl.rte
 	if predicted := att.placement.FirstEvent; predicted > 0 && rte.IsStream() {
-		return took <= predicted+max(share(predicted, overdueShare), minOverdue)
+		return pace.IsOnTime(took, predicted)
 	}
 	return rte.LatencyTarget <= 0 || took <= rte.LatencyTarget
 }
