Count failures one after another, and look for the busiest replica four times a second

Cause: a failure rate above 0.8 is common at a replica that loses 40% of its responses, as each counts as six failures. To look for the busiest replica on each first event takes as long as a placement in a large cell.

Change: a replica counts as failing after four failed calls in a row. The busiest replica is looked for every 250 ms.

Tested: go test ./fleet ./pace.

--- a/fleet/paced.go
+++ b/fleet/paced.go
@@ -95,7 +95,10 @@
 		return
 	}
 	slo.OnTime(now, snt.Calls)
-	if busiest := rep.set.busiestOther(rep); slo.Over(now, rep.reg.Slots, busiest) {
+	if slo.Limit(now) < rep.reg.Slots {
+		return
+	}
+	if busiest := rep.set.busiestTasks(now); slo.Over(now, rep.reg.Slots, busiest) {
 		rep.notices.slowStart = nil
 		rep.set.pace.count("slow-start-over")
 		rep.set.log.Info("fleet: slow start of a replica is over", "replica", rep.reg.ID, "limit", slo.Limit(now),
@@ -103,15 +106,20 @@
 	}
 }
 
-// busiestOther returns the number of tasks at the busiest other replica. The caller holds the lock.
-func (set *ReplicaSet) busiestOther(rep *Replica) int {
-	busiest := 0
-	for _, other := range set.replicas {
-		if other != rep {
-			busiest = max(busiest, other.numTasks())
+// busiestInterval is the time for which the number of tasks at the busiest replica is kept. In a large cell, to find it
+// takes as long as a placement, and first events come much more often.
+const busiestInterval = 250 * time.Millisecond
+
+// busiestTasks returns the number of tasks at the busiest replica, as of up to busiestInterval ago. The caller holds
+// the lock.
+func (set *ReplicaSet) busiestTasks(now time.Time) int {
+	if now.Sub(set.busiestAt) >= busiestInterval {
+		set.busiest, set.busiestAt = 0, now
+		for _, rep := range set.replicas {
+			set.busiest = max(set.busiest, rep.numTasks())
 		}
 	}
-	return busiest
+	return set.busiest
 }
 
 // RecordLateOrFailed records that a call was late, refused or failed, which lowers the limit of a slow start.
@@ -141,10 +149,11 @@
 	rep.markFailing()
 }
 
-// failingRate is the failure rate from which a replica counts as failing altogether: four failures without a success.
-const failingRate = 0.8
+// failingCalls is the number of calls that fail one after another from which a replica counts as failing altogether.
+// One that loses 40% of its responses rarely does.
+const failingCalls = 4
 
-// markFailing records that the replica does not respond, or that hardly any call there succeeds. The caller holds the
+// markFailing records that the replica does not respond, or that calls there fail. The caller holds the
 // lock.
 func (rep *Replica) markFailing() {
 	set, now := rep.set, rep.set.clock.Now()
--- a/fleet/ramp_test.go
+++ b/fleet/ramp_test.go
@@ -70,3 +70,21 @@
 		}
 	}
 }
+
+// TestFailingReplicaRespondsAgain guards against a replica that fails all calls and gets all of them when it recovers,
+// and against one that is held back because single calls there fail.
+func TestFailingReplicaRespondsAgain(t *testing.T) {
+	iis := is.New(t)
+	flt, _ := newPacedFleet()
+	rep := onlyReplica(t, flt)
+	for range 3 {
+		rep.RecordFailure()
+	}
+	rep.RecordSuccess()
+	rep.RecordUnreachable() // As a lost response counts.
+	iis.Equal(takeAll(rep), 20)
+	for range 3 {
+		rep.RecordFailure()
+	}
+	iis.Equal(takeAll(rep), 4)
+}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -21,6 +21,8 @@
 	replicas   []*Replica // ordered by hash; all processes have the same order
 	lastTaskID uint32     // ID of the last task that was started
 	warmUp     pace.WarmUp
+	busiest    int // tasks at the busiest replica
+	busiestAt  time.Time
 	// By data centre:
 	demand        map[string]*prefillDemand
 	perDataCentre map[string]int // number of replicas
@@ -125,6 +127,7 @@
 	failures      float64
 	successes     float64
 	updated       time.Time
+	failedInRow   int     // calls since the last success
 	observedRatio float64 // median ratio of observed to predicted time; 0 until known
 	observedAt    time.Time
 	// reportedRatio is the latency ratio that the replica reported at reportedAt.
@@ -187,8 +190,9 @@
 	rep.health.failures = min(rep.health.failures+failures, maxObservations)
 	rep.health.successes = min(rep.health.successes+successes, maxObservations)
 	if successes > 0 {
+		rep.health.failedInRow = 0
 		rep.recordResponds(now)
-	} else if rep.health.failureRate(now) >= failingRate {
+	} else if rep.health.failedInRow++; rep.health.failedInRow >= failingCalls {
 		rep.markFailing()
 	}
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -122,7 +122,8 @@
 // the call.
 func (slo *SlowStart) OnTime(now time.Time, calls int) { slo.ramp.raise(now, calls) }
 
-// Late records that a call of any front was late, refused or failed. It returns whether the limit of calls in flight was lowered.
+// Late records that a call of any front was late, refused or failed. It returns whether the limit of calls in flight
+// was lowered.
 func (slo *SlowStart) Late(now, sentAt time.Time, calls int) bool {
 	return slo.ramp.lower(now, sentAt, calls)
 }
