Count the list of fronts as complete after one second

Cause: after a loss of power all fronts start together, and use little of the limit until their lists count as complete.

Change: a second suffices, since a front that registers later greets this one before its own list counts.

Tested: go test -race ./peers -run 'Fronts|Cold'.

--- a/peers/fronts.go
+++ b/peers/fronts.go
@@ -22,9 +22,9 @@
 	// stoppedFrontTime is the time for which a front that has stopped keeps its share, so that no other one takes it
 	// within the second in which the last calls were sent. A run that is heard of later is another one.
 	stoppedFrontTime = time.Second
-	// frontsSettleTime is the time after the first list of the fronts until that list counts as complete. Fronts that
-	// start together have registered and greeted each other by then.
-	frontsSettleTime = 2 * time.Second
+	// frontsSettleTime is the time after the first list of the fronts until that list counts as complete. A front that
+	// registers later finds this one on its own list and greets it, before it counts its list as complete.
+	frontsSettleTime = time.Second
 	// assumedFronts is the number of fronts that a process assumes at least until then: that of the largest deployment
 	// planned for. Together, that many fronts that know nothing of each other keep to the limit on average.
 	assumedFronts = 512
