--- a/front/evacuate.go
+++ b/front/evacuate.go
@@ -37,7 +37,8 @@
 	for range chg.Evacuated {
 		frt.metrics.CountEvent("data-centre-evacuated")
 	}
-	for range chg.Returned {
+	for _, name := range chg.Returned {
+		frt.fleet.MarkCold(name) // Its replicas may have been restarted meanwhile.
 		frt.metrics.CountEvent("data-centre-returned")
 	}
 	if chg.FromStore && frt.peers != nil {
--- a/front/front.go
+++ b/front/front.go
@@ -98,6 +98,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
+	frt.fleet.SetPace(fleet.PaceOptions{Fronts: frt.sharers, CountEvent: mts.CountEvent})
 	frt.crashes = cause.New(cause.Options{Clock: clk, Log: log, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
 	frt.evacuations = evac.New(evac.Options{Clock: clk, Log: log, OnChange: frt.setEvacuated})
 	if err := frt.startPeers(); err != nil {
@@ -148,6 +149,7 @@
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
 		AwaitState:            frt.awaitState,
+		OnReplicaCold:         frt.sendReplicaCold,
 	}
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 	"github.com/tarragonwheel/tarragonwheel/follow"
 	"github.com/tarragonwheel/tarragonwheel/group"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -100,6 +101,11 @@
 	flushScheduled bool                  // sendChanges is going to run
 	// urgentScheduled is set if sendChanges is going to run after urgentBatchDelay.
 	urgentScheduled bool
+	known           map[string]*knownFront      // by address, without this process
+	frontsSettled   bool                        // known has been complete once
+	fronts          atomic.Pointer[pace.Fronts] // nil until needed, after a change of known
+	stopped         atomic.Bool                 // this process sends no more calls to replicas
+	cold            []coldReplica               // notices that have not been sent yet
 
 	crashesScheduled   bool // sendCrashes is going to run
 	evacuationsChanged bool // since they were last sent
@@ -131,7 +137,7 @@
 	}
 	exc := &Exchange{
 		opts: opts, runID: rand.Uint32(), conn: con, peers: make(map[string]*peer),
-		cellSizes: make(map[string]cellSize),
+		cellSizes: make(map[string]cellSize), known: make(map[string]*knownFront),
 	}
 	context.AfterFunc(grp.Context(), func() { _ = con.Close() }) // Ends receiveMessages.
 	grp.Go("receive", func(ctx context.Context) error {
@@ -203,6 +209,7 @@
 		exc.mu.Unlock()
 		return
 	}
+	exc.recordFront(addr, msg)
 	isNew := per.lastReceived.IsZero() || per.runID != msg.RunID
 	per.runID, per.lastReceived = msg.RunID, now
 	if msg.Name != "" {
@@ -241,4 +248,5 @@
 	exc.opts.Fleet.ApplyRemoteTasks(addr.String(), tasks)
 	exc.applyCrashes(msg)
 	exc.applyLeaving(msg)
+	exc.applyCold(msg)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -88,6 +88,7 @@
 	task               fleet.Task
 	tasks              attemptTasks
 	needsNewConn       bool
+	sent               fleet.Sent // for the slow start of the replica
 	message            call.Attempt
 	buffers            *callBuffers // for bodies and events
 	cleanup            []func()     // to be called at the end, the last one first
@@ -157,7 +158,7 @@
 	con, err := hdl.opts.Pool.Get(att.ctx, plc.Primary.ID, plc.Primary.Address, att.needsNewConn)
 	if err != nil {
 		if att.ctx.Err() == nil {
-			plc.Primary.Replica.RecordUnreachable()
+			plc.Primary.Replica.RecordNoConnection()
 		}
 		return &outcome{notSent: true, reason: reasonUnreachable, err: err}
 	}
@@ -165,6 +166,9 @@
 		_ = con.Close() // Nothing was sent on it.
 		return &outcome{notSent: true, reason: reasonEvacuated}
 	}
+	if out := att.takeCall(con); out != nil {
+		return out
+	}
 	att.con = con
 	stop := context.AfterFunc(att.ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
 	att.onEnd(func() { stop() })
@@ -261,39 +265,3 @@
 	}
 	return reasonStreamBroken
 }
-
-// recordReplicaHealth updates the failure rate of the primary replica with the outcome, and has it checked whether the
-// replica has crashed if it broke the connection.
-func (att *attempt) recordReplicaHealth(out *outcome) {
-	rep := att.placement.Primary.Replica
-	switch {
-	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
-		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
-	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
-		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
-		// The client or this process ended the call, which says nothing about the replica.
-	case out.reason == reasonStreamBroken:
-		att.recordBreak(out)
-	case att.con.Reused() && !att.replyReceived:
-		// The connection may have been unusable before the call, which says nothing about the replica.
-	default:
-		if att.brokenOff {
-			att.logBrokenAnswer(out)
-		}
-		rep.RecordFailure()
-	}
-}
-
-// enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
-// calls with lower numbers first.
-func enginePriority(target time.Duration) int {
-	switch {
-	case target <= 0:
-		return 5
-	case target <= 500*time.Millisecond:
-		return 2
-	case target <= 2*time.Second:
-		return 4
-	}
-	return 6
-}
--- a/relay/broken.go
+++ b/relay/broken.go
@@ -45,6 +45,7 @@
 	}
 	decide := opts.Crashes.RecordBreak(vie.ID, hdl.causeCall(), att.eventsReceived > beginningEvents)
 	brokenAt, unanswered := opts.Clock.Now(), sawCall && !att.replyReceived
+	aboveLimit := rep.AboveLimit()
 	settle := func(err error) {
 		leaving := rep.Leaving()
 		crashed := err != nil && !leaving
@@ -56,7 +57,10 @@
 		case !crashed:
 			opts.Metrics.CountEvent("answer-lost")
 		}
-		decide(crashed)
+		if crashed && aboveLimit {
+			att.logCrashAboveLimit()
+		}
+		decide(crashed && !aboveLimit)
 		opts.Log.Info("relay: replica broke off its answer", append(details, "crash", crashed, "leaving", leaving,
 			"check", errorText(err), "decided-after", opts.Clock.Since(brokenAt))...)
 	}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -22,6 +22,7 @@
 	reasonReplicasPause     = "replicas-pause"
 	reasonReplicasLeave     = "replicas-leave"
 	reasonEvacuated         = "evacuated"
+	reasonReplicasWarmingUp = "replicas-warming-up"
 	reasonNotRun            = "not-run"
 	reasonNoMemory          = "no-memory"
 	reasonUnreachable       = "unreachable"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,6 +68,8 @@
 	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
 	// before; nil for none.
 	OnReplicaLeaving func(ntc fleet.LeavingNotice)
+	// OnReplicaCold is called when a replica has told this process that it is cold, if that is new; nil for none.
+	OnReplicaCold func(ntc fleet.ColdNotice)
 	// ShareAccounts makes calls of accounts with more recent work than others pay more while replicas are busy.
 	ShareAccounts bool
 	// ClaimTime is how long the placement of a long prompt is announced before the prompt is sent; 0 for not at all.
--- a/relay/shares_test.go
+++ b/relay/shares_test.go
@@ -83,6 +83,8 @@
 		factor.Store(req.PriceFactor)
 		return place.Placement{Primary: views[0], Value: 1, NetValue: 1, PrefillTime: time.Second}, true
 	})
+	rig.opts.ShareAccounts = true
+	rig.start(t)
 	spc := testRules()
 	spc.Services = []rules.Service{{Name: "s", Engine: smallEngine()}}
 	spc.Accounts = append(spc.Accounts, rules.Account{Name: "other", Keys: []string{"other-key"}})
--- a/soak/check.go
+++ b/soak/check.go
@@ -28,6 +28,7 @@
 	invariantFlood       = "an account within its share is served beside one that floods"
 	invariantPause       = "a replica that asks for a pause gets two calls at most"
 	invariantEvacuated   = "replicas in an evacuated data centre get no calls"
+	invariantCold        = "a cold replica gets no more calls than it bears"
 )
 
 // slack is added to time limits, because a busy machine may delay what this process observes.
@@ -70,6 +71,8 @@
 	evacuations   []evacuation
 	restoreGaps   []interval             // from each restore amid faults until lost records were written again
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
+	overruns      []plsim.Overrun        // crashes of cold replicas that got too many calls
+	floods        []time.Time            // when a replica turned cold, and more calls than it bears were sent
 	checkCounts   map[string]int         // by invariant
 	violations    []string
 	floodText     string // what became of the calls to the shared service
@@ -103,7 +106,7 @@
 			defer chk.mu.Unlock()
 			chk.runEnds[run.ID] = at
 		},
-		OnCrash: chk.recordCrash,
+		OnCrash: chk.recordCrash, OnOverrun: chk.recordOverrun,
 	}
 }
 
@@ -151,6 +154,7 @@
 	chk.verifyNotices()
 	chk.verifyEvacuations()
 	chk.verifyFlood()
+	chk.verifyOverruns()
 	chk.verifyLeaving(invariantDrain, chk.drainingSince)
 	chk.verifyLeaving(invariantRemoved, chk.removedSince)
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -122,6 +122,9 @@
 				id: "c", path: "/safe/x", duringPlannedStop: true, outcome: plsim.Outcome{Err: errors.New("reset")},
 			})
 		},
+		invariantCold: func(chk *checker) {
+			chk.observer().OnOverrun(plsim.Overrun{Replica: "i", Calls: 12, ColdSince: at(0), At: at(coldTime)})
+		},
 		invariantNoExit: func(chk *checker) { (&Soak{chk: chk}).recordUnexpected(errors.New("exit 2")) },
 	} {
 		t.Run(invariant, func(t *testing.T) {
