Keep removed replicas in one record

Two files of package fleet remembered replicas that are not registered any more, each with bounds and times of its own: gone.go their last registrations by ID, former.go their notices by incarnation. fleet/removed.go now holds one record for each removed incarnation, with an index for either use. The times and bounds are as before, so that behaviour does not change; the tests are unchanged, in a renamed file.

Tested with go test -race ./fleet ./peers, and go test -run 'Restore|Replica|Evac|Restart' ./front.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,13 +23,12 @@
 	byID        map[string]*Replica    // all registered replicas
 	byHash      map[uint32]*Replica    // the same, by the hash of their ID
 	expired     map[string]time.Time   // end of the grace period, by the ID of a replica whose registration is missing
-	gone        goneReplicas           // that have been removed lately
+	removed     removedReplicas        // that are not registered any more
 	pending     pendingTasks           // updates for replicas that are not registered here yet
 	rivals      map[string]rival       // by the ID of a replica
 	// graceEnd is the end of the grace period after an outage or a restore of the store. A registration that disappears
 	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
-	former   formerNotices
 	// evacuated holds the data centres whose replicas get no requests. It is replaced, and not changed.
 	evacuated map[string]bool
 }
@@ -47,8 +46,8 @@
 	return &Fleet{
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
-		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), gone: make(goneReplicas),
-		rivals: make(map[string]rival), former: make(formerNotices),
+		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time),
+		removed: newRemovedReplicas(), rivals: make(map[string]rival),
 	}
 }
 
@@ -97,7 +96,7 @@
 	delete(flt.expired, reg.ID)
 	old := flt.byID[reg.ID]
 	if old == nil {
-		if flt.gone.admit(&reg) {
+		if flt.removed.admit(&reg) {
 			flt.add(reg)
 		}
 		return
@@ -151,7 +150,7 @@
 func (flt *Fleet) add(reg Registration) {
 	rep := &Replica{
 		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now(),
-		notices: flt.former.take(incarnationOf(&reg)),
+		notices: flt.removed.takeNotices(incarnationOf(&reg)),
 	}
 	rep.set = flt.replicaSetLocked(reg.Service)
 	flt.byID[reg.ID] = rep
@@ -167,12 +166,13 @@
 // than missing. The caller holds the lock.
 func (flt *Fleet) remove(rep *Replica, reason string, unregistered bool) {
 	reg := rep.Registration()
-	flt.gone.add(reg, unregistered, flt.clock.Now())
 	rep.set.remove(rep)
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
 	delete(flt.rivals, reg.ID)
-	flt.former.keep(incarnationOf(&reg), rep.notices, flt.clock.Now())
+	flt.removed.add(&removedReplica{
+		last: reg, notices: rep.notices, at: flt.clock.Now(), unregistered: unregistered,
+	})
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onRemoved(reg.ID)
 }
@@ -247,8 +247,7 @@
 	defer flt.mu.Unlock()
 	now := flt.clock.Now()
 	flt.pending.removeStale(now)
-	flt.gone.removeStale(now)
-	flt.former.removeOld(now)
+	flt.removed.removeStale(now)
 	for id, until := range flt.expired {
 		if now.Before(until) {
 			continue
