Let a listing overrule what peers say of evacuations

A forged datagram with the address of a peer and a position beyond the store's would have kept a data centre out of service for as long as the process lives. A listing with a lower position now drops what was heard.

A front that had not read the address of a peer from the store did not believe it, and read the addresses again only when it first heard of it, so that it could miss evacuations for a minute. It now reads them again on each state of such a peer.

--- a/evac/evac.go
+++ b/evac/evac.go
@@ -60,9 +60,9 @@
 	defer trk.mu.Unlock()
 	if trk.own.known && !trk.own.isOfEra(pos) {
 		trk.returned = make(map[string]bool)
-		if pos.Before(trk.own.at) { // Positions of before do not compare to the ones after such a restore.
-			trk.heard = view{}
-		}
+	}
+	if pos.Before(trk.heard.at) { // The store has no such position. If it has one since, it is read next.
+		trk.heard = view{}
 	}
 	trk.own = newView(dataCentres, pos)
 	trk.advance()
--- a/evac/evac_test.go
+++ b/evac/evac_test.go
@@ -150,6 +150,20 @@
 	iis.True(trk.evacuated())
 }
 
+// TestListingOverrulesPeers guards against a data centre that is out of service as long as the process lives, because
+// of a forged datagram with a position that the store does not have.
+func TestListingOverrulesPeers(t *testing.T) {
+	iis := is.New(t)
+	trk := newTracked()
+	trk.List(nil, at(1, 5))
+	trk.Merge(evac.State{Position: at(1<<60, 1), DataCentres: []string{"a"}})
+	iis.True(trk.evacuated("a"))
+	trk.List(nil, at(1, 6))
+	trk.man.Advance(evac.Grace)
+	trk.RemoveExpired()
+	iis.True(trk.evacuated())
+}
+
 // TestPeerTellsOfRestore guards against requests to an evacuated data centre by a process without the store that hears
 // of a new era in which the record is missing.
 func TestPeerTellsOfRestore(t *testing.T) {
--- a/peers/evacuate.go
+++ b/peers/evacuate.go
@@ -106,10 +106,13 @@
 }
 
 // applyEvacuations hands over the evacuated data centres of a message. Only peers that were added by their address are
-// believed, since anybody can send a datagram.
+// believed, since anybody can send a datagram. Another one may have registered since the addresses were read.
 func (exc *Exchange) applyEvacuations(msg *message, registered bool) {
-	if exc.opts.OnEvacuations == nil || msg.Evacuations == nil || !registered {
-		return
+	switch {
+	case exc.opts.OnEvacuations == nil || msg.Evacuations == nil:
+	case registered:
+		exc.opts.OnEvacuations(msg.Evacuations.toState())
+	case exc.opts.OnUnregistered != nil:
+		exc.opts.OnUnregistered()
 	}
-	exc.opts.OnEvacuations(msg.Evacuations.toState())
 }
