Begin a second attempt at an idempotent call that is overdue

A lost response to a call that is not a stream showed only at its deadline or at the end of the connection.

Package hedge learns how long responses take for each route and service. The first complete response wins, and the other attempt is cancelled.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,14 +30,6 @@
 // errorText returns the text of the error, or an empty string.
 func (out *outcome) errorText() string { return errorText(out.err) }
 
-// errorText returns the text of an error, or an empty string if it is nil.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // sendAttempt sends the call once, to the replicas of a placement, and forwards the response.
 func (hdl *callHandler) sendAttempt(plc *place.Placement) outcome {
 	att := hdl.newAttempt(plc)
@@ -46,20 +38,28 @@
 		return *out
 	}
 	att.stall = att.watchStall()
+	att.overdue = att.watchOverdue()
 	return att.finish(att.roundTrip())
 }
 
-// resumeWith goes on with a standby attempt, whose stream has begun.
+// resumeWith goes on with a standby attempt, whose stream has begun, or a second one, whose response is complete.
 func (hdl *callHandler) resumeWith(att *attempt) outcome {
 	defer att.end()
 	hdl.placement, hdl.placedAt = *att.placement, att.placedAt
 	att.stall = att.watchStall()
+	if att.whole != nil {
+		return att.finish(att.deliver(att.whole))
+	}
 	return att.finish(att.forwardStream())
 }
 
 // finish ends the watch of the attempt and settles its outcome.
 func (att *attempt) finish(out outcome) outcome {
-	out.next = att.stall.stop(out.final || att.hdl.ctx.Err() != nil)
+	isFinal := out.final || att.hdl.ctx.Err() != nil
+	out.next = att.stall.stop(isFinal)
+	if next := att.overdue.stop(isFinal); next != nil {
+		out.next = next
+	}
 	att.settle(&out)
 	return out
 }
@@ -95,15 +95,17 @@
 	response           *http.Response
 	events             *eventReader // of the response, if it is a stream
 	rest               resumption
-	sentEvent          bool        // an event of this attempt, other than a comment, was sent to the client
-	connReleased       bool        // the connection was returned to the pool
-	replyReceived      bool        // the head of a response to the call has been read
-	eventsReceived     int         // other than comments
-	brokenOff          bool        // reading the response has failed
-	firstEventReceived atomic.Bool // of a stream
-	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
-	stall              *stallWatch // nil for a standby attempt
-	reservationUnused  atomic.Bool // the attempt was ended because its reserved KV memory was not used
+	sentEvent          bool          // an event of this attempt, other than a comment, was sent to the client
+	connReleased       bool          // the connection was returned to the pool
+	replyReceived      bool          // the head of a response to the call has been read
+	eventsReceived     int           // other than comments
+	brokenOff          bool          // reading the response has failed
+	firstEventReceived atomic.Bool   // of a stream
+	lastEventAt        time.Time     // when the latest event was sent to the client; zero before the first
+	stall              *stallWatch   // nil for a standby attempt
+	overdue            *overdueWatch // nil if no second attempt may begin
+	whole              *fullReply    // the response of a second attempt, once it is complete
+	reservationUnused  atomic.Bool   // the attempt was ended because its reserved KV memory was not used
 }
 
 // newAttempt returns the next attempt at the call.
@@ -188,6 +190,7 @@
 		return *out
 	}
 	if att.events != nil {
+		att.overdue.cancel() // Its events go to the client at once.
 		return att.forwardStream()
 	}
 	return att.forwardReply()
@@ -238,6 +241,8 @@
 		return reasonReservationUnused
 	case att.stall != nil && att.stall.isStalled():
 		return reasonStalled
+	case att.overdue.hasOvertaken():
+		return reasonOvertaken
 	case errors.Is(err, pool.ErrTooLong), errors.Is(err, errTooLarge), errors.Is(err, errEventTooLong):
 		att.hdl.opts.Metrics.CountEvent("response-too-long")
 		att.hdl.opts.Log.Info("relay: response is too long, closing the connection", "call", att.hdl.cal.ID,
@@ -259,7 +264,7 @@
 	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
 		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
 	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
-		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
+		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull, out.reason == reasonOvertaken:
 		// The client or this process ended the call, which says nothing about the replica.
 	case out.reason == reasonStreamBroken:
 		att.recordBreak(out)
--- a/relay/broken.go
+++ b/relay/broken.go
@@ -70,3 +70,11 @@
 		settle(err)
 	})
 }
+
+// errorText returns the text of an error, or an empty string if it is nil.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/relay/lost_test.go
+++ b/relay/lost_test.go
@@ -42,7 +42,7 @@
 				deadly.Add(1)
 				return false
 			}
-			time.Sleep(10 * time.Millisecond) // The replica works on the call.
+			time.Sleep(40 * time.Millisecond) // The replica works on the call.
 			if num < lossReplicas*6/10 && time.Now().Before(until) && rand.Float64() < lossShare {
 				return resetConn(con)
 			}
@@ -62,7 +62,7 @@
 	start := time.Now()
 	var served, blocked atomic.Int64
 	var wgr sync.WaitGroup
-	for num := range 12 {
+	for num := range 40 {
 		wgr.Go(func() {
 			for time.Since(start) < lossTime {
 				// Clients send the same call again and again, and calls of different clients share parts.
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -30,6 +30,7 @@
 	reasonClientLeft        = "client-left"
 	reasonCrashesReplicas   = "crashes-replicas"
 	reasonStalled           = "stalled"
+	reasonOvertaken         = "overtaken"
 	reasonBuffersFull       = "buffers-full"
 	reasonDone              = "done"
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonwheel/tarragonwheel/call"
 	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/hedge"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/pool"
@@ -79,13 +80,14 @@
 	buffers          *buffers
 	mu               sync.Mutex
 	retryBudgets     map[string]*retry.SharedBudget // by service name
+	responseTimes    *hedge.Times
 }
 
 // New returns a Relay.
 func New(opts Options) *Relay {
 	rly := &Relay{
 		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
-		retryBudgets: make(map[string]*retry.SharedBudget),
+		retryBudgets: make(map[string]*retry.SharedBudget), responseTimes: hedge.New(),
 	}
 	rly.lifetime, rly.endCalls = context.WithCancel(context.Background())
 	return rly
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -11,39 +11,64 @@
 
 // forwardReply forwards a response that is not a stream, once it has been read to its end.
 func (att *attempt) forwardReply() outcome {
+	rpl, out := att.readReply()
+	if out != nil {
+		return *out
+	}
+	hdl := att.hdl
+	if hdl.headSent { // Part of a stream has been sent, so another response cannot follow.
+		return *failedReply(rpl)
+	}
+	if rpl.reply.Status >= http.StatusInternalServerError && hdl.rte.Retryable() {
+		hdl.fallback = rpl
+		return *failedReply(rpl)
+	}
+	att.overdue.cancel()
+	return att.deliver(rpl)
+}
+
+// failedReply returns the outcome of an attempt with a complete response that is not sent to the client.
+func failedReply(rpl *fullReply) *outcome {
+	err := fmt.Errorf("relay: status %d", rpl.reply.Status)
+	return &outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: err}
+}
+
+// readReply reads a response that is not a stream to its end. It returns the outcome of the attempt if that fails or
+// the response must not be forwarded, and nil otherwise.
+func (att *attempt) readReply() (*fullReply, *outcome) {
 	res, rep := att.response, att.reply
 	body, err := att.buffers.readAll(res.Body, maxReplyBytes)
 	switch {
 	case rep.NotExecuted:
 		att.releaseConn(res, err)
-		return outcome{reason: reasonNotRun}
+		return nil, &outcome{reason: reasonNotRun}
 	case err != nil:
-		return outcome{
+		return nil, &outcome{
 			mayHaveRun: true, reason: att.failureReason(err), err: fmt.Errorf("relay: read response: %w", err),
 		}
 	}
 	att.releaseConn(res, nil)
 	isProof, err := att.checkEnd(res)
 	if err != nil {
-		return outcome{mayHaveRun: true, reason: reasonStreamBroken, err: err}
+		return nil, &outcome{mayHaveRun: true, reason: reasonStreamBroken, err: err}
 	}
 	if isProof {
 		att.recordAnswer()
 	}
 	if defect := att.replyDefect(rep); defect != "" {
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
+		return nil, &outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
-	rpl := &fullReply{reply: rep, body: body}
+	return &fullReply{reply: rep, body: body}, nil
+}
+
+// deliver sends a complete response to the client.
+func (att *attempt) deliver(rpl *fullReply) outcome {
 	hdl := att.hdl
-	if hdl.headSent { // Part of a stream has been sent, so another response cannot follow.
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: fmt.Errorf("relay: status %d", rep.Status)}
-	}
-	if rep.Status >= http.StatusInternalServerError && hdl.rte.Retryable() {
-		hdl.fallback = rpl
-		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: fmt.Errorf("relay: status %d", rep.Status)}
+	if hdl.mayOvertake() {
+		hdl.relay.responseTimes.Record(hdl.hedgeKey(), hdl.opts.Clock.Since(att.placedAt))
 	}
 	hdl.sendReply(rpl)
-	return outcome{final: true, status: rep.Status, mayHaveRun: true, reason: reasonDone}
+	return outcome{final: true, status: rpl.reply.Status, mayHaveRun: true, reason: reasonDone}
 }
 
 // replyDefect returns why a response must not be forwarded, or an empty string if it may be.
