Read streams ahead for clients that read slowly

A client that did not read made the front stop reading from the replica, which cuts off a response that remains unread for some seconds; that counted as a break of the replica.

When an event has been on its way to the client for 0.4 s to 0.8 s, a second goroutine reads the rest of the stream into memory: half of the memory for bodies at most, and a 32nd of it a stream. Past that, the stream is left unread. A stream that then ends without its end is neither a crash nor a failure of its replica, and is resumed. The metrics buffer_bytes and read_ahead_bytes show what is held.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -3,6 +3,7 @@
 package metric
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -74,6 +75,16 @@
 	return vec
 }
 
+// AddGauge adds a gauge whose value a function returns. It returns an error if there is one of this name.
+func (set *Set) AddGauge(name, help string, value func() int64) error {
+	opts := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+	gauge := prometheus.NewGaugeFunc(opts, func() float64 { return float64(value()) })
+	if err := set.registry.Register(gauge); err != nil {
+		return fmt.Errorf("metric: register: %w", err)
+	}
+	return nil
+}
+
 // ObservePredictionError records by how much, in seconds, the first token of a request was later than predicted.
 func (set *Set) ObservePredictionError(length string, seconds float64) {
 	set.lateness.WithLabelValues(length).Observe(seconds)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -93,7 +93,8 @@
 	cleanup            []func()     // to be called at the end, the last one first
 	reply              call.Reply
 	response           *http.Response
-	events             *eventReader // of the response, if it is a stream
+	events             *eventReader              // of the response, if it is a stream
+	ahead              atomic.Pointer[readAhead] // nil unless the client reads slowly
 	rest               resumption
 	sentEvent          bool          // an event of this attempt, other than a comment, was sent to the client
 	connReleased       bool          // the connection was returned to the pool
@@ -174,6 +175,7 @@
 	for idx := len(att.cleanup) - 1; idx >= 0; idx-- {
 		att.cleanup[idx]()
 	}
+	att.ahead.Load().stop()
 }
 
 // abortUnusedReservation ends the attempt because its reserved KV memory is not used, so that other calls can have it.
@@ -250,6 +252,8 @@
 		return reasonReplicaFailed
 	case errors.Is(err, errBuffersFull):
 		return reasonBuffersFull
+	case att.ahead.Load().wasUnread():
+		return reasonUnread
 	case errors.Is(err, pool.ErrMismatchedResponse), errors.Is(err, pool.ErrMalformed), !att.con.Ended():
 		return reasonReplicaFailed // The connection is open, so the replica has not crashed.
 	}
@@ -261,6 +265,9 @@
 func (att *attempt) recordReplicaHealth(out *outcome) {
 	rep := att.placement.Primary.Replica
 	switch {
+	case out.reason == reasonUnread:
+		att.hdl.opts.Metrics.CountEvent("unread-stream-cut")
+		att.logBrokenAnswer(out)
 	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
 		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
 	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
@@ -277,17 +284,3 @@
 		rep.RecordFailure()
 	}
 }
-
-// enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
-// calls with lower numbers first.
-func enginePriority(target time.Duration) int {
-	switch {
-	case target <= 0:
-		return 5
-	case target <= 500*time.Millisecond:
-		return 2
-	case target <= 2*time.Second:
-		return 4
-	}
-	return 6
-}
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -23,8 +23,16 @@
 type buffers struct {
 	limit int64
 	used  atomic.Int64
+	ahead atomic.Int64 // of used, for events that clients have not taken
 }
 
+// Shares of the limit that events may take which clients have not taken: of all calls, and of one call. The rest is
+// left for the bodies of other calls.
+const (
+	aheadDivisor     = 2
+	callAheadDivisor = 32
+)
+
 func newBuffers(limit int64) *buffers {
 	if limit <= 0 {
 		limit = defaultBufferBytes
@@ -32,6 +40,17 @@
 	return &buffers{limit: limit}
 }
 
+// expose makes what is held readable as metrics.
+func (bfs *buffers) expose(opts Options) {
+	err := errors.Join(
+		opts.Metrics.AddGauge("buffer_bytes", "Memory for bodies and events of calls.", bfs.used.Load),
+		opts.Metrics.AddGauge("read_ahead_bytes", "Part of buffer_bytes for events that clients have not taken.",
+			bfs.ahead.Load))
+	if err != nil {
+		opts.Log.Error(err, "relay: no metrics of the memory for bodies") // They are of another relay.
+	}
+}
+
 // callBuffers is the memory that one call holds. It is used by one goroutine at a time.
 type callBuffers struct {
 	buffers *buffers
@@ -48,6 +67,28 @@
 	return nil
 }
 
+// takeAhead takes memory for an event that the client has not taken. It returns false if there is none, unless the
+// event must be held in any case.
+func (cbf *callBuffers) takeAhead(num int64, must bool) bool {
+	bfs := cbf.buffers
+	isFree := cbf.held+num <= bfs.limit/callAheadDivisor
+	isFree = bfs.ahead.Add(num) <= bfs.limit/aheadDivisor && isFree
+	isFree = bfs.used.Add(num) <= bfs.limit && isFree
+	cbf.held += num
+	if !isFree && !must {
+		cbf.giveAhead(num)
+		return false
+	}
+	return true
+}
+
+// giveAhead gives back memory that was taken with takeAhead.
+func (cbf *callBuffers) giveAhead(num int64) {
+	cbf.buffers.ahead.Add(-num)
+	cbf.buffers.used.Add(-num)
+	cbf.held -= num
+}
+
 // release gives back all memory that the call holds.
 func (cbf *callBuffers) release() {
 	cbf.buffers.used.Add(-cbf.held)
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -144,3 +144,17 @@
 	}
 	return hdl.cal.Arrived
 }
+
+// enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
+// calls with lower numbers first.
+func enginePriority(target time.Duration) int {
+	switch {
+	case target <= 0:
+		return 5
+	case target <= 500*time.Millisecond:
+		return 2
+	case target <= 2*time.Second:
+		return 4
+	}
+	return 6
+}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -31,6 +31,7 @@
 	reasonCrashesReplicas   = "crashes-replicas"
 	reasonStalled           = "stalled"
 	reasonOvertaken         = "overtaken"
+	reasonUnread            = "unread"
 	reasonBuffersFull       = "buffers-full"
 	reasonDone              = "done"
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -89,6 +89,7 @@
 		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
 		retryBudgets: make(map[string]*retry.SharedBudget), responseTimes: hedge.New(),
 	}
+	rly.buffers.expose(opts)
 	rly.lifetime, rly.endCalls = context.WithCancel(context.Background())
 	return rly
 }
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -43,7 +43,7 @@
 }
 
 // newReplica starts a replica that answers with hdl.
-func newReplica(t *testing.T, hdl handler) *replica {
+func newReplica(t testing.TB, hdl handler) *replica {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -133,7 +133,7 @@
 }
 
 // newRig starts a relay whose fleet consists of the given replicas.
-func newRig(t *testing.T, replicas ...*replica) *rig {
+func newRig(t testing.TB, replicas ...*replica) *rig {
 	t.Helper()
 	clk := timer.New()
 	rig := &rig{flt: fleet.New(clk, logr.Discard(), nil)}
@@ -165,7 +165,7 @@
 }
 
 // start serves a new relay with the options of the rig.
-func (rig *rig) start(t *testing.T) {
+func (rig *rig) start(t testing.TB) {
 	t.Helper()
 	srv := httptest.NewServer(relay.New(rig.opts))
 	t.Cleanup(srv.Close)
--- a/relay/standby.go
+++ b/relay/standby.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
 // startStandby begins a standby attempt if one may be begun, and else examines the stream again later. The run in
@@ -56,8 +58,10 @@
 func (wtc *stallWatch) stop(isFinal bool) *attempt {
 	wtc.mu.Lock()
 	wtc.stopped = true
-	if wtc.timer != nil {
-		wtc.timer.Stop()
+	for _, tmr := range []*timer.Subscription{wtc.timer, wtc.slow.timer} {
+		if tmr != nil {
+			tmr.Stop()
+		}
 	}
 	sby, done := wtc.standby, wtc.standbyDone
 	wtc.mu.Unlock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -126,7 +126,7 @@
 		return outcome{mayHaveRun: true, reason: reasonReplicaFailed, err: errors.New(defect)}
 	}
 	for {
-		evt, err := att.events.next()
+		evt, err := att.nextEvent()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return att.finishStream(att.response, att.reply)
 		}
@@ -137,6 +137,7 @@
 		if err := att.rest.check(&evt); err != nil {
 			return att.rejectStream(err)
 		}
+		holdsEvent := att.holdsEvent() // Another goroutine may read the stream as soon as the event is recorded.
 		if !evt.isComment {
 			att.stall.recordEvent()
 			att.recordFirstEvent()
@@ -144,7 +145,7 @@
 		}
 		if !att.hdl.clientHas(evt) {
 			att.sentEvent = att.sentEvent || !evt.isComment
-			if err := att.sendEvent(att.reply, evt, !att.events.holdsEvent()); err != nil {
+			if err := att.sendEvent(att.reply, evt, !holdsEvent); err != nil {
 				return outcome{final: true, mayHaveRun: true, reason: reasonClientLeft, err: err}
 			}
 		}
