--- a/relay/health.go
+++ b/relay/health.go
@@ -1,16 +1,17 @@
 package relay
 
-import "time"
-
 // recordReplicaHealth updates the failure rate of the primary replica with the outcome, and has it checked whether the
 // replica has crashed if it broke the connection.
 func (att *attempt) recordReplicaHealth(out *outcome) {
 	rep := att.placement.Primary.Replica
 	switch {
+	case out.reason == reasonUnread:
+		att.hdl.opts.Metrics.CountEvent("unread-stream-cut")
+		att.logBrokenAnswer(out)
 	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
 		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
 	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
-		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
+		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull, out.reason == reasonOvertaken:
 		// The client or this process ended the call, which says nothing about the replica but that it is late.
 		if out.reason == reasonTimeLimit && !att.replyReceived {
 			rep.RecordLateOrFailed(att.sent)
@@ -27,17 +28,3 @@
 		rep.RecordLateOrFailed(att.sent)
 	}
 }
-
-// enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
-// calls with lower numbers first.
-func enginePriority(target time.Duration) int {
-	switch {
-	case target <= 0:
-		return 5
-	case target <= 500*time.Millisecond:
-		return 2
-	case target <= 2*time.Second:
-		return 4
-	}
-	return 6
-}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -35,6 +35,8 @@
 	reasonClientLeft        = "client-left"
 	reasonCrashesReplicas   = "crashes-replicas"
 	reasonStalled           = "stalled"
+	reasonOvertaken         = "overtaken"
+	reasonUnread            = "unread"
 	reasonBuffersFull       = "buffers-full"
 	reasonDone              = "done"
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonwheel/tarragonwheel/call"
 	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/hedge"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/pool"
@@ -92,6 +93,7 @@
 	retryBudgets     map[string]*retry.SharedBudget // by service name
 	shares           *share.Ledger                  // work admitted for each client account
 	waiting          share.Queue                    // deferred calls
+	responseTimes    *hedge.Times
 }
 
 // New returns a Relay.
@@ -99,7 +101,9 @@
 	rly := &Relay{
 		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
 		retryBudgets: make(map[string]*retry.SharedBudget), shares: share.New(opts.Clock),
+		responseTimes: hedge.New(),
 	}
+	rly.buffers.expose(opts)
 	rly.lifetime, rly.endCalls = context.WithCancel(context.Background())
 	return rly
 }
