Make the flood of the soak large enough to matter

With ten clients the check also held without the ledger. With 40, a trial with the price factor fixed at 1 breaks it (4 of 16 calls of the other account refused); with the ledger none of 16 is.

--- a/soak/flood.go
+++ b/soak/flood.go
@@ -13,8 +13,8 @@
 const (
 	sharedReplicas  = 2
 	sharedTime      = 200 * time.Millisecond // that a replica works on a call, as its engine is predicted to
-	floodClients    = 10                     // each sends one call after the other
-	floodPause      = 20 * time.Millisecond  // after a call
+	floodClients    = 40                     // each sends one call after the other
+	floodPause      = 100 * time.Millisecond // after a call
 	modestInterval  = 300 * time.Millisecond // between two calls of the other account
 	minModestCalls  = 10                     // below which the share of refused calls is not checked
 	maxModestBadPct = 20                     // of the calls of the other account that may be refused
