Spare punctual short calls and retries from the begin limit of accounts

The begin limit for accounts above their share subtracted the mean backlog also for short calls, so that those with a client idle timeout of 2 s were refused as soon as long prompts kept other replicas busy. It also could refuse a retry or the rest of a stream that had been admitted. Short calls must now only be on time, and a call that was admitted before has a factor of 1 at most.

--- a/place/overload.go
+++ b/place/overload.go
@@ -72,18 +72,22 @@
 }
 
 // shareLimit returns the longest predicted time to the first event with which a placement is accepted on busy replicas,
-// if it is the given time for an account that has no more than its share. For an account with twice its share, the call
-// must certainly be on time and the backlog leave room for two others like it, so that the queues are left to those who
-// have had less.
+// if it is the given time for an account that has no more than its share. For an account with twice its share, a short
+// call must be on time. A long prompt must certainly be on time, and the backlog leave room for two others like it, so
+// that the queues are left to those who have had less.
 func (dec *decision) shareLimit(limit time.Duration) time.Duration {
 	factor := dec.req.priceFactor()
-	least := max(scale(dec.req.LatencyTarget, missFromRatio), limit/leastLimitDivisor)
+	onTime, room := scale(dec.req.LatencyTarget, missCertainRatio), time.Duration(0)
+	if dec.eng.PrefillTime(dec.req.PromptTokens) >= fleet.LongPrefill {
+		onTime, room = scale(dec.req.LatencyTarget, missFromRatio), backlogRoom*dec.backlog
+	}
+	least := max(onTime, limit/leastLimitDivisor)
 	if factor <= 1 || least >= limit {
 		return limit
 	}
 	ratio := float64(least) / float64(limit)
 	excess := math.Log2(factor)
-	return scale(limit, math.Pow(ratio, excess)) - scale(dec.backlog, backlogRoom*excess)
+	return scale(limit, math.Pow(ratio, excess)) - scale(room, excess)
 }
 
 // backlogRoom is the number of mean backlogs that must fit into the time of a call of an account with twice its share.
--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -149,3 +149,20 @@
 	iis.True(ok)
 	iis.True(!pln.ShouldDefer())
 }
+
+// TestPunctualShortCallPassesWithAnyFactor guards against the refusal of short calls that would be on time, because long
+// prompts keep the other replicas busy. Load: a backlog of 2 s on three of four replicas.
+func TestPunctualShortCallPassesWithAnyFactor(t *testing.T) {
+	iis := is.New(t)
+	list := views(4)
+	for idx := range list[1:] {
+		list[idx+1].PrefillBacklog = 2 * time.Second
+	}
+	req := shortRequest()
+	req.ClientIdleTimeout = 2 * time.Second
+	req.PriceFactor = 2
+	pln, ok := place.OnEngine(req, engine(), list, nil)
+	iis.True(ok)
+	iis.True(pln.Price > 0)
+	iis.True(!pln.CausesOverload())
+}
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -47,9 +47,13 @@
 	}
 }
 
-// askPriceFactor returns the price factor of the call's account, and keeps it for logs and metrics.
+// askPriceFactor returns the price factor of the call's account, and keeps it for logs and metrics. It is at most 1 for
+// a call that was admitted before: a retry or the rest of a stream must not be refused because of the account's share.
 func (hdl *callHandler) askPriceFactor() float64 {
 	hdl.priceFactor = hdl.relay.shares.PriceFactor(hdl.account)
+	if hdl.attempts > 0 {
+		hdl.priceFactor = min(hdl.priceFactor, 1)
+	}
 	return hdl.priceFactor
 }
 
--- a/relay/shares_test.go
+++ b/relay/shares_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -102,3 +103,42 @@
 	iis.Equal(send("other-key"), 0.5)
 	iis.True(send("k") > 1)
 }
+
+// TestRetryPaysNoHigherPrice guards against a call that is admitted and then refused after a failed attempt, because its
+// account has more than its share.
+func TestRetryPaysNoHigherPrice(t *testing.T) {
+	iis := is.New(t)
+	rep := newReplica(t, func(con net.Conn, req request) bool { return refuse(con, req) })
+	rig := newRig(t, rep, newReplica(t, func(con net.Conn, req request) bool {
+		return reply(con, req, http.StatusOK, "served")
+	}))
+	spc := testRules()
+	spc.Services = []rules.Service{{Name: "s", Engine: smallEngine()}}
+	spc.Accounts = append(spc.Accounts, rules.Account{Name: "other", Keys: []string{"other-key"}})
+	rig.rules.Store(rules.New(spc))
+	var factors []float64
+	rig.opts.Policy = func(
+		req place.Request, _ *cost.Engine, views []fleet.View, _ fleet.PrefillLoads,
+	) (place.Placement, bool) {
+		factors = append(factors, req.PriceFactor)
+		idx := min(len(req.ExcludeReplicas), len(views)-1)
+		slices.SortFunc(views, func(one, two fleet.View) int { return strings.Compare(one.ID, two.ID) })
+		return place.Placement{Primary: views[idx], Value: 1, NetValue: 1, PrefillTime: time.Second}, true
+	}
+	rig.start(t)
+	for range 3 {
+		status, _, err := rig.send(t, "/safe/x")
+		iis.NoErr(err)
+		iis.Equal(status, http.StatusOK)
+	}
+	status, _, err := rig.sendWith(t, "/safe/x", "Api-Key", "other-key")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusOK)
+	factors = nil
+	status, _, err = rig.send(t, "/safe/x")
+	iis.NoErr(err)
+	iis.Equal(status, http.StatusOK)
+	iis.Equal(len(factors), 2)
+	iis.True(factors[0] > 1)
+	iis.Equal(factors[1], 1.0)
+}
