--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -150,8 +150,8 @@
 	iis.True(!pln.ShouldDefer())
 }
 
-// TestPunctualShortCallPassesWithAnyFactor guards against the refusal of short calls that would be on time, because long
-// prompts keep the other replicas busy. Load: a backlog of 2 s on three of four replicas.
+// TestPunctualShortCallPassesWithAnyFactor guards against the refusal of short calls that would be on time, because
+// long prompts keep the other replicas busy. Load: a backlog of 2 s on three of four replicas.
 func TestPunctualShortCallPassesWithAnyFactor(t *testing.T) {
 	iis := is.New(t)
 	list := views(4)
--- a/relay/shares_test.go
+++ b/relay/shares_test.go
@@ -104,11 +104,11 @@
 	iis.True(send("k") > 1)
 }
 
-// TestRetryPaysNoHigherPrice guards against a call that is admitted and then refused after a failed attempt, because its
-// account has more than its share.
+// TestRetryPaysNoHigherPrice guards against a call that is admitted and then refused after a failed attempt, because
+// its account has more than its share.
 func TestRetryPaysNoHigherPrice(t *testing.T) {
 	iis := is.New(t)
-	rep := newReplica(t, func(con net.Conn, req request) bool { return refuse(con, req) })
+	rep := newReplica(t, refuse)
 	rig := newRig(t, rep, newReplica(t, func(con net.Conn, req request) bool {
 		return reply(con, req, http.StatusOK, "served")
 	}))
