--- a/soak/process.go
+++ b/soak/process.go
@@ -49,7 +49,8 @@
 	prc.settings = filepath.Join(dir, prc.name+".ini")
 	prc.log = filepath.Join(dir, prc.name+".log")
 	text := fmt.Sprintf("[process]\nname = %s\ndata-centre = z\nlisten = %s\ngrace = %s\nmetrics = %s\n"+
-		"[front]\nready = %s\nstore = %s\npeers = %s\ndrain-time = %s\nconfig-time = %s\n",
+		"[front]\nready = %s\nstore = %s\npeers = %s\ndrain-time = %s\nconfig-time = %s\nshare-accounts = true\n"+
+		"claim-time = 25ms\n",
 		prc.name, prc.address, graceTime, addrs[1], addrs[2], store, addrs[3], drainTime, configTime)
 	if err := os.WriteFile(prc.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("soak: write settings: %w", err)
