--- a/config/keys_front.go
+++ b/config/keys_front.go
@@ -42,6 +42,10 @@
 		section: "front", name: "claim-time", defaultValue: "0s",
 		help: "time for which a long prompt's placement is announced to other fronts before it is sent; 0 for none",
 	}, 0, time.Second)
+	FrontShareAccounts = boolKey(definition{
+		section: "front", name: "share-accounts", defaultValue: "false",
+		help: "refuse calls of accounts with more recent work than others first while replicas are busy",
+	})
 	FrontRetryRatio = floatKey(definition{
 		section: "front", name: "repeat-ratio", defaultValue: "0.2",
 		help: "retries that all fronts together may send to a service for each call",
@@ -54,4 +58,8 @@
 		section: "front", name: "repeat-window", defaultValue: "10s",
 		help: "time over which retries are counted",
 	}, time.Second, time.Hour)
+	FrontRegions = pairsKey(definition{
+		section: "front", name: "regions", allowed: "DATA-CENTRE:REGION, separated by commas",
+		help: "region of each data centre; one that is missing is in no region that a route or account allows",
+	})
 )
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/tarragonwheel/tarragonwheel/pace"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -23,15 +24,17 @@
 	byID        map[string]*Replica    // all registered replicas
 	byHash      map[uint32]*Replica    // the same, by the hash of their ID
 	expired     map[string]time.Time   // end of the grace period, by the ID of a replica whose registration is missing
-	gone        goneReplicas           // that have been removed lately
+	removed     removedReplicas        // that are not registered any more
 	pending     pendingTasks           // updates for replicas that are not registered here yet
 	rivals      map[string]rival       // by the ID of a replica
 	// graceEnd is the end of the grace period after an outage or a restore of the store. A registration that disappears
 	// before may merely have expired during the outage, or have been written since the copy was made.
 	graceEnd time.Time
-	former   formerNotices
 	// evacuated holds the data centres whose replicas get no requests. It is replaced, and not changed.
 	evacuated map[string]bool
+	pace      PaceOptions
+	warmUps   map[string]pace.WarmUp // by service
+	listed    bool                   // the registrations have been listed once
 }
 
 // reregisterGrace is the time in which replicas may register again whose registration expired during a store outage, or
@@ -47,8 +50,8 @@
 	return &Fleet{
 		clock: clk, log: log, onRemoved: onRemoved,
 		replicaSets: make(map[string]*ReplicaSet), byID: make(map[string]*Replica),
-		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time), gone: make(goneReplicas),
-		rivals: make(map[string]rival), former: make(formerNotices),
+		byHash: make(map[uint32]*Replica), expired: make(map[string]time.Time),
+		removed: newRemovedReplicas(), rivals: make(map[string]rival),
 	}
 }
 
@@ -65,6 +68,7 @@
 	if set == nil {
 		set = newReplicaSet(flt.clock)
 		set.setEvacuated(flt.evacuated)
+		set.log, set.pace, set.warmUp = flt.log, &flt.pace, flt.warmUps[service]
 		flt.replicaSets[service] = set
 	}
 	return set
@@ -97,7 +101,7 @@
 	delete(flt.expired, reg.ID)
 	old := flt.byID[reg.ID]
 	if old == nil {
-		if flt.gone.admit(&reg) {
+		if flt.removed.admit(&reg) {
 			flt.add(reg)
 		}
 		return
@@ -123,6 +127,7 @@
 		flt.log.Info("fleet: replica drains", "replica", reg.ID, "sequence", reg.Sequence)
 	}
 	old.setRegistration(reg)
+	old.recordWarmUp(reg.WarmUpLeft)
 }
 
 // IsHeartbeat reports whether a registration says no more than that the replica is still there.
@@ -133,6 +138,9 @@
 	if _, isExpired := flt.expired[reg.ID]; old == nil || isExpired {
 		return false
 	}
+	if old.isColdAgain(&reg) {
+		return false
+	}
 	known := old.Registration()
 	reg.Sequence, reg.WarmUpLeft = known.Sequence, known.WarmUpLeft
 	return reg == known
@@ -149,14 +157,18 @@
 // add registers a replica and applies the updates of tasks that arrived before its registration. The caller holds the
 // lock.
 func (flt *Fleet) add(reg Registration) {
+	inc, now := incarnationOf(&reg), flt.clock.Now()
+	_, wasKnown := flt.removed.byIncarnation[inc]
 	rep := &Replica{
-		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: flt.clock.Now(),
-		notices: flt.former.take(incarnationOf(&reg)),
+		hash: uint32(xxhash.Sum64String(reg.ID)), reg: reg, registeredAt: now, registrationAt: now,
+		notices: flt.removed.takeNotices(inc),
 	}
 	rep.set = flt.replicaSetLocked(reg.Service)
 	flt.byID[reg.ID] = rep
 	flt.byHash[rep.hash] = rep
 	rep.set.add(rep)
+	left, reason := flt.coldAtStart(rep, wasKnown)
+	rep.markColdFor(left, reason)
 	for _, one := range flt.pending.take(rep.hash, rep.registeredAt) {
 		rep.applyRemoteTask(one.peer, one.task, one.receivedAt)
 	}
@@ -167,12 +179,13 @@
 // than missing. The caller holds the lock.
 func (flt *Fleet) remove(rep *Replica, reason string, unregistered bool) {
 	reg := rep.Registration()
-	flt.gone.add(reg, unregistered, flt.clock.Now())
 	rep.set.remove(rep)
 	delete(flt.byID, reg.ID)
 	delete(flt.byHash, rep.hash)
 	delete(flt.rivals, reg.ID)
-	flt.former.keep(incarnationOf(&reg), rep.notices, flt.clock.Now())
+	flt.removed.add(&removedReplica{
+		last: reg, notices: rep.notices, at: flt.clock.Now(), unregistered: unregistered,
+	})
 	flt.log.Info("fleet: replica has gone", "replica", reg.ID, "service", reg.Service, "reason", reason)
 	flt.onRemoved(reg.ID)
 }
@@ -211,6 +224,9 @@
 			flt.Unregister(id)
 		}
 	}
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	flt.listed = true
 }
 
 // expectRegistration removes a replica after the grace period unless it registers again.
@@ -247,8 +263,7 @@
 	defer flt.mu.Unlock()
 	now := flt.clock.Now()
 	flt.pending.removeStale(now)
-	flt.gone.removeStale(now)
-	flt.former.removeOld(now)
+	flt.removed.removeStale(now)
 	for id, until := range flt.expired {
 		if now.Before(until) {
 			continue
--- a/front/front.go
+++ b/front/front.go
@@ -98,6 +98,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
+	frt.fleet.SetPace(fleet.PaceOptions{Fronts: frt.sharers, CountEvent: mts.CountEvent})
 	frt.crashes = cause.New(cause.Options{Clock: clk, Log: log, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
 	frt.evacuations = evac.New(evac.Options{Clock: clk, Log: log, OnChange: frt.setEvacuated})
 	if err := frt.startPeers(); err != nil {
@@ -138,14 +139,17 @@
 		LoadUnknown:           frt.loadUnknown,
 		Policy:                place.PolicyFor(config.FrontPlacement.Of(frt.startSettings)),
 		DataCentre:            config.ProcessDataCentre.Of(frt.startSettings),
+		Regions:               frt.regions,
 		BufferBytes:           int64(config.FrontMemory.Of(frt.startSettings)) * bytesPerMB / bufferShare,
 		ReservationUseTimeout: config.FrontReservationUseTimeout.Of(frt.startSettings),
 		OnTaskChange:          frt.sendTaskChange,
 		ClaimTime:             config.FrontClaimTime.Of(frt.startSettings),
+		ShareAccounts:         config.FrontShareAccounts.Of(frt.startSettings),
 		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
 		AwaitState:            frt.awaitState,
+		OnReplicaCold:         frt.sendReplicaCold,
 	}
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -3,6 +3,7 @@
 package metric
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,8 @@
 	registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
+	refused    *prometheus.CounterVec // by reason and CallLabels
+	deferred   *prometheus.CounterVec // by CallLabels
 	retries    *prometheus.CounterVec
 	drops      *prometheus.CounterVec
 	events     *prometheus.CounterVec
@@ -41,6 +44,10 @@
 	set := &Set{registry: reg}
 	set.requests = newCounter(reg, "requests_total", "Requests by how they ended.", "outcome")
 	set.refusals = newCounter(reg, "refusals_total", "Refused requests by reason code.", "reason")
+	set.refused = newCounter(reg, "call_refusals_total", "Refused calls by reason code and kind of call.",
+		append([]string{"reason"}, callLabelNames...)...)
+	set.deferred = newCounter(reg, "call_deferrals_total", "Waits of calls for a better placement by kind of call.",
+		callLabelNames...)
 	set.retries = newCounter(reg, "retries_total", "Retried attempts by reason code.", "reason")
 	set.drops = newCounter(reg, "dropped_frames_total", "Frames dropped by reason.", "reason")
 	set.events = newCounter(reg, "events_total", "Other events by kind.", "kind")
@@ -67,13 +74,23 @@
 	return vec
 }
 
-func newCounter(reg *prometheus.Registry, name, help, label string) *prometheus.CounterVec {
+func newCounter(reg *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
 	opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
-	vec := prometheus.NewCounterVec(opts, []string{label})
+	vec := prometheus.NewCounterVec(opts, labels)
 	reg.MustRegister(vec)
 	return vec
 }
 
+// AddGauge adds a gauge whose value a function returns. It returns an error if there is one of this name.
+func (set *Set) AddGauge(name, help string, value func() int64) error {
+	opts := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+	gauge := prometheus.NewGaugeFunc(opts, func() float64 { return float64(value()) })
+	if err := set.registry.Register(gauge); err != nil {
+		return fmt.Errorf("metric: register: %w", err)
+	}
+	return nil
+}
+
 // ObservePredictionError records by how much, in seconds, the first token of a request was later than predicted.
 func (set *Set) ObservePredictionError(length string, seconds float64) {
 	set.lateness.WithLabelValues(length).Observe(seconds)
--- a/peers/send.go
+++ b/peers/send.go
@@ -46,21 +46,21 @@
 // sendChanges sends the queued changes to the peers that place calls on the replicas concerned.
 func (exc *Exchange) sendChanges() {
 	exc.mu.Lock()
-	changes, leaving := exc.pending, exc.leaving
+	changes, leaving, cold := exc.pending, exc.leaving, exc.cold
 	evacuationsChanged, far := exc.evacuationsChanged, exc.farReceivers()
-	exc.pending, exc.leaving, exc.evacuationsChanged = nil, nil, false
+	exc.pending, exc.leaving, exc.cold, exc.evacuationsChanged = nil, nil, nil, false
 	exc.flushScheduled, exc.urgentScheduled = false, false
 	to := exc.audiences(func(per *peer) bool { return exc.isLive(per) || !exc.isNear(per) })
 	exc.mu.Unlock()
 	changes = latestChanges(changes)
-	msg := message{Leaving: toLeavingNotices(leaving, exc.opts.Clock.Now())}
+	msg := message{Leaving: toLeavingNotices(leaving, exc.opts.Clock.Now()), Cold: cold}
 	if evacuationsChanged {
 		msg.Evacuations = exc.evacuations()
 		exc.sendTasks(far, message{Evacuations: msg.Evacuations}, nil)
 	}
 	for dataCentre, addrs := range to {
 		tasks := exc.tasksFor(dataCentre, changes)
-		hasNews := len(msg.Leaving) > 0 || msg.Evacuations != nil
+		hasNews := len(msg.Leaving)+len(msg.Cold) > 0 || msg.Evacuations != nil
 		if len(tasks) > 0 || (hasNews && exc.isNearDataCentre(dataCentre)) {
 			exc.sendTasks(addrs, msg, tasks)
 		}
@@ -123,7 +123,7 @@
 
 // withSender returns the message with the run of this process and the version of its configuration.
 func (exc *Exchange) withSender(msg message) message {
-	msg.RunID = exc.runID
+	msg.RunID, msg.Stopped = exc.runID, exc.stopped.Load()
 	if exc.opts.ConfigVersion != nil {
 		msg.ConfigVersion = exc.opts.ConfigVersion()
 	}
--- a/place/decision.go
+++ b/place/decision.go
@@ -18,6 +18,8 @@
 	iterationTimes []time.Duration // of each view, if it prefills nothing
 	forShortCalls  []bool          // whether each view is set aside for short calls
 	cells          map[string]*cell
+	backlog        time.Duration // mean prefill backlog of the replicas
+	busyFor        time.Duration // predicted time until backlog is below busyBacklog
 }
 
 // cell holds what is derived from the replicas of one cell.
@@ -104,7 +106,7 @@
 	chosen, holds := dec.choosePrimary(prefill, parts)
 	if parts > 1 {
 		for _, cnd := range dec.rankCandidates(prefill, helperPart) {
-			if len(chosen) < parts && cnd.idx != chosen[0].idx {
+			if len(chosen) < parts && cnd.idx != chosen[0].idx && !dec.views[cnd.idx].SlowStart {
 				chosen = append(chosen, cnd)
 			}
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,14 +30,6 @@
 // errorText returns the text of the error, or an empty string.
 func (out *outcome) errorText() string { return errorText(out.err) }
 
-// errorText returns the text of an error, or an empty string if it is nil.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // sendAttempt sends the call once, to the replicas of a placement, and forwards the response.
 func (hdl *callHandler) sendAttempt(plc *place.Placement) outcome {
 	att := hdl.newAttempt(plc)
@@ -46,20 +38,28 @@
 		return *out
 	}
 	att.stall = att.watchStall()
+	att.overdue = att.watchOverdue()
 	return att.finish(att.roundTrip())
 }
 
-// resumeWith goes on with a standby attempt, whose stream has begun.
+// resumeWith goes on with a standby attempt, whose stream has begun, or a second one, whose response is complete.
 func (hdl *callHandler) resumeWith(att *attempt) outcome {
 	defer att.end()
 	hdl.placement, hdl.placedAt = *att.placement, att.placedAt
 	att.stall = att.watchStall()
+	if att.whole != nil {
+		return att.finish(att.deliver(att.whole))
+	}
 	return att.finish(att.forwardStream())
 }
 
 // finish ends the watch of the attempt and settles its outcome.
 func (att *attempt) finish(out outcome) outcome {
-	out.next = att.stall.stop(out.final || att.hdl.ctx.Err() != nil)
+	isFinal := out.final || att.hdl.ctx.Err() != nil
+	out.next = att.stall.stop(isFinal)
+	if next := att.overdue.stop(isFinal); next != nil {
+		out.next = next
+	}
 	att.settle(&out)
 	return out
 }
@@ -88,22 +88,26 @@
 	task               fleet.Task
 	tasks              attemptTasks
 	needsNewConn       bool
+	sent               fleet.Sent // for the slow start of the replica
 	message            call.Attempt
 	buffers            *callBuffers // for bodies and events
 	cleanup            []func()     // to be called at the end, the last one first
 	reply              call.Reply
 	response           *http.Response
-	events             *eventReader // of the response, if it is a stream
+	events             *eventReader              // of the response, if it is a stream
+	ahead              atomic.Pointer[readAhead] // nil unless the client reads slowly
 	rest               resumption
-	sentEvent          bool        // an event of this attempt, other than a comment, was sent to the client
-	connReleased       bool        // the connection was returned to the pool
-	replyReceived      bool        // the head of a response to the call has been read
-	eventsReceived     int         // other than comments
-	brokenOff          bool        // reading the response has failed
-	firstEventReceived atomic.Bool // of a stream
-	lastEventAt        time.Time   // when the latest event was sent to the client; zero before the first
-	stall              *stallWatch // nil for a standby attempt
-	reservationUnused  atomic.Bool // the attempt was ended because its reserved KV memory was not used
+	sentEvent          bool          // an event of this attempt, other than a comment, was sent to the client
+	connReleased       bool          // the connection was returned to the pool
+	replyReceived      bool          // the head of a response to the call has been read
+	eventsReceived     int           // other than comments
+	brokenOff          bool          // reading the response has failed
+	firstEventReceived atomic.Bool   // of a stream
+	lastEventAt        time.Time     // when the latest event was sent to the client; zero before the first
+	stall              *stallWatch   // nil for a standby attempt
+	overdue            *overdueWatch // nil if no second attempt may begin
+	whole              *fullReply    // the response of a second attempt, once it is complete
+	reservationUnused  atomic.Bool   // the attempt was ended because its reserved KV memory was not used
 }
 
 // newAttempt returns the next attempt at the call.
@@ -157,7 +161,7 @@
 	con, err := hdl.opts.Pool.Get(att.ctx, plc.Primary.ID, plc.Primary.Address, att.needsNewConn)
 	if err != nil {
 		if att.ctx.Err() == nil {
-			plc.Primary.Replica.RecordUnreachable()
+			plc.Primary.Replica.RecordNoConnection()
 		}
 		return &outcome{notSent: true, reason: reasonUnreachable, err: err}
 	}
@@ -165,6 +169,9 @@
 		_ = con.Close() // Nothing was sent on it.
 		return &outcome{notSent: true, reason: reasonEvacuated}
 	}
+	if out := att.takeCall(con); out != nil {
+		return out
+	}
 	att.con = con
 	stop := context.AfterFunc(att.ctx, func() { _ = con.Close() }) // Cancels the call at the replica and ends reads.
 	att.onEnd(func() { stop() })
@@ -183,6 +190,7 @@
 	for idx := len(att.cleanup) - 1; idx >= 0; idx-- {
 		att.cleanup[idx]()
 	}
+	att.ahead.Load().stop()
 }
 
 // abortUnusedReservation ends the attempt because its reserved KV memory is not used, so that other calls can have it.
@@ -199,6 +207,7 @@
 		return *out
 	}
 	if att.events != nil {
+		att.overdue.cancel() // Its events go to the client at once.
 		return att.forwardStream()
 	}
 	return att.forwardReply()
@@ -249,6 +258,8 @@
 		return reasonReservationUnused
 	case att.stall != nil && att.stall.isStalled():
 		return reasonStalled
+	case att.overdue.hasOvertaken():
+		return reasonOvertaken
 	case errors.Is(err, pool.ErrTooLong), errors.Is(err, errTooLarge), errors.Is(err, errEventTooLong):
 		att.hdl.opts.Metrics.CountEvent("response-too-long")
 		att.hdl.opts.Log.Info("relay: response is too long, closing the connection", "call", att.hdl.cal.ID,
@@ -256,44 +267,10 @@
 		return reasonReplicaFailed
 	case errors.Is(err, errBuffersFull):
 		return reasonBuffersFull
+	case att.ahead.Load().wasUnread():
+		return reasonUnread
 	case errors.Is(err, pool.ErrMismatchedResponse), errors.Is(err, pool.ErrMalformed), !att.con.Ended():
 		return reasonReplicaFailed // The connection is open, so the replica has not crashed.
 	}
 	return reasonStreamBroken
 }
-
-// recordReplicaHealth updates the failure rate of the primary replica with the outcome, and has it checked whether the
-// replica has crashed if it broke the connection.
-func (att *attempt) recordReplicaHealth(out *outcome) {
-	rep := att.placement.Primary.Replica
-	switch {
-	case out.reason == reasonDone, out.reason == reasonNotRun && len(att.placement.Helpers) > 0:
-		rep.RecordSuccess() // A split prompt may be refused because of a helper replica, so that is no failure.
-	case out.reason == reasonClientLeft, out.reason == reasonDraining, out.reason == reasonTimeLimit,
-		out.reason == reasonReservationUnused, out.reason == reasonBuffersFull:
-		// The client or this process ended the call, which says nothing about the replica.
-	case out.reason == reasonStreamBroken:
-		att.recordBreak(out)
-	case att.con.Reused() && !att.replyReceived:
-		// The connection may have been unusable before the call, which says nothing about the replica.
-	default:
-		if att.brokenOff {
-			att.logBrokenAnswer(out)
-		}
-		rep.RecordFailure()
-	}
-}
-
-// enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
-// calls with lower numbers first.
-func enginePriority(target time.Duration) int {
-	switch {
-	case target <= 0:
-		return 5
-	case target <= 500*time.Millisecond:
-		return 2
-	case target <= 2*time.Second:
-		return 4
-	}
-	return 6
-}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -27,11 +27,16 @@
 	deadline time.Time   // by which the client must have its response
 	buffers  callBuffers // for bodies and events
 
+	offer          place.Placement // the latest one that was considered
+	priceFactor    float64         // of the account, for the offer; 0 before the first one
+	deferrals      int             // how often the call has waited for a better placement
+	hasYielded     bool            // the call has waited for one of an account with less recent work
 	placement      place.Placement // of the latest attempt
 	placedAt       time.Time       // when the placement was chosen
 	claims         int             // for which the call has waited
 	claimed        attemptTasks    // for the next attempt; nil if there are none
 	attempts       int
+	warmUpWaits    int
 	possibleRuns   int        // attempts that may have run
 	triedReplicas  []string   // IDs of the replicas of all attempts
 	faultyHelpers  []string   // IDs of the helper replicas that have failed an attempt
@@ -82,65 +87,6 @@
 	return size
 }
 
-// applyRules applies the active configuration to the call: route, client account, service and deadline. It runs again
-// before each attempt until a response has begun, so that no attempt uses an older version than the process has. It
-// refuses the call and returns false if the configuration does not permit it.
-func (hdl *callHandler) applyRules() bool {
-	set := hdl.awaitRules()
-	if set == nil {
-		hdl.sendError(http.StatusServiceUnavailable, reasonNoConfig, hdl.relay.noRulesRetryAfter())
-		return false
-	}
-	if set == hdl.set {
-		return true
-	}
-	rte := set.Match(hdl.cal.Host, stripQuery(hdl.cal.Target))
-	if rte == nil {
-		hdl.sendError(http.StatusNotFound, reasonNoRoute, 0)
-		return false
-	}
-	account, ok := set.AuthorizeKey(rte, hdl.cal.APIKey)
-	if !ok {
-		hdl.sendError(http.StatusUnauthorized, reasonUnknownKey, 0)
-		return false
-	}
-	hdl.set, hdl.rte, hdl.account, hdl.service = set, rte, account, rte.PickService(hdl.cal.ID)
-	limit := hdl.cal.TimeLeft
-	if limit <= 0 {
-		limit = defaultTimeLimit
-	}
-	if rte.Timeout > 0 {
-		limit = min(limit, rte.Timeout)
-	}
-	hdl.deadline = hdl.cal.Arrived.Add(limit)
-	return true
-}
-
-// awaitRules returns the active configuration. It waits a short time for one, because a process that has just started
-// has none for a few milliseconds, and returns nil if none arrives.
-func (hdl *callHandler) awaitRules() *rules.Set {
-	maxWait := min(minOutageRetryAfter, hdl.cal.TimeLeft/rulesWaitDivisor)
-	for until := hdl.cal.Arrived.Add(maxWait); ; {
-		set := hdl.opts.Rules()
-		if set != nil || !hdl.opts.Clock.Now().Before(until) {
-			return set
-		}
-		if hdl.opts.Clock.Sleep(hdl.ctx, rulesPollInterval) != nil {
-			return nil
-		}
-	}
-}
-
-// stripQuery returns the path of a request target.
-func stripQuery(target string) string {
-	for idx := range len(target) {
-		if target[idx] == '?' {
-			return target[:idx]
-		}
-	}
-	return target
-}
-
 // readBody reads the body of the request into the call. It refuses the call and returns false if the body is too large
 // or incomplete.
 func (hdl *callHandler) readBody(req *http.Request) bool {
@@ -195,9 +141,12 @@
 		}
 		viewedAt := hdl.opts.Clock.Now()
 		plc, reason := hdl.choosePlacement()
-		if reason == "" && plc.ShouldDefer() && hdl.deferPlacement() {
+		if reason == "" && hdl.shouldDefer(&plc) && hdl.deferPlacement(&plc) {
 			continue // Choose again, with the configuration and load of that time.
 		}
+		if reason == reasonReplicasWarmingUp && hdl.awaitWarmUp() {
+			continue
+		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
 			reason = reasonOverload
 		}
@@ -210,6 +159,7 @@
 			continue
 		}
 		hdl.logPlacement(&plc)
+		hdl.countAdmitted(&plc)
 		out := hdl.runAttempts(&plc)
 		hdl.takeClaim().end() // Not taken if the attempt was not begun.
 		switch {
@@ -258,10 +208,9 @@
 	case hdl.possibleRuns == 0 && reason == reasonTimeLimit:
 		hdl.sendError(http.StatusServiceUnavailable, reason, 0)
 	case hdl.possibleRuns == 0 && reason == reasonOverload:
-		hdl.sendError(http.StatusServiceUnavailable, reason,
-			withJitter(minOverloadRetryAfter, overloadRetryAfterJitter))
+		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.overloadRetryAfter())
 	case hdl.possibleRuns == 0:
-		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.replicaRetryAfter())
+		hdl.sendError(http.StatusServiceUnavailable, reason, hdl.replicaRetryAfter(reason))
 	case reason == reasonTimeLimit:
 		hdl.sendError(http.StatusGatewayTimeout, reason, 0)
 	default:
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -42,6 +42,9 @@
 		rly.opts.Log.Info("relay: replica asks for a pause", "replica", reg.ID, "service", reg.Service,
 			"pause", ntc.Pause)
 	}
+	if ntc.ColdLeft > 0 && rep.RecordCold(ntc.ColdLeft) && rly.opts.OnReplicaCold != nil {
+		rly.opts.OnReplicaCold(rep.ColdNotice(ntc.ColdLeft))
+	}
 }
 
 // recordLeaving records that a replica leaves, closes the idle connections to it and informs the peers.
@@ -61,24 +64,28 @@
 }
 
 // placeAtLastResort places the call on replicas that have said that they leave, if all other replicas of the service
-// leave, pause or are evacuated as well. If the call cannot be placed, it returns the reason.
-func (hdl *callHandler) placeAtLastResort(left time.Duration) (place.Placement, string) {
+// leave, pause, are evacuated or are in a slow start that allows no call now. If the call cannot be placed, it returns
+// the reason.
+func (hdl *callHandler) placeAtLastResort(left time.Duration, allowed fleet.DataCentres) (place.Placement, string) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
-	sho, isShort := reps.Shortage()
+	sho, isShort := reps.Shortage(allowed)
 	if !isShort {
-		return place.Placement{}, reasonNoReplica
+		return place.Placement{}, hdl.noReplicaReason(reps, allowed)
 	}
-	views := slices.DeleteFunc(reps.LastResortViews(hdl.evidence()), func(vie fleet.View) bool {
+	views := slices.DeleteFunc(reps.LastResortViews(hdl.evidence(), allowed), func(vie fleet.View) bool {
 		return slices.Contains(hdl.triedReplicas, vie.ID)
 	})
 	plc, ok := hdl.placeOn(reps, views, left)
 	hdl.opts.Log.Info("relay: no replica takes calls", "call", hdl.cal.ID, "service", hdl.service,
-		"evacuated", sho.Evacuated, "leaving", sho.Leaving, "paused", len(sho.Pauses), "notice-age", sho.NoticeAge,
+		"evacuated", sho.Evacuated, "leaving", sho.Leaving, "paused", len(sho.Pauses),
+		"warming-up", len(sho.WarmingUp), "notice-age", sho.NoticeAge,
 		"at-last-resort", len(views), "placed", ok, "replica", plc.Primary.ID)
 	switch {
 	case ok:
 		hdl.opts.Metrics.CountEvent("placed-at-last-resort")
 		return plc, ""
+	case len(sho.WarmingUp) > 0:
+		return place.Placement{}, reasonReplicasWarmingUp
 	case len(sho.Pauses) > 0:
 		return place.Placement{}, reasonReplicasPause
 	case sho.Leaving > 0:
@@ -99,9 +106,15 @@
 }
 
 // replicaRetryAfter returns the Retry-After time of a call that no replica has taken. If all replicas have asked for a
-// pause, it is the time until one of them takes calls again.
-func (hdl *callHandler) replicaRetryAfter() time.Duration {
-	sho, isShort := hdl.opts.Fleet.ReplicaSet(hdl.service).Shortage()
+// pause, it is the time until one of them takes calls again. If they are busy, it follows from the backlog.
+func (hdl *callHandler) replicaRetryAfter(reason string) time.Duration {
+	if reason == reasonNoReplicaInRegion { // Replicas take seconds to start.
+		return withJitter(minOutageRetryAfter, outageRetryAfterJitter)
+	}
+	sho, isShort := hdl.opts.Fleet.ReplicaSet(hdl.service).Shortage(hdl.allowedDataCentres())
+	if !isShort && hdl.offer.BusyFor > 0 {
+		return hdl.overloadRetryAfter()
+	}
 	if !isShort {
 		return randomRetryAfter()
 	}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -12,9 +12,13 @@
 // deferInterval is the time after which a better placement is sought for a deferred call.
 const deferInterval = 60 * time.Millisecond
 
-// deferPlacement waits until the next attempt to place the call. It returns false if the client disconnects meanwhile.
-func (hdl *callHandler) deferPlacement() bool {
+// deferPlacement waits until the next attempt to place the call, for which there is the given placement now. It returns
+// false if the client disconnects meanwhile.
+func (hdl *callHandler) deferPlacement(plc *place.Placement) bool {
 	hdl.opts.Metrics.CountEvent("long-prompt-deferred")
+	hdl.opts.Metrics.CountDeferral(hdl.labels())
+	hdl.deferrals++
+	defer hdl.relay.waiting.Enter(hdl.waiter(plc))()
 	return hdl.opts.Clock.Sleep(hdl.ctx, deferInterval) == nil
 }
 
@@ -27,23 +31,25 @@
 	if hdl.crashesReplicas() {
 		return place.Placement{}, reasonCrashesReplicas
 	}
-	plc, ok := hdl.placeInCells(left)
+	allowed := hdl.allowedDataCentres()
+	plc, ok := hdl.placeInCells(left, allowed)
+	hdl.offer = plc
 	if !ok {
-		return hdl.placeAtLastResort(left)
+		return hdl.placeAtLastResort(left, allowed)
 	}
 	return plc, ""
 }
 
-// placeInCells places the call in the cell of this process. If that cell cannot serve it well, all replicas are
-// considered.
-func (hdl *callHandler) placeInCells(left time.Duration) (place.Placement, bool) {
+// placeInCells places the call in the cell of this process. If that cell cannot serve it well, all replicas in allowed
+// data centres are considered.
+func (hdl *callHandler) placeInCells(left time.Duration, allowed fleet.DataCentres) (place.Placement, bool) {
 	reps := hdl.opts.Fleet.ReplicaSet(hdl.service)
-	views, hasMore := reps.CellViews(hdl.opts.DataCentre)
+	views, hasMore := reps.CellViews(hdl.opts.DataCentre, allowed)
 	plc, ok := hdl.placeOn(reps, views, left)
 	if !hasMore || (ok && !plc.ShouldLookElsewhere()) {
 		return plc, ok
 	}
-	wide, wideOK := hdl.placeOn(reps, reps.WiderViews(hdl.opts.DataCentre), left)
+	wide, wideOK := hdl.placeOn(reps, reps.WiderViews(hdl.opts.DataCentre, allowed), left)
 	if !wideOK || (ok && plc.Penalty <= wide.Penalty) {
 		return plc, ok
 	}
@@ -86,6 +92,7 @@
 		GapTarget: hdl.rte.GapTarget, TimeLeft: left,
 		DataCentre: hdl.opts.DataCentre, Jitter: rand.Float64,
 		ExcludeReplicas: slices.Concat(hdl.triedReplicas, hdl.faultyHelpers),
+		PriceFactor:     hdl.askPriceFactor(),
 	}
 	if hdl.opts.LoadUnknown != nil {
 		req.LoadUnknown = hdl.opts.LoadUnknown()
@@ -145,3 +152,17 @@
 	}
 	return hdl.cal.Arrived
 }
+
+// enginePriority returns the priority of a call at the engine, from the latency target of its route. The engine admits
+// calls with lower numbers first.
+func enginePriority(target time.Duration) int {
+	switch {
+	case target <= 0:
+		return 5
+	case target <= 500*time.Millisecond:
+		return 2
+	case target <= 2*time.Second:
+		return 4
+	}
+	return 6
+}
--- a/relay/reasons.go
+++ b/relay/reasons.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand"
 	"time"
+
+	"github.com/tarragonwheel/tarragonwheel/rules"
 )
 
 // Reasons why calls are refused, why attempts fail and how calls end, as they appear in error responses, logs and
@@ -15,10 +17,12 @@
 	reasonBodyTooLarge      = "body-too-large"
 	reasonBodyIncomplete    = "body-incomplete"
 	reasonNoReplica         = "no-replica"
+	reasonNoReplicaInRegion = "no-replica-in-region"
 	reasonOverload          = "overload"
 	reasonReplicasPause     = "replicas-pause"
 	reasonReplicasLeave     = "replicas-leave"
 	reasonEvacuated         = "evacuated"
+	reasonReplicasWarmingUp = "replicas-warming-up"
 	reasonNotRun            = "not-run"
 	reasonNoMemory          = "no-memory"
 	reasonUnreachable       = "unreachable"
@@ -31,13 +35,15 @@
 	reasonClientLeft        = "client-left"
 	reasonCrashesReplicas   = "crashes-replicas"
 	reasonStalled           = "stalled"
+	reasonOvertaken         = "overtaken"
+	reasonUnread            = "unread"
 	reasonBuffersFull       = "buffers-full"
 	reasonDone              = "done"
 )
 
 // Time limits of calls.
 const (
-	defaultTimeLimit = 60 * time.Second
+	defaultTimeLimit = rules.DefaultTimeLimit
 	// minAttemptTime is the remaining time below which a call is not sent to a replica.
 	minAttemptTime = 15 * time.Millisecond
 	// bodyTimeout bounds the time in which a client must send the body.
@@ -50,12 +56,6 @@
 	retryAfterJitter = 400 * time.Millisecond
 )
 
-// Retry-After times of calls refused because they would take too much from others. Such overload lasts for seconds.
-const (
-	minOverloadRetryAfter    = 2200 * time.Millisecond
-	overloadRetryAfterJitter = 800 * time.Millisecond
-)
-
 // Times that apply while the process has no configuration.
 const (
 	// startupTime is the time after its start by which a process has a configuration, unless the store is unavailable.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,11 +18,13 @@
 	"github.com/tarragonwheel/tarragonwheel/call"
 	"github.com/tarragonwheel/tarragonwheel/cause"
 	"github.com/tarragonwheel/tarragonwheel/fleet"
+	"github.com/tarragonwheel/tarragonwheel/hedge"
 	"github.com/tarragonwheel/tarragonwheel/metric"
 	"github.com/tarragonwheel/tarragonwheel/place"
 	"github.com/tarragonwheel/tarragonwheel/pool"
 	"github.com/tarragonwheel/tarragonwheel/retry"
 	"github.com/tarragonwheel/tarragonwheel/rules"
+	"github.com/tarragonwheel/tarragonwheel/share"
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
@@ -51,6 +53,8 @@
 	BudgetSharers func() int                // number of processes that share the retry budget
 	Policy        place.Policy              // places calls on engines
 	DataCentre    string                    // of this process
+	// Regions returns the region of each data centre, as far as they are known; nil if none is.
+	Regions func() map[string]string
 	// BufferBytes bounds the bodies and events of all calls together that are held in memory; 0 for a default.
 	BufferBytes int64
 	// ReservationUseTimeout is the time within which a call must use the KV memory reserved for it; else the attempt is
@@ -65,6 +69,10 @@
 	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
 	// before; nil for none.
 	OnReplicaLeaving func(ntc fleet.LeavingNotice)
+	// OnReplicaCold is called when a replica has told this process that it is cold, if that is new; nil for none.
+	OnReplicaCold func(ntc fleet.ColdNotice)
+	// ShareAccounts makes calls of accounts with more recent work than others pay more while replicas are busy.
+	ShareAccounts bool
 	// ClaimTime is how long the placement of a long prompt is announced before the prompt is sent; 0 for not at all.
 	ClaimTime time.Duration
 	// OnTaskChange is called when a task of a call starts, changes or ends.
@@ -83,14 +91,19 @@
 	buffers          *buffers
 	mu               sync.Mutex
 	retryBudgets     map[string]*retry.SharedBudget // by service name
+	shares           *share.Ledger                  // work admitted for each client account
+	waiting          share.Queue                    // deferred calls
+	responseTimes    *hedge.Times
 }
 
 // New returns a Relay.
 func New(opts Options) *Relay {
 	rly := &Relay{
 		opts: opts, started: opts.Clock.Now(), buffers: newBuffers(opts.BufferBytes),
-		retryBudgets: make(map[string]*retry.SharedBudget),
+		retryBudgets: make(map[string]*retry.SharedBudget), shares: share.New(opts.Clock),
+		responseTimes: hedge.New(),
 	}
+	rly.buffers.expose(opts)
 	rly.lifetime, rly.endCalls = context.WithCancel(context.Background())
 	return rly
 }
@@ -150,6 +163,7 @@
 // sendError ends the call with an error response of the relay's own. A retryAfter of 0 sends no Retry-After header.
 func (hdl *callHandler) sendError(status int, reason string, retryAfter time.Duration) {
 	hdl.opts.Metrics.CountRefusal(reason)
+	hdl.opts.Metrics.CountCallRefusal(reason, hdl.labels())
 	hdl.opts.Codec.WriteErrorHeaders(hdl.rw.Header(), hdl.cal.ID, retryAfter)
 	body, err := json.Marshal(errorBody{Error: reason})
 	if err != nil {
@@ -171,5 +185,7 @@
 		"parts", len(plc.Helpers)+1, "predicted-first-event", plc.FirstEvent,
 		"decode-streams", plc.Primary.DecodeStreams, "prefill-backlog", plc.Primary.PrefillBacklog,
 		"failure-rate", plc.Primary.FailureRate, "short-replicas", plc.ShortReplicas,
-		"summary-age", plc.Primary.SummaryAge)
+		"summary-age", plc.Primary.SummaryAge, "account", hdl.account, "priority", hdl.priority(),
+		"price", hdl.offer.Price, "price-factor", hdl.priceFactor, "net-value", hdl.offer.NetValue,
+		"busy-for", hdl.offer.BusyFor, "deferrals", hdl.deferrals)
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tarragonwheel/tarragonwheel/cost"
+	"github.com/tarragonwheel/tarragonwheel/pace"
 )
 
 // Kind states how the calls of a route may be retried.
@@ -23,6 +24,21 @@
 	Stream                    // a stream of events; at most once unless the route is resumable
 )
 
+// String returns the name of the kind.
+func (knd Kind) String() string {
+	switch knd {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "non-idempotent"
+	}
+}
+
+// DefaultTimeLimit is the time limit of a call whose client states none.
+const DefaultTimeLimit = 60 * time.Second
+
 // Route states which services get the calls to a host and path prefix, and how the calls are handled.
 type Route struct {
 	Name    string
@@ -39,7 +55,9 @@
 	MaxAttempts       int           // largest number of replicas to which one call is sent
 	Anonymous         bool          // calls need no API key
 	Resumable         bool          // a stream can be continued by another replica
+	Priority          int           // of the calls, by which they are counted and logged; 0 is the highest
 	Targets           []Target
+	AllowedRegions    []string // regions whose replicas may get the calls; empty for all
 }
 
 // IsStream reports whether responses are streams of events.
@@ -82,12 +100,16 @@
 	HealthPath     string
 	MaxConnections int          // limit of one replica for the connections of all processes
 	Engine         *cost.Engine // nil if the replicas are not LLM engines
+	WarmUp         pace.WarmUp  // of replicas that have just started
 }
 
 // Account is a client account.
 type Account struct {
-	Name string
-	Keys []string
+	Name           string
+	Keys           []string
+	AllowedRegions []string // regions whose replicas may get the account's calls; empty for all
+	Priority       int      // takes precedence over that of the route
+	HasPriority    bool     // Priority is set
 }
 
 // Limits bound the size of requests, the time to send their headers, and how long connections of clients may be idle.
@@ -114,6 +136,8 @@
 	routes         map[string][]*Route      // by host, longest prefix first
 	services       map[string]*Service      // by name
 	accounts       map[string]string        // account name by API key
+	regions        map[string][]string      // allowed regions by API key, of accounts that restrict them
+	priorities     map[string]int           // by name of an account that has a priority
 	noAccounts     bool                     // no account is configured, so no call needs a key
 	latencyTargets map[string]time.Duration // shortest of the streaming routes, by service name
 }
@@ -125,6 +149,8 @@
 		routes:         make(map[string][]*Route),
 		services:       make(map[string]*Service),
 		accounts:       make(map[string]string),
+		regions:        make(map[string][]string),
+		priorities:     make(map[string]int),
 		latencyTargets: make(map[string]time.Duration),
 	}
 	for idx := range spc.Routes {
@@ -139,6 +165,12 @@
 	for _, acc := range spc.Accounts {
 		for _, key := range acc.Keys {
 			set.accounts[key] = acc.Name
+			if delete(set.regions, key); len(acc.AllowedRegions) > 0 {
+				set.regions[key] = acc.AllowedRegions
+			}
+		}
+		if acc.HasPriority {
+			set.priorities[acc.Name] = acc.Priority
 		}
 	}
 	return set
@@ -192,6 +224,14 @@
 	return name, ok
 }
 
+// Priority returns the priority of an account's calls to a route. That of the account takes precedence.
+func (set *Set) Priority(rte *Route, account string) int {
+	if num, ok := set.priorities[account]; ok {
+		return num
+	}
+	return rte.Priority
+}
+
 // Service returns a service by name, or nil.
 func (set *Set) Service(name string) *Service { return set.services[name] }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -25,8 +25,10 @@
 	invariantNoExit      = "no front exits unless it is stopped"
 	invariantCrashes     = "a call that crashes replicas is refused"
 	invariantLeaving     = "a replica that says that it leaves gets no new calls"
+	invariantFlood       = "an account within its share is served beside one that floods"
 	invariantPause       = "a replica that asks for a pause gets two calls at most"
 	invariantEvacuated   = "replicas in an evacuated data centre get no calls"
+	invariantCold        = "a cold replica gets no more calls than it bears"
 )
 
 // slack is added to time limits, because a busy machine may delay what this process observes.
@@ -41,6 +43,7 @@
 // call is a client's call and its outcome.
 type call struct {
 	id, path          string
+	account           string // of calls to the shared service
 	front             int
 	run               int // number of the front's process run that got the call
 	sent              time.Time
@@ -68,8 +71,11 @@
 	evacuations   []evacuation
 	restoreGaps   []interval             // from each restore amid faults until lost records were written again
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
+	overruns      []plsim.Overrun        // crashes of cold replicas that got too many calls
+	floods        []time.Time            // when a replica turned cold, and more calls than it bears were sent
 	checkCounts   map[string]int         // by invariant
 	violations    []string
+	floodText     string // what became of the calls to the shared service
 }
 
 func newChecker() *checker {
@@ -100,7 +106,7 @@
 			defer chk.mu.Unlock()
 			chk.runEnds[run.ID] = at
 		},
-		OnCrash: chk.recordCrash,
+		OnCrash: chk.recordCrash, OnOverrun: chk.recordOverrun,
 	}
 }
 
@@ -147,6 +153,8 @@
 	chk.verifyCrashes()
 	chk.verifyNotices()
 	chk.verifyEvacuations()
+	chk.verifyFlood()
+	chk.verifyOverruns()
 	chk.verifyLeaving(invariantDrain, chk.drainingSince)
 	chk.verifyLeaving(invariantRemoved, chk.removedSince)
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -77,6 +77,21 @@
 			chk.observer().OnArrival(plsim.Arrival{Replica: "i-1-y", At: at(time.Second)}) // in time
 			chk.observer().OnArrival(plsim.Arrival{Replica: "i-1-y", At: at(2 * time.Minute)})
 		},
+		invariantFlood: func(chk *checker) {
+			for num := range 40 {
+				account, status := plsim.AccountFlood, 200
+				if num%2 == 0 {
+					account = plsim.AccountModest
+				}
+				if num%3 == 0 {
+					status = 503
+				}
+				chk.recordCall(call{
+					id: "c", path: plsim.SharedPath, account: account,
+					outcome: plsim.Outcome{Status: status, Complete: true},
+				})
+			}
+		},
 		invariantDrain: func(chk *checker) {
 			chk.drainingSince["i"] = at(0)
 			chk.observer().OnArrival(plsim.Arrival{Replica: "i", At: at(drainTime + time.Second)})
@@ -107,6 +122,9 @@
 				id: "c", path: "/safe/x", duringPlannedStop: true, outcome: plsim.Outcome{Err: errors.New("reset")},
 			})
 		},
+		invariantCold: func(chk *checker) {
+			chk.observer().OnOverrun(plsim.Overrun{Replica: "i", Calls: 12, ColdSince: at(0), At: at(coldTime)})
+		},
 		invariantNoExit: func(chk *checker) { (&Soak{chk: chk}).recordUnexpected(errors.New("exit 2")) },
 	} {
 		t.Run(invariant, func(t *testing.T) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,8 +52,9 @@
 	lying         atomic.Bool  // a replica falsely says that it leaves
 	evacuating    atomic.Bool  // a data centre is evacuated
 	mu            sync.Mutex
-	replicaCount  int        // replicas started so far, numbers their IDs; guarded by mu
-	live          []*replica // guarded by mu
+	replicaCount  int              // replicas started so far, numbers their IDs; guarded by mu
+	live          []*replica       // guarded by mu
+	shared        []*plsim.Replica // of the service that accounts share
 }
 
 // front is a front process and the proxy route through which it reaches the store.
@@ -68,6 +69,7 @@
 	id, service string
 	server      *plsim.Replica
 	route       *fault.Route
+	startedMs   int64 // Unix time in milliseconds
 }
 
 // Size of the fleet, and durations of calls and phases. A round of the soak has a planned phase and a fault phase.
@@ -102,10 +104,14 @@
 	}
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
 	clients.Go(func() { sok.runLostClient(clientCtx) })
+	clients.Go(func() { sok.runAccount(clientCtx, plsim.AccountModest, 0, modestInterval) })
+	for num := range floodClients {
+		clients.Go(func() { sok.runAccount(clientCtx, plsim.AccountFlood, num, floodPause) })
+	}
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
-		sok.runPlannedPhase()
+		sok.runPlannedPhase(clientCtx)
 		sok.runRestorePhase()
-		sok.runFaultPhase()
+		sok.runFaultPhase(clientCtx)
 	}
 	stopClients()
 	clients.Wait()
@@ -136,6 +142,9 @@
 			return err
 		}
 	}
+	if err := sok.startShared(); err != nil {
+		return err
+	}
 	for _, frt := range sok.fronts {
 		if err := frt.start(sok.recordUnexpected); err != nil {
 			return err
@@ -156,14 +165,16 @@
 func (sok *Soak) publishConfig() {
 	sok.configVersion++
 	route := func(name, kind, srv string) plsim.Route {
+		coldS, coldPerS := coldOf(srv)
 		return plsim.Route{
+			ColdS: coldS, ColdPerS: coldPerS,
 			Name: name, Host: "soak.example", PathPrefix: "/" + name + "/", Kind: kind, Service: srv, MaxAttempts: 3,
-			TimeoutMs: int(callTimeout.Milliseconds()), Resumable: kind == "streaming",
+			TimeoutMs: int(callTimeout.Milliseconds()), Resumable: kind == "streaming", Anonymous: true,
 		}
 	}
 	sok.store.PutConfig(sok.configVersion, []plsim.Route{
 		route("unsafe", "unsafe", "s0"), route("safe", "safe", "s1"), route("stream", "streaming", "s2"),
-		route("moved", "safe", serviceOf(sok.configVersion)),
+		route("moved", "safe", serviceOf(sok.configVersion)), plsim.SharedRoute(callTimeout),
 	})
 	sok.chk.mu.Lock()
 	defer sok.chk.mu.Unlock()
@@ -177,7 +188,7 @@
 	id := fmt.Sprint("i-", sok.replicaCount, "-", dataCentre)
 	sok.mu.Unlock()
 	obs := sok.chk.observer()
-	obs.OnCrash = sok.replaceCrashed
+	obs.OnCrash, obs.OnOverrun = sok.replaceCrashed, sok.replaceOverrun
 	srr, err := plsim.StartReplica(id, srv, serviceTime, obs)
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
@@ -186,10 +197,16 @@
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
-	sok.store.PutReplica(id, srv, rte.Address(), dataCentre, false, 1, time.Now().UnixMilli())
+	rep := &replica{id: id, service: srv, server: srr, route: rte, startedMs: time.Now().UnixMilli()}
+	left := time.Duration(0)
+	if srv == coldService {
+		left = coldTime
+		srr.SetCold(left, coldLimit)
+	}
+	sok.store.PutColdReplica(id, srv, rte.Address(), dataCentre, rep.startedMs, left)
 	sok.mu.Lock()
 	defer sok.mu.Unlock()
-	sok.live = append(sok.live, &replica{id: id, service: srv, server: srr, route: rte})
+	sok.live = append(sok.live, rep)
 	return nil
 }
 
@@ -233,6 +250,9 @@
 	for _, rep := range sok.live {
 		rep.server.Stop()
 	}
+	for _, rep := range sok.shared {
+		rep.Stop()
+	}
 }
 
 // report writes how often each invariant was checked and the violations. It returns ErrViolated if there are any.
@@ -246,7 +266,7 @@
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
 		invariantRecovery, invariantCrashes, invariantLost, invariantLeaving, invariantPause, invariantEvacuated,
-		invariantNoExit,
+		invariantFlood, invariantCold, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
@@ -254,6 +274,9 @@
 		}
 		_, _ = fmt.Fprintf(sok.opts.Out, "  %s: %s\n", name, text)
 	}
+	if chk.floodText != "" {
+		_, _ = fmt.Fprintln(sok.opts.Out, "  "+chk.floodText)
+	}
 	for _, text := range chk.violations {
 		_, _ = fmt.Fprintln(sok.opts.Out, "BROKEN", text)
 	}
