--- a/relay/handler.go
+++ b/relay/handler.go
@@ -141,12 +141,9 @@
 		}
 		viewedAt := hdl.opts.Clock.Now()
 		plc, reason := hdl.choosePlacement()
-		if reason == "" && hdl.shouldDefer(&plc) && hdl.deferPlacement(&plc) {
+		if hdl.awaitPlacement(&plc, reason) {
 			continue // Choose again, with the configuration and load of that time.
 		}
-		if reason == reasonReplicasWarmingUp && hdl.awaitWarmUp() {
-			continue
-		}
 		if reason == "" && plc.CausesOverload() && hdl.eventsSent == 0 {
 			reason = reasonOverload
 		}
@@ -178,6 +175,18 @@
 	}
 }
 
+// awaitPlacement waits a short time if the call should be placed later. The reason is that for which it cannot be placed
+// now, or empty. It returns whether it has waited.
+func (hdl *callHandler) awaitPlacement(plc *place.Placement, reason string) bool {
+	switch reason {
+	case "":
+		return hdl.shouldDefer(plc) && hdl.deferPlacement(plc)
+	case reasonReplicasWarmingUp:
+		return hdl.awaitWarmUp()
+	}
+	return false
+}
+
 // missedTarget tells whether the call has already missed the latency or gap target of its route.
 func (hdl *callHandler) missedTarget() bool {
 	if hdl.rte.GapTarget > 0 && hdl.longestGap > hdl.rte.GapTarget {
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -64,8 +64,8 @@
 	return rte.LatencyTarget <= 0 || took <= rte.LatencyTarget
 }
 
-// logCrashAboveLimit logs that a cold replica has crashed that was sent more calls than it can handle, so that its crash
-// says nothing about the call.
+// logCrashAboveLimit logs that a cold replica has crashed that was sent more calls than it can handle, so that its
+// crash says nothing about the call.
 func (att *attempt) logCrashAboveLimit() {
 	att.hdl.opts.Metrics.CountEvent("crash-above-limit")
 	att.hdl.opts.Log.Info("relay: crash of a cold replica above its limit is not put down to the call",
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -48,8 +48,8 @@
 }
 
 // askPriceFactor returns the price factor of the call's account, and keeps it for logs and metrics. It is 1 for all
-// accounts unless they share capacity, and at most 1 for a call that was admitted before: a retry or the rest of a stream
-// must not be refused because of the account's share.
+// accounts unless they share capacity, and at most 1 for a call that was admitted before: a retry or the rest of a
+// stream must not be refused because of the account's share.
 func (hdl *callHandler) askPriceFactor() float64 {
 	hdl.priceFactor = 1
 	if hdl.opts.ShareAccounts {
