--- a/relay/handler.go
+++ b/relay/handler.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// awaitPlacement waits a short time if the call should be placed later. The reason is that for which it cannot be placed
-// now, or empty. It returns whether it has waited.
+// awaitPlacement waits a short time if the call should be placed later. The reason is that for which it cannot be
+// placed now, or empty. It returns whether it has waited.
 func (hdl *callHandler) awaitPlacement(plc *place.Placement, reason string) bool {
 	switch reason {
 	case "":
