Predict that new parts wait for prefill in progress beside streams

An engine that decodes streams takes all its prefill into one long iteration, which nothing interrupts; without streams iterations are short, and a new part goes first. Ruled out: unknown tasks, as the fronts had the long ones in view.

The prediction now lets a new part wait for the prefill in progress if streams are decoded there.

--- a/fleet/backlog_test.go
+++ b/fleet/backlog_test.go
@@ -54,3 +54,27 @@
 	clk.Advance(100 * time.Millisecond)
 	iis.Equal(flt.ReplicaSet("s").Views()[0].PrefillBacklog, 900*time.Millisecond)
 }
+
+// TestNewPartsWaitForPrefillBesideStreams guards against parts of prompts that are placed on engines which prefill a
+// long prompt beside streams: the iteration in progress takes as long as that prefill, and a new part does not
+// interrupt it.
+func TestNewPartsWaitForPrefillBesideStreams(t *testing.T) {
+	iis := is.New(t)
+	flt, clk, _ := newFleet()
+	flt.UpdateRegistration(registration("i-1", 1, 1))
+	rep := flt.ReplicaSet("s").Views()[0].Replica
+	rep.StartTask(fleet.Task{}, nil).MarkDecoding()
+	rep.StartTask(fleet.Task{PrefillTime: 4 * time.Second, IsPart: true, SplitPrompt: true}, nil)
+	clk.Advance(time.Second)
+	vie := flt.ReplicaSet("s").Views()[0]
+	iis.Equal(vie.PrefillInProgress, 3*time.Second)
+	rep.StartTask(fleet.Task{PrefillTime: 50 * time.Millisecond, IsPart: true, SplitPrompt: true}, nil)
+	rep.StartTask(fleet.Task{PrefillTime: 200 * time.Millisecond}, nil)
+	clk.Advance(time.Second)
+	vie = flt.ReplicaSet("s").Views()[0]
+	iis.Equal(vie.PrefillInProgress, 2*time.Second)
+	iis.Equal(vie.SplitBacklog, 2050*time.Millisecond)
+	iis.Equal(vie.PrefillBacklog, 2250*time.Millisecond)
+	clk.Advance(2100 * time.Millisecond)
+	iis.Equal(flt.ReplicaSet("s").Views()[0].PrefillBacklog, 150*time.Millisecond)
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,7 +22,10 @@
 	DecodeStreams  int           // streams that are decoding
 	PrefillBacklog time.Duration // predicted time until all prompts there have been prefilled
 	SplitBacklog   time.Duration // predicted time until all parts of split prompts there have been prefilled
-	SummaryAge     time.Duration // age of the Summary that is part of the view; 0 for none
+	// PrefillInProgress is the predicted rest of the prefill in progress that goes before any new part, as streams are
+	// decoded.
+	PrefillInProgress time.Duration
+	SummaryAge        time.Duration // age of the Summary that is part of the view; 0 for none
 	// Calls that are known only as a Summary.
 	summarizedCalls      int
 	summarizedShortCalls int
@@ -51,7 +54,7 @@
 			addTask(tsk)
 		}
 	}
-	vie.PrefillBacklog, vie.SplitBacklog = predictPrefill(vie.Tasks, now)
+	vie.predictPrefill(now)
 	if hasSummary {
 		rep.summary.addTo(&vie, now)
 	}
--- a/place/predict.go
+++ b/place/predict.go
@@ -50,7 +50,9 @@
 // the given time. An engine prefills a new part before all that waits there.
 func (dec *decision) predictFirstEvent(idx int, prefill time.Duration, rol role) time.Duration {
 	vie := &dec.views[idx]
-	if rol == wholePrompt {
+	if rol != wholePrompt {
+		prefill += vie.PrefillInProgress
+	} else {
 		prefill += vie.PrefillBacklog
 		if !dec.forShortCalls[idx] { // Parts of split prompts that arrive in the meantime are prefilled first.
 			prefill = scale(prefill, 1/(1-dec.cells[vie.Cell].splitLoad))
--- a/place/split_test.go
+++ b/place/split_test.go
@@ -78,3 +78,21 @@
 		iis.True(!hlp.View.SlowStart)
 	}
 }
+
+// TestPartsAvoidPrefillBesideStreams guards against a prompt of which one part waits for seconds, because its engine
+// prefills a long prompt in an iteration that also produces tokens of streams.
+func TestPartsAvoidPrefillBesideStreams(t *testing.T) {
+	iis := is.New(t)
+	list := views(20)
+	for idx := range 8 {
+		addDecodeStreams(&list[idx], 2)
+		list[idx].PrefillInProgress, list[idx].PrefillBacklog = 3*time.Second, 3*time.Second
+	}
+	pln, ok := place.OnEngine(longRequest(200000), engine(), list, nil)
+	iis.True(ok)
+	iis.True(len(pln.Helpers) > 0)
+	iis.True(pln.Primary.Position >= 8)
+	for _, hlp := range pln.Helpers {
+		iis.True(hlp.View.Position >= 8)
+	}
+}
