Read ahead for clients that are slower than their replica, and play them

A client that took events all the time, but more slowly than the replica sent them, was not found to be slow: its stream was left unread for more than a second at a time and cut off (TestSlowReaderGetsAll in one play with -race). A stream is now read ahead if two successive checks find an event on its way to the client.

--- a/relay/ahead.go
+++ b/relay/ahead.go
@@ -11,8 +11,8 @@
 
 // Times of streams whose clients read slowly.
 const (
-	// slowCheckInterval is the time between two checks whether a client takes events. After one to two of them without
-	// progress, the stream is read ahead, long before a replica cuts off a response that remains unread.
+	// slowCheckInterval is the time between two checks whether a client takes events. After two that find an event on
+	// its way, the stream is read ahead, long before a replica cuts off a response that remains unread.
 	slowCheckInterval = 400 * time.Millisecond
 	// slowWriteTimeout is the time after which a call is ended whose client takes no byte of an event.
 	slowWriteTimeout = 30 * time.Second
@@ -27,7 +27,7 @@
 // eventOverhead is the memory that an event takes beside its bytes.
 const eventOverhead = 64
 
-// readAhead reads the stream of an attempt into memory from the time on at which its client does not take events. Once
+// readAhead reads the stream of an attempt into memory from the time on at which its client is found to be slow. Once
 // it has begun, it reads the stream to its end.
 type readAhead struct {
 	att      *attempt
@@ -46,7 +46,7 @@
 // slowCheck checks whether the client takes events.
 type slowCheck struct {
 	timer *timer.Subscription
-	sent  int // events of the attempt by the last check
+	slow  bool // an event was on its way to the client at the last check
 }
 
 // scheduleSlowCheck sets the timer for the next check whether the client takes events. The lock must be held.
@@ -56,15 +56,16 @@
 	}
 }
 
-// checkSlow begins to read ahead if the client has taken no event since the last check.
+// checkSlow begins to read ahead if an event is on its way to the client, as at the last check: the client takes none,
+// or takes them more slowly than the replica sends them.
 func (wtc *stallWatch) checkSlow() {
 	wtc.mu.Lock()
 	defer wtc.mu.Unlock()
-	if wtc.sending && wtc.numSent == wtc.slow.sent && !wtc.stopped {
+	if wtc.sending && wtc.slow.slow && !wtc.stopped {
 		wtc.att.startAhead()
 		return
 	}
-	wtc.slow.sent = wtc.numSent
+	wtc.slow.slow = wtc.sending
 	wtc.scheduleSlowCheck()
 }
 
--- a/relay/ahead_test.go
+++ b/relay/ahead_test.go
@@ -156,6 +156,7 @@
 	rig := newSlowRig(t, 64<<20, rep.replica)
 	res := rig.openSlowly(t.Context(), t) //nolint:bodyclose // The test closes it at its end.
 	readWhole(t, &slowReader{src: res.Body})
+	iis.Equal(rig.event(t, "client-reads-slowly"), 1)
 	iis.Equal(rep.cut.Load(), int64(0))
 	iis.Equal(rep.calls.Load(), int64(1))
 	waitForZero(t, rig)
@@ -213,7 +214,7 @@
 	t.Log("held", most)
 	iis.True(most > bufferBytes/4)
 	iis.True(most <= bufferBytes/2+clients*(slowEventBytes+100)) // One event each is held in any case.
-	res := rig.openSlowly(t.Context(), t) //nolint:bodyclose // The test closes it at its end.
+	res := rig.openSlowly(t.Context(), t)                        //nolint:bodyclose // The test closes it at its end.
 	readWhole(t, res.Body)
 	cancel()
 	waitForZero(t, rig)
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -60,7 +60,6 @@
 	silentSince time.Time // when the latest event came, or when the attempt began
 	timer       *timer.Subscription
 	sending     bool // an event is on its way to the client, so that no other is awaited
-	numSent     int  // events that were sent to the client, or are on their way
 	slow        slowCheck
 	examined    bool // since the latest event
 	stopped     bool
@@ -100,7 +99,6 @@
 		wtc.standby.cancel()
 	}
 	wtc.sending, wtc.examined = true, false
-	wtc.numSent++
 }
 
 // awaitEvent records that the next event is awaited from now on.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -48,6 +48,9 @@
 				Status: 503, Body: `{"error":"crashes-replicas"}`,
 			}})
 		},
+		invariantSlow: func(chk *checker) {
+			chk.checkLate(&call{id: "s1", sent: at(0), ended: sec(1), outcome: plsim.Outcome{Status: 200}})
+		},
 		invariantCrashes: func(chk *checker) {
 			for second := range 10 {
 				chk.recordCrash(plsim.Run{Path: "/safe/deadly-1", At: sec(second)})
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,6 +101,7 @@
 	}
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
 	clients.Go(func() { sok.runLostClient(clientCtx) })
+	clients.Go(func() { sok.runLateReader(clientCtx) })
 	for time.Since(sok.started) < opts.Duration && ctx.Err() == nil {
 		sok.runPlannedPhase()
 		sok.runRestorePhase()
@@ -243,7 +244,8 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
-		invariantRecovery, invariantCrashes, invariantLost, invariantLeaving, invariantPause, invariantNoExit,
+		invariantRecovery, invariantCrashes, invariantLost, invariantSlow, invariantLeaving, invariantPause,
+		invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
