--- a/relay/ahead_test.go
+++ b/relay/ahead_test.go
@@ -156,6 +156,7 @@
 	rig := newSlowRig(t, 64<<20, rep.replica)
 	res := rig.openSlowly(t.Context(), t) //nolint:bodyclose // The test closes it at its end.
 	readWhole(t, &slowReader{src: res.Body})
+	iis.Equal(rig.event(t, "client-reads-slowly"), 1)
 	iis.Equal(rep.cut.Load(), int64(0))
 	iis.Equal(rep.calls.Load(), int64(1))
 	waitForZero(t, rig)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,6 +104,7 @@
 	}
 	clients.Go(func() { sok.runDeadlyClient(clientCtx) })
 	clients.Go(func() { sok.runLostClient(clientCtx) })
+	clients.Go(func() { sok.runLateReader(clientCtx) })
 	clients.Go(func() { sok.runAccount(clientCtx, plsim.AccountModest, 0, modestInterval) })
 	for num := range floodClients {
 		clients.Go(func() { sok.runAccount(clientCtx, plsim.AccountFlood, num, floodPause) })
@@ -265,8 +266,8 @@
 	for _, name := range []string{
 		invariantAtMostOnce, invariantNotExecuted, invariantRequest, invariantResponse, invariantDrain,
 		invariantRemoved, invariantConfigDelay, invariantConfigOrder, invariantCancel, invariantPlannedStop,
-		invariantRecovery, invariantCrashes, invariantLost, invariantLeaving, invariantPause, invariantEvacuated,
-		invariantFlood, invariantCold, invariantNoExit,
+		invariantRecovery, invariantCrashes, invariantLost, invariantSlow, invariantLeaving, invariantPause,
+		invariantEvacuated, invariantFlood, invariantCold, invariantNoExit,
 	} {
 		text := fmt.Sprintf("checked %d times", chk.checkCounts[name])
 		if chk.checkCounts[name] == 0 && name != invariantNoExit {
