Name fronts that share limits, the slow start check and the wait after a stop

sharers, soleFront, loneFronts, isPaced and AwaitState did not tell what they are. They are now knownFronts, singleFront, defaultFronts, slowStartAllowsCall and AwaitOperatorTopic; the retry budget counts processes. The tolerance for cold times was defined in two packages and stands in pace only. Comments lose a story, a figure without a use and broken lines. Behaviour is unchanged.

--- a/fleet/backlog.go
+++ b/fleet/backlog.go
@@ -10,8 +10,8 @@
 const overdueShare = 0.25
 
 // prefillQueue predicts how far a replica is with the prompts that it was given. It prefills parts of split prompts
-// before whole prompts. A new part goes before those that wait, which was found by comparing predictions with
-// responses. Whole prompts are prefilled in the order of their arrival.
+// before whole prompts. A new part goes before those that wait. Whole prompts are prefilled in the order of their
+// arrival.
 //
 // While streams are decoded, an iteration of the engine takes as long as all the prefill that it has begun with. What
 // is in progress is then not interrupted by a new part. Otherwise iterations are short, and it is.
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -92,6 +92,6 @@
 	now := set.clock.Now()
 	return set.viewsIf(func(_ string, rep *Replica) bool {
 		return allowed.has(rep.reg.DataCentre) && !rep.evacuatedLocked() && rep.notices.mayServe(evi, now) &&
-			rep.isPaced(now)
+			rep.slowStartAllowsCall(now)
 	})
 }
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -94,15 +94,11 @@
 	return max(rep.reg.WarmUpLeft-now.Sub(rep.registrationAt), 0)
 }
 
-// coldTolerance is how much longer the cold time in a registration may be than the known rest, and still say nothing
-// new: the times that registrations are on their way differ.
-const coldTolerance = 500 * time.Millisecond
-
 // isColdAgain reports whether a registration states a longer cold time than the known one.
 func (rep *Replica) isColdAgain(reg *Registration) bool {
 	rep.set.mu.Lock()
 	defer rep.set.mu.Unlock()
-	return reg.WarmUpLeft > rep.warmUpLeft(rep.set.clock.Now())+coldTolerance
+	return reg.WarmUpLeft > rep.warmUpLeft(rep.set.clock.Now())+pace.ColdTolerance
 }
 
 // recordWarmUp records the cold time in a registration of the replica.
@@ -157,12 +153,12 @@
 	return rep.notices.slowStart
 }
 
-// soleFront is the set of fronts of a process that has none set.
-var soleFront = pace.NewFronts("", nil, 1)
+// singleFront is the set of fronts of a process that has none set.
+var singleFront = pace.NewFronts("", nil, 1)
 
 func (opt *PaceOptions) fronts() *pace.Fronts {
 	if opt.Fronts == nil {
-		return soleFront
+		return singleFront
 	}
 	return opt.Fronts()
 }
--- a/fleet/paced.go
+++ b/fleet/paced.go
@@ -6,8 +6,8 @@
 	"github.com/tarragonwheel/tarragonwheel/pace"
 )
 
-// isPaced reports whether the replica's slow start allows another call now. The caller holds the lock.
-func (rep *Replica) isPaced(now time.Time) bool {
+// slowStartAllowsCall reports whether the replica's slow start allows another call now. The caller holds the lock.
+func (rep *Replica) slowStartAllowsCall(now time.Time) bool {
 	slo := rep.notices.slowStart
 	if slo == nil {
 		return true
@@ -150,11 +150,10 @@
 }
 
 // failingCalls is the number of calls that fail one after another from which a replica counts as failing altogether.
-// One that loses 40% of its responses rarely does.
+// One that loses a part of its responses rarely does.
 const failingCalls = 4
 
-// markFailing records that the replica does not respond, or that calls there fail. The caller holds the
-// lock.
+// markFailing records that the replica does not respond, or that calls there fail. The caller holds the lock.
 func (rep *Replica) markFailing() {
 	set, now := rep.set, rep.set.clock.Now()
 	if !set.warmUp.Applies() {
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -82,7 +82,7 @@
 // takesCalls tells whether the replica may get new calls, apart from whether its registration says that it drains. The
 // caller holds the lock.
 func (rep *Replica) takesCalls(now time.Time) bool {
-	return !rep.evacuatedLocked() && rep.notices.takesCalls(now) && rep.isPaced(now)
+	return !rep.evacuatedLocked() && rep.notices.takesCalls(now) && rep.slowStartAllowsCall(now)
 }
 
 // HadLongPrefill reports whether within the given time a prompt or a part of one was known at the replica whose prefill
--- a/front/freeze.go
+++ b/front/freeze.go
@@ -44,13 +44,14 @@
 	fzw.resumedAt = time.Time{}
 }
 
-// awaitState blocks after the process was stopped for long, until the operator's topic has been read again.
-func (frt *Front) awaitState(ctx context.Context) {
+// awaitOperatorTopic blocks after the process was stopped for long, until the operator's topic has been read again.
+func (frt *Front) awaitOperatorTopic(ctx context.Context) {
 	for frt.hasMissedRecords() && frt.clock.Sleep(ctx, catchUpPollPeriod) == nil {
 	}
 }
 
-// hasMissedRecords reports whether the process was stopped for long and has not read the operator's topic since.
+// hasMissedRecords reports whether the process was stopped for long and has not read the operator's topic since. The
+// first call after a stop starts the read.
 func (frt *Front) hasMissedRecords() bool {
 	now := frt.clock.Now()
 	resumedAt, isNew := frt.freeze.recordRun(now)
--- a/front/freeze_test.go
+++ b/front/freeze_test.go
@@ -79,11 +79,11 @@
 				time.Sleep(time.Millisecond)
 			}
 			time.Sleep(20 * time.Millisecond) // until the long poll has begun
-			frt.awaitState(t.Context())
+			frt.awaitOperatorTopic(t.Context())
 			iis.Equal(reads.Load(), int64(0)) // The process was not stopped.
 			frt.freeze.ranAt = clk.Now().Add(-maxFreeze - time.Second)
 			begun := time.Now()
-			frt.awaitState(t.Context())
+			frt.awaitOperatorTopic(t.Context())
 			waited := time.Since(begun)
 			iis.Equal(reads.Load() > 0, storeAnswers)
 			if storeAnswers {
--- a/front/front.go
+++ b/front/front.go
@@ -98,7 +98,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	frt.store = platform.NewStore(config.FrontStore.Of(set), transport)
-	frt.fleet.SetPace(fleet.PaceOptions{Fronts: frt.sharers, CountEvent: mts.CountEvent})
+	frt.fleet.SetPace(fleet.PaceOptions{Fronts: frt.knownFronts, CountEvent: mts.CountEvent})
 	frt.crashes = cause.New(cause.Options{Clock: clk, Log: log, OnCrash: frt.sendCrash, OnAnswers: frt.sendAnswers})
 	frt.evacuations = evac.New(evac.Options{Clock: clk, Log: log, OnChange: frt.setEvacuated})
 	if err := frt.startPeers(); err != nil {
@@ -135,7 +135,7 @@
 			platform.NewReplicaAPI(&http.Client{Transport: toReplicas}, frt.recordReplicaNotice)),
 		Crashes:               frt.crashes,
 		RetryLimits:           frt.retryLimits,
-		BudgetSharers:         frt.budgetSharers,
+		BudgetProcesses:       frt.budgetProcesses,
 		LoadUnknown:           frt.loadUnknown,
 		Policy:                place.PolicyFor(config.FrontPlacement.Of(frt.startSettings)),
 		DataCentre:            config.ProcessDataCentre.Of(frt.startSettings),
@@ -148,7 +148,7 @@
 		DrainTime:             config.FrontDrainTime.Of(frt.startSettings),
 		RegistrationsAge:      frt.registrationsAge,
 		OnReplicaLeaving:      frt.sendReplicaLeaving,
-		AwaitState:            frt.awaitState,
+		AwaitOperatorTopic:    frt.awaitOperatorTopic,
 		OnReplicaCold:         frt.sendReplicaCold,
 	}
 }
--- a/front/peers.go
+++ b/front/peers.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// minBudgetSharers is the number of fronts assumed to share the retry budget while fewer are known.
-	minBudgetSharers = 4
+	// minBudgetFronts is the number of fronts assumed to share the retry budget while fewer are known.
+	minBudgetFronts = 4
 	// peerListInterval is the time between two reads of the peers' addresses. It may be long, since a front also learns
 	// of a peer when it receives a datagram from it, and reads the address then.
 	peerListInterval      = time.Minute
@@ -145,21 +145,21 @@
 	return frt.peers != nil && frt.clock.Since(frt.started) < loadKnownAfter
 }
 
-// loneFronts is the set of fronts that a front without an exchange assumes, which cannot learn of others.
-var loneFronts = pace.NewFronts("", nil, minBudgetSharers)
+// defaultFronts is the set of fronts that a front without an exchange assumes, which cannot learn of others.
+var defaultFronts = pace.NewFronts("", nil, minBudgetFronts)
 
-// sharers returns the fronts that share the limits of cold replicas.
-func (frt *Front) sharers() *pace.Fronts {
+// knownFronts returns the fronts that share the limits of cold replicas.
+func (frt *Front) knownFronts() *pace.Fronts {
 	if frt.peers == nil {
-		return loneFronts
+		return defaultFronts
 	}
 	return frt.peers.Fronts()
 }
 
-// budgetSharers returns the number of fronts that share the retry budget, and at least minBudgetSharers.
-func (frt *Front) budgetSharers() int {
+// budgetProcesses returns the number of fronts that share the retry budget, and at least minBudgetFronts.
+func (frt *Front) budgetProcesses() int {
 	if frt.peers == nil {
-		return minBudgetSharers
+		return minBudgetFronts
 	}
-	return max(frt.peers.LiveProcesses(), minBudgetSharers)
+	return max(frt.peers.LiveProcesses(), minBudgetFronts)
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -5,9 +5,9 @@
 // maxColdTime bounds what a replica states of its own cold time.
 const maxColdTime = time.Minute
 
-// coldTolerance is how much longer a cold time must become to count as a new one. Statements of the same cold time
+// ColdTolerance is how much longer a cold time must become to count as a new one. Statements of the same cold time
 // differ by the time that they were on their way.
-const coldTolerance = 500 * time.Millisecond
+const ColdTolerance = 500 * time.Millisecond
 
 // SlowStart is the slow start of one replica as one front sees it.
 type SlowStart struct {
@@ -45,7 +45,7 @@
 		return false
 	}
 	slo.coldUntil = until
-	if left <= before+coldTolerance {
+	if left <= before+ColdTolerance {
 		return false
 	}
 	slo.ramp = newRamp(slo.warmUp, until)
--- a/relay/evacuate.go
+++ b/relay/evacuate.go
@@ -10,8 +10,8 @@
 // sent. It blocks while this process may have missed an evacuation.
 func (att *attempt) isEvacuated() bool {
 	hdl, vie := att.hdl, &att.placement.Primary
-	if hdl.opts.AwaitState != nil {
-		hdl.opts.AwaitState(att.ctx)
+	if hdl.opts.AwaitOperatorTopic != nil {
+		hdl.opts.AwaitOperatorTopic(att.ctx)
 	}
 	if !vie.Replica.Evacuated() {
 		idx := slices.IndexFunc(att.placement.Helpers, func(hlp place.HelperPart) bool {
--- a/relay/evacuate_test.go
+++ b/relay/evacuate_test.go
@@ -94,7 +94,7 @@
 	iis := is.New(t)
 	rep := newReplica(t, answerOK)
 	rig := newRig(t)
-	rig.opts.AwaitState = func(context.Context) { rig.flt.SetEvacuated([]string{"a"}) }
+	rig.opts.AwaitOperatorTopic = func(context.Context) { rig.flt.SetEvacuated([]string{"a"}) }
 	rig.start(t)
 	rig.registerIn("i-a", "a", rep)
 	status, _ := rig.sendForHeader(t, "/unsafe/x")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,20 +39,20 @@
 
 // Options configure a Relay.
 type Options struct {
-	Clock         *timer.Service
-	Log           logr.Logger
-	Metrics       *metric.Set
-	Codec         Codec
-	Rules         func() *rules.Set // nil while no configuration is known
-	Fleet         *fleet.Fleet
-	Pool          *pool.Pool
-	Reserver      *Reserver
-	Crashes       *cause.Tracker
-	RetryLimits   func() retry.SharedLimits // limits of the retry budget that all processes share
-	LoadUnknown   func() bool               // whether the load from other processes is still unknown; nil for never
-	BudgetSharers func() int                // number of processes that share the retry budget
-	Policy        place.Policy              // places calls on engines
-	DataCentre    string                    // of this process
+	Clock           *timer.Service
+	Log             logr.Logger
+	Metrics         *metric.Set
+	Codec           Codec
+	Rules           func() *rules.Set // nil while no configuration is known
+	Fleet           *fleet.Fleet
+	Pool            *pool.Pool
+	Reserver        *Reserver
+	Crashes         *cause.Tracker
+	RetryLimits     func() retry.SharedLimits // limits of the retry budget that all processes share
+	LoadUnknown     func() bool               // whether the load from other processes is still unknown; nil for never
+	BudgetProcesses func() int                // number of processes that share the retry budget
+	Policy          place.Policy              // places calls on engines
+	DataCentre      string                    // of this process
 	// Regions returns the region of each data centre, as far as they are known; nil if none is.
 	Regions func() map[string]string
 	// BufferBytes bounds the bodies and events of all calls together that are held in memory; 0 for a default.
@@ -64,8 +64,8 @@
 	DrainTime time.Duration
 	// RegistrationsAge returns how old the known registrations of replicas may be; nil if that is not known.
 	RegistrationsAge func() time.Duration
-	// AwaitState blocks while the process may have missed an evacuation because it was stopped; nil for never.
-	AwaitState func(ctx context.Context)
+	// AwaitOperatorTopic blocks while the process may have missed an evacuation because it was stopped; nil for never.
+	AwaitOperatorTopic func(ctx context.Context)
 	// OnReplicaLeaving is called when a replica has told this process that it leaves, unless a peer has reported it
 	// before; nil for none.
 	OnReplicaLeaving func(ntc fleet.LeavingNotice)
@@ -128,7 +128,7 @@
 	defer rly.mu.Unlock()
 	bud := rly.retryBudgets[service]
 	if bud == nil {
-		bud = retry.NewSharedBudget(rly.opts.Clock, rly.opts.RetryLimits, rly.opts.BudgetSharers)
+		bud = retry.NewSharedBudget(rly.opts.Clock, rly.opts.RetryLimits, rly.opts.BudgetProcesses)
 		rly.retryBudgets[service] = bud
 	}
 	return bud
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -147,7 +147,7 @@
 		Clock: clk, Log: logr.Discard(), Metrics: metric.New(), Rules: rig.rules.Load, Fleet: rig.flt,
 		Pool: pool.New(clk), Reserver: relay.NewReserver(clk, logr.Discard(), relay.ReplicaAPI{}),
 		Crashes: cause.New(cause.Options{Clock: clk}), Policy: place.OnEngine, DataCentre: "z",
-		BudgetSharers: func() int { return 1 },
+		BudgetProcesses: func() int { return 1 },
 		RetryLimits: func() retry.SharedLimits {
 			return retry.SharedLimits{
 				Ratio: 0.2, Extra: 100,
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -23,16 +23,16 @@
 type SharedBudget struct {
 	clock      *timer.Service
 	limits     func() SharedLimits
-	sharers    func() int
+	processes  func() int
 	mu         sync.Mutex
 	tokens     float64
 	refilledAt time.Time
 }
 
-// NewSharedBudget returns a full SharedBudget. The function limits returns the limits, which may change, and sharers
+// NewSharedBudget returns a full SharedBudget. The function limits returns the limits, which may change, and processes
 // returns the number of processes that share the budget, which may change too.
-func NewSharedBudget(clk *timer.Service, limits func() SharedLimits, sharers func() int) *SharedBudget {
-	bud := &SharedBudget{clock: clk, limits: limits, sharers: sharers, refilledAt: clk.Now()}
+func NewSharedBudget(clk *timer.Service, limits func() SharedLimits, processes func() int) *SharedBudget {
+	bud := &SharedBudget{clock: clk, limits: limits, processes: processes, refilledAt: clk.Now()}
 	bud.tokens = bud.capacity()
 	return bud
 }
@@ -40,7 +40,7 @@
 // capacity returns the largest number of unused retries, at least 1. It is half of the process's part of the extra
 // retries, because within one window both a full bucket and its refill can be used.
 func (bud *SharedBudget) capacity() float64 {
-	return max(bud.limits().Extra/float64(2*max(bud.sharers(), 1)), 1)
+	return max(bud.limits().Extra/float64(2*max(bud.processes(), 1)), 1)
 }
 
 // refill adds the extra retries for the time since the last call, at the rate of one full bucket in a window.
