--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -165,8 +165,8 @@
 	return rig
 }
 
-// reportSound is the report of a replica that runs a call. The relay may ask for one on a slow machine in any test: if a
-// stream is silent or a prompt is overdue.
+// reportSound is the report of a replica that runs a call. The relay may ask for one on a slow machine in any test, if
+// a stream is silent or a prompt is overdue.
 func reportSound(context.Context, string) (relay.Report, error) {
 	return relay.Report{LatencyRatio: 1, Running: 1}, nil
 }
