--- a/relay/shares_test.go
+++ b/relay/shares_test.go
@@ -118,6 +118,7 @@
 	spc.Services = []rules.Service{{Name: "s", Engine: smallEngine()}}
 	spc.Accounts = append(spc.Accounts, rules.Account{Name: "other", Keys: []string{"other-key"}})
 	rig.rules.Store(rules.New(spc))
+	rig.opts.ShareAccounts = true
 	var factors []float64
 	rig.opts.Policy = func(
 		req place.Request, _ *cost.Engine, views []fleet.View, _ fleet.PrefillLoads,
