Share the start of concurrent attempts, and clarify names and log lines

The start and the end of standby and second attempts were written twice, and the prefill time of all parts as well. The line that no attempt begins beside the one in progress spoke of a silent run also for overdue responses, and two keys had other names elsewhere. The reason for backlogRoom stated figures of simulated runs. Behaviour is unchanged.

--- a/place/overload.go
+++ b/place/overload.go
@@ -91,8 +91,8 @@
 }
 
 // backlogRoom is the number of mean backlogs that must fit into the time of a call of an account with twice its share.
-// With 1, a tenth of the calls of others are refused beside the simulated flood in the tests of package share, with 2
-// 6%. Higher ones also refuse calls of equal accounts, whose recent work differs by chance.
+// A lower one lets a flood of one account fill the queues, so that more calls of others are refused. A higher one also
+// refuses calls of equal accounts, whose recent work differs by chance.
 const backlogRoom = 2
 
 // leastLimitDivisor bounds what shareLimit takes from the time of a call that has already missed its latency target.
--- a/pool/check.go
+++ b/pool/check.go
@@ -45,13 +45,13 @@
 var errClosedAtOnce = errors.New("pool: the new connection was closed at once")
 
 // CheckAlive checks in the background whether a replica that has broken a connection has ended. It has if it does not
-// accept a new connection in time, or closes that at once. The function then gets an error that wraps ErrReplicaEnded,
-// and otherwise nil. One check serves all callers that ask for the replica while it is in progress: what it finds at
+// accept a new connection in time, or closes that at once. onResult then gets an error that wraps ErrReplicaEnded, and
+// otherwise nil. One check serves all callers that ask for the replica while it is in progress: what it finds at
 // its end holds for connections that broke before. The new connection is kept for the next call.
-func (pol *Pool) CheckAlive(replica, address string, then func(err error)) {
+func (pol *Pool) CheckAlive(replica, address string, onResult func(err error)) {
 	pol.mu.Lock()
 	waiting, inProgress := pol.checks[replica]
-	pol.checks[replica] = append(waiting, then)
+	pol.checks[replica] = append(waiting, onResult)
 	pol.mu.Unlock()
 	if inProgress {
 		return
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,7 +104,7 @@
 	brokenOff          bool          // reading the response has failed
 	firstEventReceived atomic.Bool   // of a stream
 	lastEventAt        time.Time     // when the latest event was sent to the client; zero before the first
-	stall              *stallWatch   // nil for a standby attempt
+	stall              *stallWatch   // nil while a standby or second attempt is prepared
 	overdue            *overdueWatch // nil if no second attempt may begin
 	whole              *fullReply    // the response of a second attempt, once it is complete
 	reservationUnused  atomic.Bool   // the attempt was ended because its reserved KV memory was not used
@@ -182,6 +182,22 @@
 	return nil
 }
 
+// newConcurrentAttempt returns an attempt that runs beside the one in progress, on a connection and with buffers of its
+// own.
+func (hdl *callHandler) newConcurrentAttempt(plc *place.Placement) *attempt {
+	att := hdl.newAttempt(plc)
+	att.needsNewConn = true
+	att.buffers = &callBuffers{buffers: hdl.relay.buffers}
+	att.onEnd(att.buffers.release)
+	return att
+}
+
+// discard ends a standby or second attempt that is not needed, although it has succeeded so far.
+func (att *attempt) discard() {
+	att.settle(&outcome{mayHaveRun: true, reason: reasonDone})
+	att.end()
+}
+
 // onEnd registers a function to be called at the end of the attempt.
 func (att *attempt) onEnd(fn func()) { att.cleanup = append(att.cleanup, fn) }
 
--- a/relay/broken.go
+++ b/relay/broken.go
@@ -46,7 +46,7 @@
 	decide := opts.Crashes.RecordBreak(vie.ID, hdl.causeCall(), att.eventsReceived > beginningEvents)
 	brokenAt, unanswered := opts.Clock.Now(), sawCall && !att.replyReceived
 	aboveLimit := rep.AboveLimit()
-	settle := func(err error) {
+	recordResult := func(err error) {
 		leaving := rep.Leaving()
 		crashed := err != nil && !leaving
 		switch {
@@ -65,13 +65,13 @@
 			"check", errorText(err), "decided-after", opts.Clock.Since(brokenAt))...)
 	}
 	if errors.Is(out.err, pool.ErrReplicaEnded) { // It has been checked for the end of the response.
-		settle(out.err)
+		recordResult(out.err)
 		return
 	}
 	hdl.relay.inFlight.Add(1)
 	opts.Pool.CheckAlive(vie.ID, vie.Address, func(err error) {
 		defer hdl.relay.inFlight.Done()
-		settle(err)
+		recordResult(err)
 	})
 }
 
--- a/relay/overdue.go
+++ b/relay/overdue.go
@@ -61,6 +61,6 @@
 		rsr.log.Info("relay: replica of an overdue prompt does not report", "replica", reg.ID, "error", err.Error())
 		return
 	}
-	rsr.log.Info("relay: replica of an overdue prompt reports", "replica", reg.ID, "pace", rpt.LatencyRatio)
+	rsr.log.Info("relay: replica of an overdue prompt reports", "replica", reg.ID, "latency-ratio", rpt.LatencyRatio)
 	rep.SetReportedLatencyRatio(rpt.LatencyRatio)
 }
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -40,7 +40,7 @@
 	if !ok {
 		_ = con.Close() // Nothing was sent on it.
 		hdl.opts.Log.Info("relay: slow start of the replica allows no call now", "call", hdl.cal.ID,
-			"replica", vie.ID, "placed-ago", hdl.opts.Clock.Since(att.placedAt))
+			"replica", vie.ID, "since-placed", hdl.opts.Clock.Since(att.placedAt))
 		return &outcome{notSent: true, reason: reasonReplicasWarmingUp}
 	}
 	att.sent = fleet.Sent{At: hdl.opts.Clock.Now(), Calls: calls}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonwheel/tarragonwheel/timer"
 )
 
+// TestCallIsForwarded guards against a call whose request or response is altered or lost on its way.
 func TestCallIsForwarded(t *testing.T) {
 	iis := is.New(t)
 	rig := newRig(t, newReplica(t, func(con net.Conn, req request) bool {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -50,8 +50,8 @@
 	return ""
 }
 
-// placeStandby chooses the placement of a standby attempt to the one with the given placement, and takes the retry from
-// the budget. It returns nil if none may be begun. The attempt in progress counts as one that has run.
+// placeStandby chooses the placement of a standby or second attempt beside the one with the given placement, and takes
+// the retry from the budget. It returns nil if none may be begun. The attempt in progress counts as one that has run.
 func (hdl *callHandler) placeStandby(current *place.Placement) *place.Placement {
 	denied := hdl.denyAttempt(true, hdl.possibleRuns+1)
 	if denied == "" && hdl.eventsSent == 0 && !hdl.isPermitted(hdl.opts.Rules()) {
@@ -71,8 +71,8 @@
 		denied = hdl.takeRetry()
 	}
 	if denied != "" {
-		hdl.opts.Log.Info("relay: silent run is kept", "call", hdl.cal.ID, "replica", current.Primary.ID,
-			"denied", denied)
+		hdl.opts.Log.Info("relay: no attempt begins beside that in progress", "call", hdl.cal.ID,
+			"replica", current.Primary.ID, "denied", denied)
 		return nil
 	}
 	return &plc
@@ -96,7 +96,8 @@
 		"error", out.errorText())
 }
 
-// runAttempts sends the call to the replicas of a placement, and goes on with standby attempts that replace it.
+// runAttempts sends the call to the replicas of a placement, and goes on with standby or second attempts that replace
+// it.
 func (hdl *callHandler) runAttempts(plc *place.Placement) outcome {
 	out := hdl.sendAttempt(plc)
 	hdl.logAttemptEnd(&out)
--- a/relay/second.go
+++ b/relay/second.go
@@ -65,10 +65,7 @@
 		hdl.opts.Metrics.CountEvent("second-attempt-denied")
 		return
 	}
-	sec := hdl.newAttempt(plc)
-	sec.needsNewConn = true
-	sec.buffers = &callBuffers{buffers: hdl.relay.buffers} // The others are in use.
-	sec.onEnd(sec.buffers.release)
+	sec := hdl.newConcurrentAttempt(plc)
 	done := make(chan struct{})
 	wtc.second, wtc.done = sec, done
 	hdl.opts.Metrics.CountEvent("second-attempt")
@@ -96,7 +93,7 @@
 		"error", out.errorText())
 	if overtakes {
 		wtc.next = sec
-		hdl.relay.responseTimes.Record(hdl.hedgeKey(), hdl.opts.Clock.Since(wtc.att.placedAt)) // It takes longer still.
+		hdl.relay.responseTimes.Record(hdl.hedgeKey(), hdl.opts.Clock.Since(wtc.att.placedAt)) // a lower bound
 		hdl.opts.Metrics.CountEvent("second-attempt-overtakes")
 		_ = wtc.att.con.Close() // Cancels the call at the replica and ends reads.
 		return
@@ -150,8 +147,7 @@
 	}
 	next := wtc.next
 	if next != nil && isFinal {
-		next.settle(&outcome{mayHaveRun: true, reason: reasonDone})
-		next.end()
+		next.discard()
 		return nil
 	}
 	return next
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -43,7 +43,7 @@
 // retries are no work that the account has asked for.
 func (hdl *callHandler) countAdmitted(plc *place.Placement) {
 	if hdl.attempts == 0 {
-		hdl.relay.shares.Add(hdl.account, plc.PrefillTime*time.Duration(len(plc.Helpers)+1))
+		hdl.relay.shares.Add(hdl.account, hdl.totalPrefill(plc))
 	}
 }
 
--- a/relay/standby.go
+++ b/relay/standby.go
@@ -17,10 +17,7 @@
 		wtc.schedule(wtc.times.recheck)
 		return
 	}
-	sby := hdl.newAttempt(plc)
-	sby.needsNewConn = true
-	sby.buffers = &callBuffers{buffers: hdl.relay.buffers} // The others are in use.
-	sby.onEnd(sby.buffers.release)
+	sby := hdl.newConcurrentAttempt(plc)
 	done := make(chan struct{})
 	wtc.standby, wtc.standbyDone = sby, done
 	wtc.schedule(wtc.times.recheck)
@@ -73,8 +70,7 @@
 	}
 	next := wtc.next
 	if next != nil && isFinal {
-		next.settle(&outcome{mayHaveRun: true, reason: reasonDone})
-		next.end()
+		next.discard()
 		return nil
 	}
 	return next
--- a/relay/tasks.go
+++ b/relay/tasks.go
@@ -12,8 +12,7 @@
 type attemptTasks []*fleet.LocalTask
 
 // startTasks registers the tasks of an attempt, so that they count as load of their replicas. The given one is that at
-// the primary replica.
-// With isClaim, the other processes learn of them at once.
+// the primary replica. With isClaim, the other processes learn of them at once.
 func (hdl *callHandler) startTasks(plc *place.Placement, tsk fleet.Task, isClaim bool) attemptTasks {
 	start := (*fleet.Replica).StartTask
 	if isClaim {
--- a/soak/check.go
+++ b/soak/check.go
@@ -72,7 +72,7 @@
 	restoreGaps   []interval             // from each restore amid faults until lost records were written again
 	crashes       map[string][]time.Time // of replicas, by the path of the call that caused them
 	overruns      []plsim.Overrun        // crashes of cold replicas that got too many calls
-	floods        []time.Time            // when a replica turned cold, and more calls than it bears were sent
+	coldFloods    []time.Time            // when a replica turned cold, and more calls than it bears were sent
 	checkCounts   map[string]int         // by invariant
 	violations    []string
 	floodText     string // what became of the calls to the shared service
--- a/soak/cold.go
+++ b/soak/cold.go
@@ -26,8 +26,8 @@
 
 // A flood of calls is more than cold replicas can bear.
 const (
-	floodCalls    = 120
-	floodInterval = 15 * time.Millisecond
+	coldFloodCalls    = 120
+	coldFloodInterval = 15 * time.Millisecond
 )
 
 // coldOf returns the cold time and rate of a service in the configuration.
@@ -50,22 +50,22 @@
 	rep := sok.live[idx]
 	seed := sok.rnd.Uint64()
 	sok.mu.Unlock()
-	sok.chk.recordFlood()
+	sok.chk.recordColdFlood()
 	rep.server.SetCold(coldTime, coldLimit)
 	sok.store.PutColdReplica(rep.id, rep.service, rep.route.Address(), dataCentreOf(rep.id), rep.startedMs, coldTime)
-	go sok.flood(ctx, rand.New(rand.NewPCG(seed, 2)))
+	go sok.sendColdFlood(ctx, rand.New(rand.NewPCG(seed, 2)))
 }
 
-// flood sends calls to the service with cold replicas through random fronts.
-func (sok *Soak) flood(ctx context.Context, rnd *rand.Rand) {
+// sendColdFlood sends calls to the service with cold replicas through random fronts.
+func (sok *Soak) sendColdFlood(ctx context.Context, rnd *rand.Rand) {
 	time.Sleep(coldNotice)
 	cli := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	prefix := fmt.Sprint("f", rnd.Uint32(), "-")
 	var calls sync.WaitGroup
-	for num := range floodCalls {
+	for num := range coldFloodCalls {
 		frt := rnd.IntN(len(sok.fronts))
 		calls.Go(func() { sok.sendCall(ctx, cli, frt, "/safe/x", fmt.Sprint(prefix, num), 0) })
-		time.Sleep(floodInterval)
+		time.Sleep(coldFloodInterval)
 	}
 	calls.Wait()
 }
@@ -84,12 +84,12 @@
 	chk.faults = append(chk.faults, interval{ovr.At, ovr.At.Add(replicaStartTime)})
 }
 
-// recordFlood records that a replica turns cold now and that a flood of calls follows.
-func (chk *checker) recordFlood() {
+// recordColdFlood records that a replica turns cold now and that a flood of calls follows.
+func (chk *checker) recordColdFlood() {
 	now := time.Now()
 	chk.mu.Lock()
 	defer chk.mu.Unlock()
-	chk.floods = append(chk.floods, now)
+	chk.coldFloods = append(chk.coldFloods, now)
 }
 
 // undisturbed reports whether no fault, including its settling time, overlapped the given time, apart from crashes of
@@ -104,7 +104,7 @@
 // verifyOverruns checks that cold replicas got no more calls than they bear when no fault has kept the fronts from
 // knowing that they are cold. The caller holds mu.
 func (chk *checker) verifyOverruns() {
-	for _, at := range chk.floods {
+	for _, at := range chk.coldFloods {
 		if chk.undisturbed(at.Add(-time.Second), at.Add(coldTime)) {
 			chk.recordCheck(invariantCold, true, "")
 		}
--- a/soak/flood.go
+++ b/soak/flood.go
@@ -12,14 +12,14 @@
 // Load of the service that two accounts share: one floods it, the other sends a call now and then.
 const (
 	// sharedDataCentre is that of the replicas that accounts share. It is not evacuated.
-	sharedDataCentre = "shared"
-	sharedReplicas   = 2
-	sharedTime       = 200 * time.Millisecond // that a replica works on a call, as its engine is predicted to
-	floodClients     = 40                     // each sends one call after the other
-	floodPause       = 100 * time.Millisecond // after a call
-	modestInterval   = 300 * time.Millisecond // between two calls of the other account
-	minModestCalls   = 10                     // below which the share of refused calls is not checked
-	maxModestBadPct  = 20                     // of the calls of the other account that may be refused
+	sharedDataCentre    = "shared"
+	sharedReplicas      = 2
+	sharedTime          = 200 * time.Millisecond // that a replica works on a call, as its engine is predicted to
+	floodClients        = 40                     // each sends one call after the other
+	floodPause          = 100 * time.Millisecond // after a call
+	modestInterval      = 300 * time.Millisecond // between two calls of the other account
+	minModestCalls      = 10                     // below which the share of refused calls is not checked
+	maxModestRefusedPct = 20                     // of the calls of the other account that may be refused
 )
 
 // startShared starts the replicas of the shared service. They have no faults of their own.
@@ -70,7 +70,7 @@
 	if sent[plsim.AccountModest] < minModestCalls || sent[plsim.AccountFlood] == 0 {
 		return
 	}
-	chk.recordCheck(invariantFlood, refused[plsim.AccountModest]*100 <= sent[plsim.AccountModest]*maxModestBadPct &&
+	chk.recordCheck(invariantFlood, refused[plsim.AccountModest]*100 <= sent[plsim.AccountModest]*maxModestRefusedPct &&
 		refused[plsim.AccountFlood] < sent[plsim.AccountFlood], "calls sent %v, refused %v", sent, refused)
 	chk.floodText = fmt.Sprintf("accounts of the shared service: calls sent %v, refused %v", sent, refused)
 }
