--- a/cause/undecided.go
+++ b/cause/undecided.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Undecided reports whether AwaitDecision would wait for a call.
+func (trk *Tracker) Undecided(cal Call) bool { return len(trk.decisive(cal)) > 0 }
+
 // decisive returns what ends when it is known whether replicas have crashed under a call that this may block.
 func (trk *Tracker) decisive(cal Call) (waits []chan struct{}) {
 	if trk.numUndecided.Load() == 0 {
--- a/cause/undecided_test.go
+++ b/cause/undecided_test.go
@@ -46,7 +46,9 @@
 	one := trk.RecordBreak("a", cal, false)
 	two := trk.RecordBreak("b", cal, false)
 	iis.True(waits(trk, cal))
+	iis.True(trk.Undecided(cal)) // A call in progress begins no other attempt instead of waiting.
 	iis.True(!waits(trk, cause.Call{Fingerprint: 9}))
+	iis.True(!trk.Undecided(cause.Call{Fingerprint: 9}))
 	go func() {
 		one(true)
 		two(true)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -55,6 +55,11 @@
 	return true
 }
 
+// mayCrashReplicas tells whether it is about to be known that replicas have crashed under the call.
+func (hdl *callHandler) mayCrashReplicas() bool {
+	return hdl.opts.Crashes.Active() && hdl.opts.Crashes.Undecided(hdl.causeCall())
+}
+
 // beginningEvents is the number of events up to which a stream is at its beginning.
 const beginningEvents = 1
 
--- a/relay/faulty.go
+++ b/relay/faulty.go
@@ -2,10 +2,31 @@
 
 import (
 	"errors"
+	"slices"
+	"sync"
 
 	"github.com/tarragonwheel/tarragonwheel/fleet"
 )
 
+// faultySet holds the IDs of replicas that have failed attempts at a call, two of which may be in progress. It is safe
+// for concurrent use.
+type faultySet struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (fts *faultySet) add(id string) {
+	fts.mu.Lock()
+	defer fts.mu.Unlock()
+	fts.ids = append(fts.ids, id)
+}
+
+func (fts *faultySet) list() []string {
+	fts.mu.Lock()
+	defer fts.mu.Unlock()
+	return slices.Clone(fts.ids)
+}
+
 // replicaError is the failure of an operation at one of several replicas.
 type replicaError struct {
 	replica string // ID
@@ -61,7 +82,7 @@
 // excludeHelper keeps a helper replica that has failed an attempt out of the further attempts at the call.
 func (hdl *callHandler) excludeHelper(rep *fleet.Replica, reason string) {
 	reg := rep.Registration()
-	hdl.faultyHelpers = append(hdl.faultyHelpers, reg.ID)
+	hdl.faultyHelpers.add(reg.ID)
 	hdl.opts.Metrics.CountEvent("helper-failed")
 	hdl.opts.Log.Info("relay: helper replica failed an attempt", "call", hdl.cal.ID, "replica", reg.ID,
 		"reason", reason)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -39,7 +39,7 @@
 	warmUpWaits    int
 	possibleRuns   int        // attempts that may have run
 	triedReplicas  []string   // IDs of the replicas of all attempts
-	faultyHelpers  []string   // IDs of the helper replicas that have failed an attempt
+	faultyHelpers  faultySet  // the helper replicas that have failed an attempt
 	fallback       *fullReply // a replica's complete error response, sent if no retry succeeds
 	headSent       bool       // status and headers of the response have been sent
 	eventsSent     int        // events sent to the client
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -66,7 +66,7 @@
 ) (place.Placement, bool) {
 	req := hdl.placementRequest(left)
 	if hdl.triedOnceOnEach(views) {
-		req.ExcludeReplicas = hdl.faultyHelpers // All others are equal again.
+		req.ExcludeReplicas = hdl.faultyHelpers.list() // All others are equal again.
 	}
 	srv := hdl.set.Service(hdl.service)
 	if srv == nil || srv.Engine == nil {
@@ -91,7 +91,7 @@
 		Now: hdl.opts.Clock.Now(), PromptTokens: prm.Tokens, OutputTokens: hdl.expectedOutputTokens(),
 		GapTarget: hdl.rte.GapTarget, TimeLeft: left,
 		DataCentre: hdl.opts.DataCentre, Jitter: rand.Float64,
-		ExcludeReplicas: slices.Concat(hdl.triedReplicas, hdl.faultyHelpers),
+		ExcludeReplicas: slices.Concat(hdl.triedReplicas, hdl.faultyHelpers.list()),
 		PriceFactor:     hdl.askPriceFactor(),
 	}
 	if hdl.opts.LoadUnknown != nil {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -12,6 +12,7 @@
 	deniedNotRetryable = "not-retryable"
 	deniedBudget       = "budget"
 	deniedNewRules     = "new-configuration"
+	deniedMayCrash     = "may-crash-replicas"
 )
 
 // denyRetry returns why the call must not be sent again after an attempt with the given outcome, as one of the denied
@@ -57,6 +58,9 @@
 	if denied == "" && hdl.eventsSent == 0 && !hdl.isPermitted(hdl.opts.Rules()) {
 		denied = deniedNewRules
 	}
+	if denied == "" && hdl.mayCrashReplicas() { // Events of the call must not wait until that is known.
+		denied = deniedMayCrash
+	}
 	var plc place.Placement
 	if denied == "" {
 		plc, denied = hdl.choosePlacement()
