--- a/check/check.go
+++ b/check/check.go
@@ -60,7 +60,8 @@
 	fns.checkServices(&dft.Spec)
 	for _, name := range dft.NoColdTime {
 		fns.add(Warning, servicePlace(name),
-			"ColdPerS has no effect and cold replicas get calls at any rate; set ColdS as well, or remove ColdPerS")
+			"the rate for cold replicas has no effect, and they get calls at any rate; set the cold time as well, "+
+				"or remove the rate")
 	}
 	fns.checkAccounts(&dft.Spec)
 	fns.checkRegions(&dft.Spec)
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -150,7 +150,7 @@
 		"connections":   {route, engine, account, "warning: service s: replicas with 16 slots"},
 		"cold rate": {
 			route, `{"Name":"s","ColdPerS":32}`, account,
-			"warning: service s: ColdPerS has no effect",
+			"warning: service s: the rate for cold replicas has no effect",
 		},
 		"cold": {route, `{"Name":"s","ColdPerS":32,"ColdS":3}`, account, ""},
 		"weight of 0": {
--- a/check/entry.go
+++ b/check/entry.go
@@ -98,19 +98,19 @@
 // checkRegions finds allowed regions that no data centre can be in, and routes that an account can never use.
 func (fns *findings) checkRegions(spc *rules.Spec) {
 	for idx := range spc.Routes {
-		fns.checkRegionNames(routePlace(spc.Routes[idx].Name), spc.Routes[idx].AllowedRegions)
+		fns.checkRegionNames(routePlace(spc.Routes[idx].Name), spc.Routes[idx].Regions)
 	}
 	for _, acc := range spc.Accounts {
 		place := accountPlace(acc.Name)
-		fns.checkRegionNames(place, acc.AllowedRegions)
+		fns.checkRegionNames(place, acc.Regions)
 		for idx := range spc.Routes {
 			rte := &spc.Routes[idx]
-			if len(acc.AllowedRegions) == 0 || len(rte.AllowedRegions) == 0 ||
-				haveCommon(acc.AllowedRegions, rte.AllowedRegions) {
+			if len(acc.Regions) == 0 || len(rte.Regions) == 0 ||
+				haveCommon(acc.Regions, rte.Regions) {
 				continue
 			}
 			fns.add(Warning, place, "its calls to route %s are always refused because the two have no allowed region "+
-				"in common; allow a common one, or remove AllowedRegions at one of them", rte.Name)
+				"in common; allow a common one, or remove the allowed regions of one of them", rte.Name)
 		}
 	}
 }
--- a/front/pace_test.go
+++ b/front/pace_test.go
@@ -17,7 +17,7 @@
 	rig := newRestoreRig(t)
 	rig.store.PutConfig(3, []plsim.Route{{
 		Name: "r", Host: "127.0.0.1", PathPrefix: "/a/", Kind: "safe", Service: "s", MaxAttempts: 2, TimeoutMs: 1000,
-		ColdS: 5, ColdPerS: 4, // One call a second: a front without an exchange assumes three others.
+		ColdSeconds: 5, ColdPerSecond: 4, // One call a second: a front without an exchange assumes three others.
 	}})
 	started := time.Now().UnixMilli()
 	rig.store.PutColdReplica("i-1", "s", host(rig.replica), "z", started, 0)
--- a/relay/region.go
+++ b/relay/region.go
@@ -10,9 +10,9 @@
 func (hdl *callHandler) allowedRegions() rules.Regions {
 	set := hdl.opts.Rules()
 	if set == hdl.set || set == nil || !hdl.isPermitted(set) {
-		return hdl.set.AllowedRegions(hdl.rte, hdl.cal.APIKey)
+		return hdl.set.RegionsFor(hdl.rte, hdl.cal.APIKey)
 	}
-	return set.AllowedRegions(set.Match(hdl.cal.Host, stripQuery(hdl.cal.Target)), hdl.cal.APIKey)
+	return set.RegionsFor(set.Match(hdl.cal.Host, stripQuery(hdl.cal.Target)), hdl.cal.APIKey)
 }
 
 // allowedDataCentres returns the data centres whose replicas may get the call, or nil if all of them may.
--- a/relay/region_test.go
+++ b/relay/region_test.go
@@ -24,9 +24,9 @@
 func restrictedRules(route, account []string) *rules.Set {
 	spc := testRules()
 	for idx := range spc.Routes {
-		spc.Routes[idx].AllowedRegions = route
+		spc.Routes[idx].Regions = route
 	}
-	spc.Accounts[0].AllowedRegions = account
+	spc.Accounts[0].Regions = account
 	return rules.New(spc)
 }
 
@@ -244,7 +244,7 @@
 	spc := testRules()
 	for idx := range spc.Routes {
 		spc.Routes[idx].ClientIdleTimeout = idleTimeout
-		spc.Routes[idx].AllowedRegions = []string{"north"}
+		spc.Routes[idx].Regions = []string{"north"}
 	}
 	rig.rules.Store(rules.New(spc))
 	_, body, err := rig.send(t, "/stream/x")
@@ -296,7 +296,7 @@
 			rig.start(t)
 			spc := testRules()
 			spc.Services = []rules.Service{{Name: "s", Engine: smallEngine()}}
-			spc.Accounts[0].AllowedRegions = allowed
+			spc.Accounts[0].Regions = allowed
 			rig.rules.Store(rules.New(spc))
 			res := rig.sendSplitPrompt(t)
 			defer func() { _ = res.Body.Close() }()
--- a/rules/region.go
+++ b/rules/region.go
@@ -7,9 +7,9 @@
 	route, account []string // an empty list allows all
 }
 
-// AllowedRegions returns the regions that a route and the account of an API key allow.
-func (set *Set) AllowedRegions(rte *Route, key string) Regions {
-	return Regions{route: rte.AllowedRegions, account: set.regions[key]}
+// RegionsFor returns the regions that a route and the account of an API key allow.
+func (set *Set) RegionsFor(rte *Route, key string) Regions {
+	return Regions{route: rte.Regions, account: set.regions[key]}
 }
 
 // All reports whether all data centres are allowed, also those whose region is not known.
--- a/rules/region_test.go
+++ b/rules/region_test.go
@@ -11,14 +11,14 @@
 // regionSpec is a configuration whose route and account allow the given regions.
 func regionSpec(route, account []string) rules.Spec {
 	spc := spec()
-	spc.Routes[0].AllowedRegions = route
-	spc.Accounts[0].AllowedRegions = account
+	spc.Routes[0].Regions = route
+	spc.Accounts[0].Regions = account
 	return spc
 }
 
-// TestAllowedRegions guards against a call that reaches a region that its route or its account does not allow, and
+// TestRegionsFor guards against a call that reaches a region that its route or its account does not allow, and
 // against restricting calls without allowed regions.
-func TestAllowedRegions(t *testing.T) {
+func TestRegionsFor(t *testing.T) {
 	for name, tst := range map[string]struct {
 		route, account []string
 		want           map[string]bool // by region; the empty one is unknown
@@ -37,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			iis := is.New(t)
 			set := rules.New(regionSpec(tst.route, tst.account))
-			reg := set.AllowedRegions(set.Match("h.example", "/a/c"), "k")
+			reg := set.RegionsFor(set.Match("h.example", "/a/c"), "k")
 			iis.Equal(reg.All(), len(tst.route)+len(tst.account) == 0)
 			for region, want := range tst.want {
 				iis.Equal(reg.Allow(region), want)
@@ -56,16 +56,16 @@
 	rte := set.Match("h.example", "/a/c")
 	name, _ := set.AuthorizeKey(rte, "k")
 	iis.Equal(name, "last")
-	iis.True(set.AllowedRegions(rte, "k").All())
+	iis.True(set.RegionsFor(rte, "k").All())
 }
 
-// BenchmarkAllowedRegions measures what a call costs whose configuration restricts no regions.
-func BenchmarkAllowedRegions(b *testing.B) {
+// BenchmarkRegionsFor measures what a call costs whose configuration restricts no regions.
+func BenchmarkRegionsFor(b *testing.B) {
 	set := rules.New(regionSpec(nil, nil))
 	rte := set.Match("h.example", "/a/c")
 	b.ReportAllocs()
 	for b.Loop() {
-		if !set.AllowedRegions(rte, "k").All() {
+		if !set.RegionsFor(rte, "k").All() {
 			b.Fatal("restricted")
 		}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,7 +57,7 @@
 	Resumable         bool          // a stream can be continued by another replica
 	Priority          int           // of the calls, by which they are counted and logged; 0 is the highest
 	Targets           []Target
-	AllowedRegions    []string // regions whose replicas may get the calls; empty for all
+	Regions           []string // regions whose replicas may get the calls; empty for all
 }
 
 // IsStream reports whether responses are streams of events.
@@ -105,11 +105,11 @@
 
 // Account is a client account.
 type Account struct {
-	Name           string
-	Keys           []string
-	AllowedRegions []string // regions whose replicas may get the account's calls; empty for all
-	Priority       int      // takes precedence over that of the route
-	HasPriority    bool     // Priority is set
+	Name        string
+	Keys        []string
+	Regions     []string // regions whose replicas may get the account's calls; empty for all
+	Priority    int      // takes precedence over that of the route
+	HasPriority bool     // Priority is set
 }
 
 // Limits bound the size of requests, the time to send their headers, and how long connections of clients may be idle.
@@ -165,8 +165,8 @@
 	for _, acc := range spc.Accounts {
 		for _, key := range acc.Keys {
 			set.accounts[key] = acc.Name
-			if delete(set.regions, key); len(acc.AllowedRegions) > 0 {
-				set.regions[key] = acc.AllowedRegions
+			if delete(set.regions, key); len(acc.Regions) > 0 {
+				set.regions[key] = acc.Regions
 			}
 		}
 		if acc.HasPriority {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -166,9 +166,9 @@
 func (sok *Soak) publishConfig() {
 	sok.configVersion++
 	route := func(name, kind, srv string) plsim.Route {
-		coldS, coldPerS := coldOf(srv)
+		seconds, perSecond := coldOf(srv)
 		return plsim.Route{
-			ColdS: coldS, ColdPerS: coldPerS,
+			ColdSeconds: seconds, ColdPerSecond: perSecond,
 			Name: name, Host: "soak.example", PathPrefix: "/" + name + "/", Kind: kind, Service: srv, MaxAttempts: 3,
 			TimeoutMs: int(callTimeout.Milliseconds()), Resumable: kind == "streaming", Anonymous: true,
 		}
