--- a/check/change_test.go
+++ b/check/change_test.go
@@ -31,13 +31,13 @@
 		`{"Name":"n","ApiKeys":["secret-1","secret-3"],"AllowedRegions":["q"]},{"Name":"come","ApiKeys":["secret-4"]}`)
 	after = strings.Replace(after, `"MaxBodyBytes":1000`, `"MaxBodyBytes":2000,"IdleTimeoutMs":1500`, 1)
 	iis.Equal(changes(t, before, after), `route chat: changed: kind idempotent -> stream, timeout 0s -> 5s, `+
-		`client idle timeout 0s -> 2s, allowed regions none -> [r]
+		`client idle timeout 0s -> 2s, regions none -> [r]
 route new: added
 route old: removed
 service s: changed: engine (slots 16 -> 24)
 service fresh: added
 service gone: removed
-account n: changed: keys (1 before, 2 now), allowed regions none -> [q]
+account n: changed: keys (1 before, 2 now), regions none -> [q]
 account come: added
 account left: removed
 limits: changed: body bytes 1000 -> 2000, idle timeout 0s -> 1.5s
