Reject responses without a valid HTTP/1.1 status line

Callers waited until their deadline for a 504, got a body that a replica had sent after the response to another one, or got a status that is none, when a replica sent a status such as 000, 099, +20, 101, 600 or 999, or another version of HTTP.

Cause: package net/http accepts them. The front took any status below 200 for that of an informational response and went on reading; 600 and above were forwarded. The same stood wherever responses are read: an agent forwarded status 0, at which the entry panics; a permit of the weight store, the cancel of a request at an engine and a record of the log service counted as confirmed by a status below 400; one to a reservation counted as a replica's refusal.

Package wire now checks the head as it was received, at the front (pool) and in the transports of plain services, engines, replicas, the store, the log service, the VM list and the weight store. Such a response is none: its connection is closed, the call is sent again where its route allows that, and else ends with 502. It is no sign of a crash. 101 counts too, since no client of ours asks for another protocol.

--- a/engine/client.go
+++ b/engine/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/wire"
 )
 
 // Headers of a completion request to an engine.
@@ -37,7 +39,7 @@
 // New returns a Client of the engine at addr, which is HOST:PORT.
 func New(addr string) *Client {
 	trn := &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: trn}}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: wire.NewTransport(trn)}}
 }
 
 // Request is a completion request.
--- a/front/front.go
+++ b/front/front.go
@@ -132,7 +132,7 @@
 		},
 		Rules: frt.activeRules, Fleet: frt.fleet, Pool: frt.pool,
 		Reserver: relay.NewReserver(frt.clock, frt.log,
-			platform.NewReplicaAPI(&http.Client{Transport: toReplicas}, frt.recordReplicaNotice)),
+			platform.NewReplicaAPI(toReplicas, frt.recordReplicaNotice)),
 		Crashes:               frt.crashes,
 		RetryLimits:           frt.retryLimits,
 		BudgetProcesses:       frt.budgetProcesses,
--- a/logsvc/client.go
+++ b/logsvc/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/wire"
 )
 
 const (
@@ -45,7 +47,7 @@
 // New returns a Client for the log service at the given address.
 func New(addr string) *Client {
 	trn := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: trn}}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: wire.NewTransport(trn)}}
 }
 
 // Append appends a record to a stream and returns its offset. A trace.LimitExceeded error means that the record was not
--- a/plain/client.go
+++ b/plain/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/wire"
 )
 
 const (
@@ -46,7 +48,7 @@
 	trn.DisableCompression = true
 	trn.DialContext = dial
 	return &http.Client{
-		Transport:     trn,
+		Transport:     wire.NewTransport(trn),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/tarragonwheel/tarragonwheel/timer"
+	"github.com/tarragonwheel/tarragonwheel/wire"
 )
 
 // Time limits of connections.
@@ -82,7 +83,7 @@
 // Conn is a connection to a replica as one call uses it. Once it is released, the call cannot close it any more, since
 // another one may use it.
 type Conn struct {
-	net.Conn
+	*wire.Conn
 	mu          sync.Mutex // held by Close and Release, which may be called concurrently
 	released    bool
 	pool        *Pool
@@ -109,9 +110,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("pool: connect: %w", trace.ConnectionProblem(err, "replica at %s", address))
 	}
-	limit := &limitedReader{src: raw}
+	wir := wire.NewConn(raw)
+	limit := &limitedReader{src: wir}
 	return &Conn{
-		Conn: raw, pool: pol, replica: replica, idleTimeout: defaultIdleTimeout, limit: limit,
+		Conn: wir, pool: pol, replica: replica, idleTimeout: defaultIdleTimeout, limit: limit,
 		reader: bufio.NewReaderSize(limit, readBufferBytes), writeResult: make(chan error, 1),
 	}, nil
 }
@@ -166,11 +168,7 @@
 
 // peek reports whether the connection is open, and whether no bytes have been received on it that were not read.
 func (con *Conn) peek() (open, drained bool) {
-	sys, ok := con.Conn.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	raw, err := sys.SyscallConn()
+	raw, err := con.SyscallConn()
 	if err != nil {
 		return false, false
 	}
@@ -220,14 +218,11 @@
 	const maxResponses = 3
 	req := &http.Request{Method: method}
 	for range maxResponses {
-		con.limit.left = maxHeadBytes
-		start, _ := con.reader.Peek(len(responseStart)) // What ends sooner is an error of ReadResponse too.
-		isResponse := strings.HasPrefix(responseStart, string(start))
-		res, err := http.ReadResponse(con.reader, req)
+		res, isFinal, err := con.readHead(req)
 		if err != nil {
-			return nil, con.headerError(err, isResponse)
+			return nil, err
 		}
-		if res.StatusCode < http.StatusOK { // an informational response
+		if !isFinal {
 			continue
 		}
 		if isOurs(res) {
@@ -243,6 +238,25 @@
 	return nil, ErrMismatchedResponse
 }
 
+// readHead reads the head of a response, and returns whether it is that of a final response.
+func (con *Conn) readHead(req *http.Request) (res *http.Response, isFinal bool, err error) {
+	con.limit.left = maxHeadBytes
+	start, _ := con.reader.Peek(len(responseStart)) // What ends sooner is an error of ReadResponse too.
+	isResponse := strings.HasPrefix(responseStart, string(start))
+	buffered, _ := con.reader.Peek(con.reader.Buffered()) // What is buffered can be read without an error.
+	con.RecordHead(buffered)
+	res, err = http.ReadResponse(con.reader, req)
+	head := con.Head()
+	if err != nil {
+		return nil, false, con.headerError(err, isResponse)
+	}
+	isFinal, _, err = wire.CheckHead(head)
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return res, isFinal, nil
+}
+
 // responseStart is how each response starts.
 const responseStart = "HTTP/"
 
--- a/vmlist/client.go
+++ b/vmlist/client.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tarragonwheel/tarragonwheel/proto"
+	"github.com/tarragonwheel/tarragonwheel/wire"
 )
 
 const (
@@ -59,7 +60,8 @@
 
 // New returns a Client for the list at the given address.
 func New(addr string) *Client {
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+	trn := &http.Transport{MaxIdleConnsPerHost: 1}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: wire.NewTransport(trn)}}
 }
 
 // Since returns the changes after a revision, or the whole list for revision 0. If there are none yet, it waits for up
--- a/weight/client.go
+++ b/weight/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tarragonwheel/tarragonwheel/wire"
 )
 
 const requestTimeout = 5 * time.Second
@@ -22,7 +24,7 @@
 
 // New returns a Client for the weight store at the given address.
 func New(addr string) *Client {
-	return &Client{base: "http://" + addr, http: &http.Client{}}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: wire.NewTransport(&http.Transport{})}}
 }
 
 // Permit asks for a permit to load the weights of a version of a model now. The error is trace.LimitExceeded if the
--- /dev/null
+++ b/wire/head.go
@@ -0,0 +1,47 @@
+// Package wire checks the responses that HTTP clients receive, beyond what package net/http checks.
+//
+// That package accepts some heads that are no HTTP/1.1. What follows such a head cannot be told: a client would wait
+// for a response that does not come, or take bytes for the response that are not.
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// ErrMalformed is returned for a response whose head is no HTTP/1.1.
+var ErrMalformed = errors.New("wire: response is malformed")
+
+// statusLine matches the start of a status line up to its status code, which is from 100 to 599.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +([1-5][0-9][0-9])( |$)`)
+
+// switchingProtocols is the status code of a response after which the server speaks another protocol. No client of
+// this program asks for one.
+const switchingProtocols = "101"
+
+// CheckHead checks the head at the start of raw, which package net/http has accepted. It returns what follows the head,
+// and whether the head is that of a final response, and not of an informational one before it. The error wraps
+// ErrMalformed.
+func CheckHead(raw []byte) (isFinal bool, rest []byte, err error) {
+	line, rest := cutLine(raw)
+	match := statusLine.FindSubmatch(line)
+	if match == nil {
+		return false, nil, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+	}
+	code := string(match[1])
+	if code == switchingProtocols {
+		return false, nil, fmt.Errorf("%w: switch to another protocol without a request for it", ErrMalformed)
+	}
+	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
+	}
+	return !strings.HasPrefix(code, "1"), rest, nil
+}
+
+// cutLine returns the first line, without its end, and what follows it.
+func cutLine(raw []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(raw, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
--- /dev/null
+++ b/wire/head_test.go
@@ -0,0 +1,54 @@
+package wire_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragonwheel/tarragonwheel/wire"
+)
+
+func ExampleCheckHead() {
+	raw := "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"
+	isFinal, rest, err := wire.CheckHead([]byte(raw))
+	fmt.Printf("%v %q %v\n", isFinal, rest, err)
+	isFinal, rest, err = wire.CheckHead(rest)
+	fmt.Printf("%v %q %v\n", isFinal, rest, err)
+	_, _, err = wire.CheckHead([]byte("HTTP/1.1 000 OK\r\n\r\n"))
+	fmt.Println(err)
+	// Output:
+	// false "HTTP/1.1 200 OK\r\n\r\n" <nil>
+	// true "" <nil>
+	// wire: response is malformed: status line "HTTP/1.1 000 OK"
+}
+
+// TestSoundStatusLines guards against sound responses that are rejected.
+func TestSoundStatusLines(t *testing.T) {
+	for line, want := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 200": true, "HTTP/1.1 200 ": true, "HTTP/1.0 599 X": true,
+		"HTTP/1.1  404 X": true, "HTTP/1.1 100 Continue": false, "HTTP/1.1 199 X": false,
+	} {
+		for _, end := range []string{"\r\n", "\n"} {
+			iis := is.New(t)
+			isFinal, rest, err := wire.CheckHead([]byte(line + end + "X: y" + end + end + "body"))
+			iis.NoErr(err)
+			iis.Equal(isFinal, want)
+			iis.Equal(string(rest), "body")
+		}
+	}
+}
+
+// TestInvalidStatusLines guards against responses that are not HTTP/1.1, or have no valid status.
+func TestInvalidStatusLines(t *testing.T) {
+	for _, line := range []string{
+		"", "x", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 000 X", "HTTP/1.1 099", "HTTP/1.1 +20 X", "HTTP/1.1 101 X",
+		"HTTP/1.1 600 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 200\tX", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+		"ICY 200 OK", " HTTP/1.1 200 OK",
+	} {
+		iis := is.New(t)
+		_, _, err := wire.CheckHead([]byte(line + "\r\n\r\n"))
+		iis.True(errors.Is(err, wire.ErrMalformed))
+	}
+}
