Reject responses with a line that is no header field

Callers got a response in whose head the name of a field held a blank, waited until their deadline for a 504, or got a body with something else in it: `Content-Length : 7` left a body without its length, and so did a length on a line that began with a blank, which counted as more of the field before it, be that the replica's signature. Chunks of an HTTP/1.0 response were forwarded with their framing. A length or chunks of an informational response made its body the response to the call.

Cause: package net/http keeps a name with a blank as it is, so nobody who looks for the field finds it; it joins continued lines; and it drops the framing of HTTP/1.0 chunks and informational responses. All other names that are no tokens, and control bytes, it refuses already; those cases are in the test too. A blank in the name of the store's era made its response one of another era.

wire.CheckHead now looks at each line as it was received. RFC 9112 lets a proxy answer 502 to a continued line; it demands an error for chunks in HTTP/1.0 and forbids the framing of informational responses. Content-Length: 0 in one does no harm and is let through.

--- a/plain/malformed_test.go
+++ b/plain/malformed_test.go
@@ -89,3 +89,16 @@
 		checkNoResponse(t, "HTTP/1.1 103 X\r\n\r\n"+text)
 	}
 }
+
+// TestMalformedFieldIsNoResponse guards against a body that is read without its length, and a line that is forwarded
+// although it is no header field.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	for _, fields := range []string{
+		"X Y: 1\r\nContent-Length: 2\r\n", "Content-Length : 2\r\n", "X-Y: 1\r\n Content-Length: 2\r\n",
+		"X-Y: 1\r\n\tContent-Length: 2\r\n", "Transfer-Encoding : chunked\r\nContent-Length: 2\r\n",
+	} {
+		checkNoResponse(t, "HTTP/1.1 200 X\r\n"+fields+"\r\nno")
+		checkNoResponse(t, "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\nHTTP/1.1 200 X\r\n"+fields+"\r\nno")
+	}
+	checkNoResponse(t, "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n")
+}
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -117,3 +117,75 @@
 		})
 	}
 }
+
+// malformedFields are lines of a head that are no header fields, or make a framing of which no end can be told. Each is
+// followed by the rest of a head and a body.
+var malformedFields = map[string]string{
+	"blank in a name":           "X Y: 1\r\nContent-Length: 7\r\n",
+	"blank after a name":        "X-Y : 1\r\nContent-Length: 7\r\n",
+	"tab after a name":          "X-Y\t: 1\r\nContent-Length: 7\r\n",
+	"control byte in a name":    "X\x01Y: 1\r\nContent-Length: 7\r\n",
+	"control byte in a value":   "X-Y: \x01\r\nContent-Length: 7\r\n",
+	"no name":                   ": 1\r\nContent-Length: 7\r\n",
+	"blank name":                "X-Y: 1\r\n : 1\r\nContent-Length: 7\r\n",
+	"no colon":                  "X-Y\r\nContent-Length: 7\r\n",
+	"length with a blank":       "Content-Length : 7\r\n",
+	"length with a tab":         "Content-Length\t: 7\r\n",
+	"length after a blank":      "X-Y: 1\r\n Content-Length: 7\r\n",
+	"length after a tab":        "X-Y: 1\r\n\tContent-Length: 7\r\n",
+	"length in the first line":  " Content-Length: 7\r\nX-Y: 1\r\n",
+	"line of blanks":            "Content-Length: 7\r\n  \r\nX-Y: 1\r\n",
+	"empty length":              "Content-Length:\r\n",
+	"length with a sign":        "Content-Length: +7\r\n",
+	"two lengths":               "Content-Length: 7\r\nContent-Length: 3\r\n",
+	"chunks with a blank":       "Transfer-Encoding : chunked\r\n",
+	"chunks after a blank":      "X-Y: 1\r\n Transfer-Encoding: chunked\r\n",
+	"type with a blank":         "Content-Type : text/event-stream\r\nContent-Length: 7\r\n",
+	"unknown transfer encoding": "Transfer-Encoding: gzip, chunked\r\n",
+}
+
+// TestMalformedFieldIsNoResponse guards against a response whose head has a line that is no header field: the line may
+// be forwarded, or the body be read without its length, so that the client waits until its deadline or gets more.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	for name, fields := range malformedFields {
+		for _, length := range []string{"", "Content-Length: 7\r\n"} { // The body must not depend on the defect alone.
+			if strings.Contains(strings.ToLower(fields), "length") && length != "" {
+				continue
+			}
+			t.Run(fmt.Sprint(name, " length=", length != ""), func(t *testing.T) {
+				t.Parallel()
+				testMalformedHead(t, func(req request) string {
+					return "HTTP/1.1 200 OK\r\n" + signedHeaders(req) + fields + length + "\r\n" + foreignBody
+				})
+			})
+		}
+	}
+}
+
+// TestMalformedInformationalResponseIsNoResponse guards against an informational response that ends where nobody knows,
+// so that a body is taken for the response to the call.
+func TestMalformedInformationalResponseIsNoResponse(t *testing.T) {
+	for name, text := range map[string]func(req request) string{
+		"blank in a name": func(request) string { return "X Y: 1\r\n\r\n" },
+		"length": func(req request) string {
+			return fmt.Sprintf("Content-Length: %d\r\n\r\n", len(ownResponse(req)))
+		},
+		"chunks": func(req request) string { return "Transfer-Encoding: chunked\r\n\r\n" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testMalformedHead(t, func(req request) string {
+				return "HTTP/1.1 103 X\r\n" + text(req) + ownResponse(req)
+			})
+		})
+	}
+}
+
+// TestChunksOfOldProtocolAreNoResponse guards against a client that gets the framing of chunks as a part of the body,
+// since HTTP/1.0 has no chunks.
+func TestChunksOfOldProtocolAreNoResponse(t *testing.T) {
+	testMalformedHead(t, func(req request) string {
+		return "HTTP/1.0 200 OK\r\n" + signedHeaders(req) + "Transfer-Encoding: chunked\r\n\r\n" +
+			"7\r\n" + foreignBody + "\r\n0\r\n\r\n"
+	})
+}
--- a/wire/head.go
+++ b/wire/head.go
@@ -16,7 +16,7 @@
 var ErrMalformed = errors.New("wire: response is malformed")
 
 // statusLine matches the start of a status line up to its status code, which is from 100 to 599.
-var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +([1-5][0-9][0-9])( |$)`)
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) +([1-5][0-9][0-9])( |$)`)
 
 // switchingProtocols is the status code of a response after which the server speaks another protocol. No client of
 // this program asks for one.
@@ -31,13 +31,34 @@
 	if match == nil {
 		return false, nil, fmt.Errorf("%w: status line %q", ErrMalformed, line)
 	}
-	code := string(match[1])
+	code := string(match[2])
 	if code == switchingProtocols {
 		return false, nil, fmt.Errorf("%w: switch to another protocol without a request for it", ErrMalformed)
 	}
+	isFinal = !strings.HasPrefix(code, "1")
+	mayHaveChunks := isFinal && string(match[1]) != "0"
 	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
+		if !isField(line, isFinal, mayHaveChunks) {
+			return false, nil, fmt.Errorf("%w: header field %q", ErrMalformed, line)
+		}
 	}
-	return !strings.HasPrefix(code, "1"), rest, nil
+	return isFinal, rest, nil
+}
+
+// isField tells whether a line is a header field of which package net/http makes what it says. A blank in a name, which
+// that package accepts, hides the field from those that look for it, and a line that begins with a blank continues the
+// field before it. An informational response has no body, and HTTP/1.0 no chunks.
+func isField(line []byte, mayHaveBody, mayHaveChunks bool) bool {
+	name, val, _ := strings.Cut(string(line), ":")
+	switch {
+	case strings.ContainsAny(name, " \t"):
+		return false
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		return mayHaveChunks
+	case strings.EqualFold(name, "Content-Length"):
+		return mayHaveBody || strings.TrimSpace(val) == "0"
+	}
+	return true
 }
 
 // cutLine returns the first line, without its end, and what follows it.
--- a/wire/head_test.go
+++ b/wire/head_test.go
@@ -52,3 +52,33 @@
 		iis.True(errors.Is(err, wire.ErrMalformed))
 	}
 }
+
+// TestFields guards against sound heads that are rejected, and against lines that are read as another field than they
+// seem, or as none.
+func TestFields(t *testing.T) {
+	for head, want := range map[string]bool{
+		"HTTP/1.1 200 X\r\n\r\n":                                                       true,
+		"HTTP/1.1 200 X\r\nContent-Length: 2\r\nX-Y:a b\r\n\r\n":                       true,
+		"HTTP/1.1 200 X\r\nx-y:  a : b \r\nX-Empty:\r\n\r\n":                           true,
+		"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n":                         true,
+		"HTTP/1.0 200 X\r\nContent-Length: 2\r\n\r\n":                                  true,
+		"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n":                                  true,
+		"HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n":                                         true,
+		"HTTP/1.1 100 X\r\nContent-Length: 0\r\n\r\n":                                  true,
+		"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n a body \r\nthat : has blanks\r\n": true,
+		"HTTP/1.1 200 X\r\nContent-Length : 2\r\n\r\n":                                 false,
+		"HTTP/1.1 200 X\r\nContent-Length\t: 2\r\n\r\n":                                false,
+		"HTTP/1.1 200 X\r\nX Y: 2\r\n\r\n":                                             false,
+		"HTTP/1.1 200 X\r\nX-Y: 1\r\n Content-Length: 2\r\n\r\n":                       false,
+		"HTTP/1.1 200 X\r\nX-Y: 1\r\n\tfolded\r\n\r\n":                                 false,
+		"HTTP/1.1 200 X\r\nX-Y: 1\r\n \r\n\r\n":                                        false,
+		"HTTP/1.0 200 X\r\ntransfer-encoding: chunked\r\n\r\n":                         false,
+		"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n":                         false,
+		"HTTP/1.1 103 X\r\ncontent-length: 9\r\n\r\n":                                  false,
+	} {
+		iis := is.New(t)
+		_, _, err := wire.CheckHead([]byte(head))
+		iis.Equal(errors.Is(err, wire.ErrMalformed), !want)
+		iis.Equal(err == nil, want)
+	}
+}
