Do not take a response that was reset for a complete one

Callers got the beginning of a response as all of it when a replica answered a long upload early, with neither a length nor chunks, and reset the connection while the upload was still being sent: on each kind of route, streams too, and from plain services behind an agent, which recorded such an answer for calls that run once.

Cause: the kernel reports a reset, or the timeout of unacknowledged data, to one operation on the connection. If that is the write of the request, the read finds the end of the connection like after an orderly close, and a body without framing seems complete. A request that the buffers of the sockets hold is written before that, so the read gets the error and all is well.

wire.Conn now remembers the first error of writing. A read that finds the end stops a write in progress and returns that error in place of the end. EPIPE, or a write that only waited, means that the other side had closed the connection in order before, which the test of early responses shows with a reset right after the close. Everything that reads responses uses wire.Conn.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -4,18 +4,24 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Conn is a connection on which HTTP responses arrive. It keeps the bytes of a head, since package net/http does not
-// return them.
+// return them, and tells an orderly end from a reset. One goroutine at a time may read from it, and another one may
+// write to it.
 type Conn struct {
 	net.Conn
-	mu          sync.Mutex
+	mu          sync.Mutex // guards what follows; not held while reading
 	isRecording bool
 	head        []byte
+	writing     sync.Mutex // held while writing; guards writeErr
+	writeErr    error      // the first error of writing
 }
 
 // NewConn returns a Conn that reads from and writes to the given connection.
@@ -37,9 +43,14 @@
 	return head
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the other side has closed the connection in order.
 func (con *Conn) Read(buf []byte) (int, error) {
 	num, err := con.Conn.Read(buf)
+	if errors.Is(err, io.EOF) {
+		if failure := con.failure(); failure != nil {
+			err = fmt.Errorf("wire: receive: %w", failure)
+		}
+	}
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	if con.isRecording {
@@ -48,6 +59,32 @@
 	return num, err //nolint:wrapcheck // Callers compare it with io.EOF, as io.Reader requires.
 }
 
+// Write implements net.Conn.
+func (con *Conn) Write(buf []byte) (int, error) {
+	con.writing.Lock()
+	defer con.writing.Unlock()
+	num, err := con.Conn.Write(buf)
+	if con.writeErr == nil {
+		con.writeErr = err
+	}
+	return num, err //nolint:wrapcheck // The error of the connection, as io.Writer requires.
+}
+
+// failure returns why the connection has failed, once no more can be read, or nil if the other side has closed it in
+// order. The system reports a reset or a timeout to one operation only. If that is a Write, a Read finds the end of the
+// connection like after an orderly close. Write then reports another error than EPIPE, which follows a close.
+func (con *Conn) failure() error {
+	_ = con.SetWriteDeadline(time.Unix(0, 0)) // Ends a Write in progress, as no response can come any more.
+	con.writing.Lock()
+	defer con.writing.Unlock()
+	switch {
+	case con.writeErr == nil, errors.Is(con.writeErr, syscall.EPIPE), errors.Is(con.writeErr, os.ErrDeadlineExceeded),
+		errors.Is(con.writeErr, net.ErrClosed):
+		return nil
+	}
+	return con.writeErr
+}
+
 // SyscallConn implements syscall.Conn. It returns an error that wraps errors.ErrUnsupported if the connection has no
 // file descriptor.
 func (con *Conn) SyscallConn() (syscall.RawConn, error) {
