Keep an early response of a service that does not read on

Callers of plain services got 502, or an unknown outcome, in place of the complete response of a service that had answered a long upload early and closed or reset its connection at once.

Cause: http.Transport closes the connection as soon as the rest of the request cannot be written, and drops what has been received. The front reads its connections itself and was not concerned (relay.TestEarlyResponseIsForwarded held before).

--- a/plain/reset_test.go
+++ b/plain/reset_test.go
@@ -57,26 +57,43 @@
 	}
 }
 
-// TestEarlyResponseIsComplete guards against a response that ends in order and counts as broken off because the service
-// has not read the whole request.
+// TestEarlyResponseIsComplete guards against a complete response that is lost because the service has not read all of
+// the request.
 func TestEarlyResponseIsComplete(t *testing.T) {
+	framed := strings.Replace(unframedPart, "\r\n\r\n", "\r\nContent-Length: 4\r\n\r\n", 1)
 	for name, end := range map[string]func(con net.Conn){
-		"request not read": func(net.Conn) { time.Sleep(100 * time.Millisecond) },
-		"request read":     func(con net.Conn) { _, _ = io.Copy(io.Discard, con) },
+		"request not read": func(con net.Conn) {
+			_ = con.(*net.TCPConn).CloseWrite()
+			time.Sleep(100 * time.Millisecond)
+		},
+		"request read": func(con net.Conn) {
+			_ = con.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, con)
+		},
+		"closed, then reset": func(con net.Conn) {
+			_ = con.(*net.TCPConn).CloseWrite()
+			_ = con.(*net.TCPConn).SetLinger(0)
+		},
+		"reset": func(con net.Conn) { _ = con.(*net.TCPConn).SetLinger(0) },
 	} {
-		t.Run(name, func(t *testing.T) {
-			for range 5 {
-				iis := is.New(t)
-				status, body, err := upload(t, startService(t, func(con net.Conn) bool {
-					_, _ = io.WriteString(con, unframedPart)
-					_ = con.(*net.TCPConn).CloseWrite()
+		for _, text := range []string{unframedPart, framed} {
+			if name == "reset" && text == unframedPart {
+				continue // It is not complete.
+			}
+			t.Run(fmt.Sprint(name, " framed=", text == framed), func(t *testing.T) {
+				cli := startService(t, func(con net.Conn) bool {
+					_, _ = io.WriteString(con, text)
 					end(con)
 					return false
-				}), allow)
-				iis.NoErr(err)
-				iis.Equal(status, http.StatusOK)
-				iis.Equal(body, "part")
-			}
-		})
+				})
+				for range 10 {
+					iis := is.New(t)
+					status, body, err := upload(t, cli, allow)
+					iis.NoErr(err)
+					iis.Equal(status, http.StatusOK)
+					iis.Equal(body, "part")
+				}
+			})
+		}
 	}
 }
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // Transport is an http.RoundTripper that returns an error for a response that is no HTTP/1.1. It is safe for concurrent
@@ -26,17 +28,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("wire: connect: %w", err)
 		}
-		return NewConn(con), nil
+		return &requestConn{Conn: NewConn(con)}, nil
 	}
 	return &Transport{base: base}
 }
 
 // RoundTrip implements http.RoundTripper. The error wraps ErrMalformed if the response is no HTTP/1.1.
 func (trn *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var con *Conn // the one of the latest attempt
+	var con *requestConn // the one of the latest attempt
 	trace := &httptrace.ClientTrace{GotConn: func(inf httptrace.GotConnInfo) {
-		if con, _ = inf.Conn.(*Conn); con != nil { // It is of another type under TLS.
-			con.RecordHead(nil)
+		if con, _ = inf.Conn.(*requestConn); con != nil { // It is of another type under TLS.
+			con.beginRequest()
 		}
 	}}
 	res, err := trn.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
@@ -57,3 +59,29 @@
 	}
 	return res, nil
 }
+
+// requestConn is a connection of an http.Transport. That drops a response if the rest of its request cannot be written,
+// although it may be complete: a server may answer early and close the connection. Once a part of a request has been
+// sent, only reading therefore tells how the connection has ended.
+type requestConn struct {
+	*Conn
+	isSending atomic.Bool // a part of the request has been sent
+}
+
+// beginRequest prepares the connection for a request and the head of its response.
+func (con *requestConn) beginRequest() {
+	con.isSending.Store(false)
+	con.RecordHead(nil)
+}
+
+// Write implements net.Conn. It drops what the other side does not take any more.
+func (con *requestConn) Write(buf []byte) (int, error) {
+	num, err := con.Conn.Write(buf)
+	if num > 0 {
+		con.isSending.Store(true)
+	}
+	if err != nil && con.isSending.Load() && !errors.Is(err, net.ErrClosed) {
+		return len(buf), nil
+	}
+	return num, err //nolint:wrapcheck // The error of the connection, as io.Writer requires.
+}
