Send malformed responses in the soak

The soak's replicas sent bytes without end, but no response that seems complete and is none. A disturbed replica may now send responses with status 000 or 101, or with a blank in or before a name, whose body is a foreign one.

Resets under uploads are not played: the calls of the soak are small.

--- a/soak/phases.go
+++ b/soak/phases.go
@@ -130,12 +130,14 @@
 	sok.floodColdReplica(ctx)
 }
 
-// disturbReplica makes a replica refuse calls, send bytes without end, or stall its streams for the given time.
+// disturbReplica makes a replica refuse calls, send bytes without end or malformed responses, or stall its streams for
+// the given time.
 func (sok *Soak) disturbReplica(dur time.Duration) {
 	sok.mu.Lock()
 	rep := sok.live[sok.rnd.IntN(len(sok.live))].server
 	sok.mu.Unlock()
-	rep.SetMode([]plsim.Mode{plsim.ModeRefuse, plsim.ModeEndless, plsim.ModeStall}[sok.rnd.IntN(3)])
+	modes := []plsim.Mode{plsim.ModeRefuse, plsim.ModeEndless, plsim.ModeStall, plsim.ModeMalformed}
+	rep.SetMode(modes[sok.rnd.IntN(len(modes))])
 	time.AfterFunc(dur, func() { rep.SetMode(plsim.ModeSound) })
 }
 
