Shorten and explain what a first reading stumbled over

The replicas and the calls of the tests of resets had copies of the loops in the tests' rig, which now serves both. The comments on the end of a connection say what the kernel does in the field's terms. The fuzz test of heads checks that a response that is accepted has a valid status and no blank in a name.

The tests of package wire, of pool, plain, engine, weight and platform, and those of malformed and reset responses in relay pass.

--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -94,13 +94,15 @@
 	}
 }
 
-// FuzzReadResponse checks that any bytes of a replica end a call: with a response that names the call, or with an
+// FuzzReadResponse checks that any bytes of a replica end a call: with a valid response that names the call, or with an
 // error.
 func FuzzReadResponse(f *testing.F) {
 	f.Add(ownResponse)
 	f.Add(otherResponse + ownResponse)
 	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: mine\r\n\r\n1;ext\r\nx\r\n0\r\nX-Trailer: x\r\n\r\n")
 	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: mine\r\n folded\r\n\r\n\x00")
+	f.Add("HTTP/1.1 000 OK\r\nX-Id: mine\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length : 2\r\n\r\nok")
 	f.Fuzz(func(t *testing.T, text string) {
 		addr := startReplica(t, func(con net.Conn) {
 			_, _ = io.ReadFull(con, make([]byte, len(request)))
@@ -117,8 +119,19 @@
 			return
 		}
 		res, err := con.ReadResponse(http.MethodGet, isOurs) //nolint:bodyclose // The connection is closed.
-		if err == nil && !isOurs(res) {
+		if err != nil {
+			return
+		}
+		if !isOurs(res) {
 			t.Errorf("returned the response of another call")
 		}
+		if res.StatusCode < 200 || res.StatusCode > 599 {
+			t.Errorf("returned a response with status %d", res.StatusCode)
+		}
+		for name := range res.Header {
+			if strings.Contains(name, " ") {
+				t.Errorf("returned a response with a field named %q", name)
+			}
+		}
 	})
 }
--- a/relay/reset_test.go
+++ b/relay/reset_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -22,40 +21,15 @@
 // connection sees it first.
 const resetPlays = 10
 
-// newEarlyReplica starts a replica that handles each request as soon as it has read its head. The connection is closed
-// if hdl returns false.
+// newEarlyReplica starts a replica that handles each request as soon as it has read its head.
 func newEarlyReplica(t *testing.T, hdl handler) *replica {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	rep := &replica{addr: lis.Addr().String()}
-	go func() {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			rep.accepted.Add(1)
-			go func() {
-				defer func() { _ = con.Close() }()
-				brd := bufio.NewReader(con)
-				for {
-					req, err := http.ReadRequest(brd)
-					if err != nil {
-						return
-					}
-					rep.calls.Add(1)
-					if !hdl(con, request{Request: req}) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return rep
+	return startReplica(t, func(rep *replica, con net.Conn) {
+		rep.serveEarly(con, func(con net.Conn, req request) bool {
+			rep.calls.Add(1)
+			return hdl(con, req)
+		})
+	})
 }
 
 // newUploadRig starts a relay that takes bodies of uploadBytes.
@@ -71,21 +45,7 @@
 // upload sends a call with a body of uploadBytes, and returns the status, the body and the error of reading it.
 func (rig *rig) upload(t *testing.T, path string) (status int, body string, err error) {
 	t.Helper()
-	asked := strings.NewReader(strings.Repeat("u", uploadBytes))
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+path, asked)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Tarragonwheel-Request-Id", "c1")
-	req.Header.Set("Tarragonwheel-Request-Deadline-Ms", "5000")
-	req.Header.Set("Api-Key", "k")
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = res.Body.Close() }()
-	raw, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(raw), err
+	return rig.sendBody(t, path, strings.Repeat("u", uploadBytes), "X-None", "")
 }
 
 // uploadPaths are a path of each kind of route, and the type of the responses there.
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -45,6 +45,12 @@
 
 // newReplica starts a replica that answers with hdl.
 func newReplica(t testing.TB, hdl handler) *replica {
+	t.Helper()
+	return startReplica(t, func(rep *replica, con net.Conn) { rep.serve(con, hdl) })
+}
+
+// startReplica starts a replica that serves each connection by a function.
+func startReplica(t testing.TB, serve func(rep *replica, con net.Conn)) *replica {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,23 +65,28 @@
 				return
 			}
 			rep.accepted.Add(1)
-			go rep.serve(con, hdl)
+			go serve(rep, con)
 		}
 	}()
 	return rep
 }
 
 func (rep *replica) serve(con net.Conn, hdl handler) {
+	rep.serveEarly(con, func(con net.Conn, req request) bool {
+		body, _ := io.ReadAll(req.Body)
+		req.body = string(body)
+		rep.calls.Add(1)
+		return hdl(con, req)
+	})
+}
+
+// serveEarly calls hdl as soon as the head of a request has been read. It does not count the calls.
+func (rep *replica) serveEarly(con net.Conn, hdl handler) {
 	defer func() { _ = con.Close() }()
 	brd := bufio.NewReader(con)
 	for {
 		req, err := http.ReadRequest(brd)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(req.Body)
-		rep.calls.Add(1)
-		if !hdl(con, request{Request: req, body: string(body)}) {
+		if err != nil || !hdl(con, request{Request: req}) {
 			return
 		}
 	}
@@ -214,7 +225,13 @@
 // sendWith is send with one more header.
 func (rig *rig) sendWith(t *testing.T, path, header, value string) (status int, body string, err error) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+path, strings.NewReader("asked"))
+	return rig.sendBody(t, path, "asked", header, value)
+}
+
+// sendBody is sendWith with the given body of the request.
+func (rig *rig) sendBody(t *testing.T, path, asked, header, value string) (status int, body string, err error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, rig.url+path, strings.NewReader(asked))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -17,7 +17,7 @@
 // write to it.
 type Conn struct {
 	net.Conn
-	mu          sync.Mutex // guards what follows; not held while reading
+	mu          sync.Mutex // guards isRecording and head; not held while reading
 	isRecording bool
 	head        []byte
 	writing     sync.Mutex // held while writing; guards writeErr
@@ -70,9 +70,9 @@
 	return num, err //nolint:wrapcheck // The error of the connection, as io.Writer requires.
 }
 
-// failure returns why the connection has failed, once no more can be read, or nil if the other side has closed it in
-// order. The system reports a reset or a timeout to one operation only. If that is a Write, a Read finds the end of the
-// connection like after an orderly close. Write then reports another error than EPIPE, which follows a close.
+// failure returns why the connection has failed, once its end has been read, or nil if the other side has closed it in
+// order. The kernel reports a reset or a timeout to one operation only. If that is a Write, a Read finds the end of the
+// connection as after an orderly close. A Write after an orderly close fails with EPIPE, also if a reset follows.
 func (con *Conn) failure() error {
 	_ = con.SetWriteDeadline(time.Unix(0, 0)) // Ends a Write in progress, as no response can come any more.
 	con.writing.Lock()
--- a/wire/head.go
+++ b/wire/head.go
@@ -1,7 +1,8 @@
 // Package wire checks the responses that HTTP clients receive, beyond what package net/http checks.
 //
 // That package accepts some heads that are no HTTP/1.1. What follows such a head cannot be told: a client would wait
-// for a response that does not come, or take bytes for the response that are not.
+// for a response that does not come, or take other bytes for the response. And it takes a body without framing for
+// complete if the connection was reset while the request was still being sent.
 package wire
 
 import (
@@ -45,9 +46,9 @@
 	return isFinal, rest, nil
 }
 
-// isField tells whether a line is a header field of which package net/http makes what it says. A blank in a name, which
-// that package accepts, hides the field from those that look for it, and a line that begins with a blank continues the
-// field before it. An informational response has no body, and HTTP/1.0 no chunks.
+// isField tells whether a line is a valid header field. A blank in a name, which package net/http accepts, hides the
+// field from those that look for it, and a line that begins with a blank continues the field before it. An
+// informational response has no body, and HTTP/1.0 no chunks; that package ignores their framing.
 func isField(line []byte, mayHaveBody, mayHaveChunks bool) bool {
 	name, val, _ := strings.Cut(string(line), ":")
 	switch {
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -55,14 +55,14 @@
 	if err != nil {
 		_ = con.Close() // It may be idle already, and must carry no other call.
 		_ = res.Body.Close()
-		return nil, err
+		return nil, fmt.Errorf("wire: read response of %s: %w", req.URL.Host, err)
 	}
 	return res, nil
 }
 
-// requestConn is a connection of an http.Transport. That drops a response if the rest of its request cannot be written,
-// although it may be complete: a server may answer early and close the connection. Once a part of a request has been
-// sent, only reading therefore tells how the connection has ended.
+// requestConn is a connection of an http.Transport, which drops a response if the rest of its request cannot be
+// written. A server may respond early and close the connection, so that the response is complete. Once a part of a
+// request has been sent, requestConn therefore reports failures of the connection to the reader only.
 type requestConn struct {
 	*Conn
 	isSending atomic.Bool // a part of the request has been sent
