--- a/wire/head_test.go
+++ b/wire/head_test.go
@@ -1,8 +1,11 @@
 package wire_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -82,3 +85,38 @@
 		iis.Equal(err == nil, want)
 	}
 }
+
+// FuzzCheckHead checks that a head that package net/http and CheckHead accept has a valid status, and fields of which
+// that package has dropped or hidden none.
+func FuzzCheckHead(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nX-Y: 1\r\n folded\r\n\r\n")
+	f.Add("HTTP/1.1 103 X\r\nContent-Length : 2\r\n\r\nHTTP/1.1 000 X\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		if err != nil {
+			return
+		}
+		isFinal, rest, err := wire.CheckHead([]byte(text))
+		if err != nil {
+			return
+		}
+		if res.StatusCode < 100 || res.StatusCode > 599 || isFinal != (res.StatusCode >= 200) {
+			t.Errorf("status %d, final: %v", res.StatusCode, isFinal)
+		}
+		lines := strings.Count(strings.TrimSuffix(text, string(rest)), "\n")
+		fields := len(res.TransferEncoding)
+		for name, values := range res.Header {
+			if strings.ContainsAny(name, " \t") {
+				t.Errorf("a field is named %q", name)
+			}
+			fields += len(values)
+		}
+		if lines != fields+2 && len(res.Header["Content-Length"]) == 0 && res.Trailer == nil && !addsCacheControl(res) {
+			t.Errorf("%d fields in %d lines", fields, lines)
+		}
+	})
+}
+
+// addsCacheControl tells whether package net/http may have added a field in place of Pragma.
+func addsCacheControl(res *http.Response) bool { return len(res.Header["Pragma"]) > 0 }
