Log and count malformed responses

On a used connection a malformed response left no line in the log, since nothing is held against the replica there. Each one now has a line and counts as event response-malformed.

Each case of the tests of malformed responses checks the count.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -285,7 +285,10 @@
 		return reasonBuffersFull
 	case att.ahead.Load().wasUnread():
 		return reasonUnread
-	case errors.Is(err, pool.ErrMismatchedResponse), errors.Is(err, pool.ErrMalformed), !att.con.Ended():
+	case errors.Is(err, pool.ErrMalformed):
+		att.recordMalformed(err)
+		return reasonReplicaFailed
+	case errors.Is(err, pool.ErrMismatchedResponse), !att.con.Ended():
 		return reasonReplicaFailed // The connection is open, so the replica has not crashed.
 	}
 	return reasonStreamBroken
--- a/relay/broken.go
+++ b/relay/broken.go
@@ -27,6 +27,15 @@
 		append(att.describeBrokenAnswer(out), "crash", false)...)
 }
 
+// recordMalformed records that the replica has sent what is no response. That is logged also on a used connection, for
+// which nothing else is.
+func (att *attempt) recordMalformed(err error) {
+	hdl := att.hdl
+	hdl.opts.Metrics.CountEvent("response-malformed")
+	hdl.opts.Log.Info("relay: response is malformed, closing the connection", "call", hdl.cal.ID,
+		"replica", att.placement.Primary.ID, "reused", att.con.Reused(), "error", err.Error())
+}
+
 // recordBreak records that the replica closed the connection before it had answered the call completely. That is a
 // crash if the replica does not accept a new connection, which is checked in the background. Otherwise only the answer
 // was lost.
--- a/relay/malformed_test.go
+++ b/relay/malformed_test.go
@@ -58,6 +58,9 @@
 	if took := time.Since(began); took > soonLimit {
 		t.Errorf("%s kept=%v: ended after %v", path, kept, took)
 	}
+	if rig.event(t, "response-malformed") == 0 {
+		t.Errorf("%s kept=%v: not counted", path, kept)
+	}
 }
 
 // TestCallIsSentAgainAfterAMalformedHead guards against a call that fails although it may be sent to a sound replica.
--- a/wire/head.go
+++ b/wire/head.go
@@ -23,6 +23,9 @@
 // this program asks for one.
 const switchingProtocols = "101"
 
+// maxQuotedBytes is the length of what an error quotes of a line.
+const maxQuotedBytes = 80
+
 // CheckHead checks the head at the start of raw, which package net/http has accepted. It returns what follows the head,
 // and whether the head is that of a final response, and not of an informational one before it. The error wraps
 // ErrMalformed.
@@ -30,7 +33,7 @@
 	line, rest := cutLine(raw)
 	match := statusLine.FindSubmatch(line)
 	if match == nil {
-		return false, nil, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+		return false, nil, fmt.Errorf("%w: status line %.*q", ErrMalformed, maxQuotedBytes, line)
 	}
 	code := string(match[2])
 	if code == switchingProtocols {
@@ -40,7 +43,7 @@
 	mayHaveChunks := isFinal && string(match[1]) != "0"
 	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
 		if !isField(line, isFinal, mayHaveChunks) {
-			return false, nil, fmt.Errorf("%w: header field %q", ErrMalformed, line)
+			return false, nil, fmt.Errorf("%w: header field %.*q", ErrMalformed, maxQuotedBytes, line)
 		}
 	}
 	return isFinal, rest, nil
