--- a/wire/conn.go
+++ b/wire/conn.go
@@ -27,7 +27,8 @@
 // NewConn returns a Conn that reads from and writes to the given connection.
 func NewConn(con net.Conn) *Conn { return &Conn{Conn: con} }
 
-// RecordHead keeps the bytes that are read from now on, after those that have been read of the head before.
+// RecordHead keeps the bytes that are read from now on. The given ones are the beginning of the head, if a buffer of
+// the reader holds one already.
 func (con *Conn) RecordHead(buffered []byte) {
 	con.mu.Lock()
 	defer con.mu.Unlock()
